--- /dev/null
+++ b/crates/fernroute-benchlink/src/wire.rs
@@ -0,0 +1,316 @@
+//! The bench's wire: decode a line, rename, convert, call the balancer it is for; flush each reply.
+
+use fernroute::host::{Host, Outcome, Terms, Time};
+use fernroute::Balancer;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{self, BufRead, Write};
+use std::rc::Rc;
+
+/// Wire path of a start's value, its name in the project, and how the value is read. `#` is any list place.
+#[rustfmt::skip]
+const TERMS: &[(&str, &str, Form)] = &[
+    ("n-instances", "instances", Form::Plain),
+    ("layer", "tier", Form::Plain),
+    ("zone", "zone", Form::Plain),
+    ("quantum-s", "tick", Form::Seconds),
+    ("membership-mode", "list_mode", Form::Words),
+    ("beyond-share-gain", "over_share_gain", Form::Plain),
+    ("feedback.names", "load.names", Form::Words),
+    ("methods.count", "methods.count", Form::Plain),
+    ("methods.#.name", "methods.#.name", Form::Plain),
+    ("methods.#.effect", "methods.#.effect", Form::Words),
+    ("methods.#.group", "methods.#.group", Form::Plain),
+    ("methods.#.window-s", "methods.#.window", Form::Seconds),
+    ("methods.#.soft-deadline-s", "methods.#.soft_deadline", Form::Seconds),
+    ("methods.#.hard-deadline-s", "methods.#.hard_deadline", Form::Seconds),
+    ("methods.#.gain", "methods.#.gain", Form::Plain),
+    ("methods.#.late-gain", "methods.#.late_gain", Form::Plain),
+    ("orgs.count", "tenants.count", Form::Plain),
+    ("orgs.#.name", "tenants.#.name", Form::Plain),
+    ("orgs.#.quota-per-s", "tenants.#.rate", Form::Plain),
+    ("ceilings.max-transmissions", "limits.max_transmissions", Form::Plain),
+    ("ceilings.second-copies", "limits.second_copies", Form::Plain),
+    ("ceilings.cancel", "limits.cancel", Form::Plain),
+    ("ceilings.retry-after", "limits.stay_away", Form::Plain),
+    ("ceilings.max-retry-after-s", "limits.max_stay_away", Form::Seconds),
+    ("contract.answer-slack-s", "rules.answer_slack", Form::Seconds),
+    ("contract.drain-grace-s", "rules.drain_grace", Form::Seconds),
+    ("contract.must-ask-in-s", "rules.ask_within", Form::Seconds),
+    ("contract.cold-from", "rules.cold_from", Form::Plain),
+    ("contract.warm-within-s", "rules.warm_within", Form::Seconds),
+    ("contract.tip-multiple", "rules.cold_multiple", Form::Plain),
+    ("contract.overload-for-s", "rules.cold_window", Form::Seconds),
+];
+
+#[derive(Clone, Copy)]
+enum Form {
+    Plain,
+    Words,
+    Seconds,
+}
+
+#[rustfmt::skip]
+const WORDS: &[(&str, &str)] = &[
+    ("read_like", "retriable"), ("idempotency_key", "deduped"), ("non_idempotent", "non_retriable"),
+    ("cpu", "utilisation"), ("avg_ms", "service_time"), ("active", "in_flight"),
+    ("subscribe", "ask"), ("automatic", "push"), ("waiting", "queued"), ("rps", "rate"), ("err_rps", "errors"),
+];
+
+fn word(w: &str) -> &str {
+    WORDS.iter().find(|(wire, _)| *wire == w).map_or(w, |(_, ours)| ours)
+}
+
+fn outcome(w: &str) -> Outcome {
+    match w {
+        "success" => Outcome::Completed,
+        "failure" => Outcome::Errored,
+        "overloaded" => Outcome::Exhausted,
+        "timed_out" => Outcome::TimedOut,
+        "unreachable" => Outcome::ConnectFailed,
+        "broken" => Outcome::Reset,
+        "withdrawn" => Outcome::Cancelled,
+        "void" => Outcome::Moot,
+        _ => Outcome::Unknown,
+    }
+}
+
+/// Seconds as written on the wire, in whole tenths of a millisecond, rounded down.
+fn time(text: &str) -> Option<Time> {
+    let seconds: f64 = text.parse().ok()?;
+    if !seconds.is_finite() {
+        return None;
+    }
+    // The wire counts in microseconds: to those first, so that binary fractions cost no tenth.
+    Some((seconds.max(0.0) * 1e6).round() as Time / 100)
+}
+
+/// The members of one line: name and value pairs in any order.
+struct Line<'a> {
+    name: &'a str,
+    text: &'a str,
+}
+
+impl<'a> Line<'a> {
+    fn new(text: &'a str) -> Self {
+        let (name, text) = text.split_once('\t').unwrap_or((text, ""));
+        Line { name, text }
+    }
+
+    fn get(&self, member: &str) -> Option<&'a str> {
+        self.text.split('\t').find_map(|part| part.strip_prefix(member)?.strip_prefix('='))
+    }
+
+    fn need(&self, member: &str) -> Result<&'a str, String> {
+        self.get(member).ok_or_else(|| format!("line '{}' lacks '{member}'", self.name))
+    }
+
+    fn number<T: std::str::FromStr>(&self, member: &str) -> Result<T, String> {
+        let text = self.need(member)?;
+        text.parse().map_err(|_| format!("line '{}': '{member}' is not readable", self.name))
+    }
+
+    fn time(&self, member: &str) -> Result<Time, String> {
+        time(self.need(member)?).ok_or_else(|| format!("line '{}': '{member}' is not readable", self.name))
+    }
+
+    /// A time that may be absent; one that is there must be readable.
+    fn maybe_time(&self, member: &str) -> Result<Time, String> {
+        self.get(member).map_or(Ok(0), |_| self.time(member))
+    }
+
+    fn flag(&self, member: &str) -> bool {
+        matches!(self.get(member), Some("1" | "true"))
+    }
+
+    fn loads(&self) -> Vec<f64> {
+        let row = self.get("gauge").unwrap_or("");
+        row.split(',').filter(|v| !v.is_empty()).map(|v| v.parse().unwrap_or(f64::NAN)).collect()
+    }
+}
+
+/// Renames one start value; `None` for one that this version does not know.
+fn term(path: &str, value: &str) -> Option<(String, String)> {
+    let place = path.split('.').find(|s| s.bytes().all(|b| b.is_ascii_digit())).unwrap_or("#");
+    let pattern: Vec<&str> = path.split('.').map(|s| if s == place { "#" } else { s }).collect();
+    let pattern = pattern.join(".");
+    let (_, ours, form) = TERMS.iter().find(|(wire, _, _)| *wire == pattern)?;
+    let value = match form {
+        Form::Plain => value.to_owned(),
+        Form::Words => value.split(',').map(word).collect::<Vec<_>>().join(","),
+        Form::Seconds => time(value).map_or_else(|| value.to_owned(), |t| t.to_string()),
+    };
+    Some((ours.replace('#', place), value))
+}
+
+/// One instance's acts, written as they are made.
+#[derive(Clone, Default)]
+struct Desk(Rc<RefCell<String>>);
+
+impl Desk {
+    fn seconds(t: Time) -> String {
+        format!("{}.{:04}", t / 10_000, t % 10_000)
+    }
+
+    fn put(&self, act: std::fmt::Arguments<'_>) {
+        let mut text = self.0.borrow_mut();
+        let _ = text.write_fmt(act);
+        text.push('\n');
+    }
+}
+
+impl Host for Desk {
+    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time) {
+        let cap = Self::seconds(time_out);
+        self.put(format_args!("hand_off\tcall={rpc}\tupstream={upstream}\tcap-s={cap}"));
+    }
+    fn cancel(&mut self, rpc: &str, tx: usize) {
+        self.put(format_args!("abort_attempt\tcall={rpc}\thop={tx}"));
+    }
+    fn exhaust(&mut self, rpc: &str, stay_away: Time) {
+        self.put(format_args!("bounce\tcall={rpc}\tpause-s={}", Self::seconds(stay_away)));
+    }
+    fn error(&mut self, rpc: &str) {
+        self.put(format_args!("surrender\tcall={rpc}"));
+    }
+    fn set_timer(&mut self, after: Time, token: &str) {
+        self.put(format_args!("sleep\twait-s={}\tkey-back={token}", Self::seconds(after)));
+    }
+    fn follow_list(&mut self) {
+        self.put(format_args!("keep_informed\twant=1"));
+    }
+    fn log(&mut self, line: &str) {
+        self.put(format_args!("journal_line\tline={line}"));
+    }
+}
+
+/// Hosts the instances of one process. The numbered upstream lists are all that they share.
+#[derive(Default)]
+pub struct Link {
+    /// Balancer and buffer by instance; a teardown empties it.
+    instances: BTreeMap<i64, (Balancer<Desk>, Desk)>,
+    /// The lines of each numbered list; sixteen numbers, used again.
+    lists: BTreeMap<u32, Vec<String>>,
+}
+
+impl Link {
+    /// Answers batches until the input ends.
+    pub fn serve(&mut self, input: &mut impl BufRead, out: &mut impl Write) -> Result<(), String> {
+        let (mut line, mut now, mut serial, mut who) = (String::new(), 0, String::new(), None);
+        let (mut open_list, mut list_left) = (0, 0usize);
+        let io_trouble = |e: io::Error| e.to_string();
+        loop {
+            line.clear();
+            if input.read_line(&mut line).map_err(io_trouble)? == 0 {
+                return Ok(());
+            }
+            let text = line.trim_end_matches(['\n', '\r']);
+            let l = Line::new(text);
+            match l.name {
+                "clock" => {
+                    now = l.time("at-time-s")?;
+                    serial = l.need("serial")?.to_owned();
+                    who = None;
+                }
+                "eob" => {
+                    self.reply(&serial, out).map_err(io_trouble)?;
+                    out.flush().map_err(io_trouble)?;
+                }
+                "for" => who = Some(l.number::<i64>("who")?),
+                "manifest" => {
+                    (open_list, list_left) = (l.number("set-id")?, l.number("elements")?);
+                    self.lists.insert(open_list, Vec::new());
+                }
+                "entry" if list_left > 0 => {
+                    list_left -= 1;
+                    self.lists.entry(open_list).or_default().push(text.to_owned());
+                }
+                _ => {
+                    if let Some(who) = who {
+                        self.event(who, now, &l)?;
+                    }
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, serial: &str, out: &mut impl Write) -> io::Result<()> {
+        for (who, (_, desk)) in &self.instances {
+            let mut acts = desk.0.borrow_mut();
+            if !acts.is_empty() {
+                write!(out, "source\twho={who}\n{acts}")?;
+                acts.clear();
+            }
+        }
+        writeln!(out, "next\tserial={serial}")
+    }
+
+    fn event(&mut self, who: i64, now: Time, l: &Line<'_>) -> Result<(), String> {
+        if l.name == "hello" {
+            let seed = l.number::<u64>("random-seed")?;
+            let pairs = l.text.split('\t').filter_map(|part| part.split_once('='));
+            let terms: Terms = pairs.filter_map(|(path, value)| term(path, value)).collect();
+            let desk = Desk::default();
+            let balancer =
+                Balancer::new(desk.clone(), now, seed, &terms).map_err(|e| format!("line 'hello': {e}"))?;
+            self.instances.insert(who, (balancer, desk));
+            return Ok(());
+        }
+        if l.name == "teardown" {
+            self.instances.remove(&who);
+            return Ok(());
+        }
+        let Some((b, _)) = self.instances.get_mut(&who) else { return Ok(()) };
+        match l.name {
+            "update" => match l.number::<u8>("mode")? {
+                3 => b.list_failed(now),
+                mode @ 0..=2 => {
+                    let id = l.number::<u32>("set-id")?;
+                    let entries = self.lists.get(&id).ok_or(format!("line 'update': no list {id}"))?;
+                    b.list_begins(now, mode != 2);
+                    for entry in entries {
+                        let e = Line::new(entry);
+                        let (id, state) = (e.need("upstream")?, e.number::<u8>("state")?);
+                        match state {
+                            1 => b.upstream_ready(
+                                id,
+                                e.get("rack-zone").unwrap_or(""),
+                                e.get("block").unwrap_or(""),
+                                e.maybe_time("up-since-s")?,
+                            ),
+                            2 => b.upstream_drains(id),
+                            3 => b.upstream_gone(id),
+                            _ => {}
+                        }
+                    }
+                    b.list_ends(mode != 0);
+                }
+                _ => {}
+            },
+            "knock" => b.rpc_arrived(
+                now,
+                l.need("call")?,
+                l.need("qos")?,
+                l.get("billing").unwrap_or(""),
+                l.time("time-budget-s")?,
+                l.flag("is-retry"),
+            ),
+            "reply" => b.tx_ended(
+                now,
+                l.need("call")?,
+                l.number("hop")?,
+                outcome(l.need("result")?),
+                l.time("took-s")?,
+                l.flag("ended"),
+                &l.loads(),
+            ),
+            "aborted" => b.rpc_abandoned(now, l.need("call")?),
+            "started" => b.stream_started(now, l.need("call")?, l.number("hop")?),
+            "bell" => b.timer(now, l.need("key-back")?),
+            "health_result" => b.probe_ended(now, l.need("upstream")?, &l.loads()),
+            _ => {}
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fernroute/src/decide.rs
@@ -0,0 +1,991 @@
+//! All decisions of a balancer; the interface that it acts through, `Host`, is defined in `host.rs`.
+//!
+//! How it is called: `Balancer::new` with a host, the clock, a seed and the terms; then one method for each
+//! thing that happens (`rpc_arrived`, `tx_ended`, `rpc_abandoned`, `stream_started`, `timer`, `probe_ended`,
+//! `list_begins` … `list_ends`, `list_failed`), each with the clock. It acts at once, by calling the host.
+//! The same calls in the same order lead to the same acts.
+//!
+//! The design: a breaker for each upstream, fed by this balancer's own outcomes, and a random draw among
+//! closed upstreams weighted by reported headroom. Mechanisms beside it, six at most (`docs/design.md`):
+//!  1. early opening on a run of bad outcomes, where calls are too few to fill a window;
+//!  2. overdue discount: an upstream that sits on this balancer's transmissions draws less;
+//!  3. second copies of slow RPCs that may run again;
+//!  4. fleet guard: troubles that most upstreams share open no breakers;
+//!  5. nearness: upstreams of the own zone draw more while they have headroom;
+//!  6. admission: under overload the least gain is exhausted first, at the first tier.
+
+use crate::host::{Host, MissingTerm, Outcome, Terms, Time, SECOND};
+use nanorand::{Rng, WyRand};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+type Id = Rc<str>;
+
+fn term<T: std::str::FromStr>(terms: &Terms, name: &str) -> Option<T> {
+    terms.get(name)?.parse().ok()
+}
+
+fn needed<T: std::str::FromStr>(terms: &Terms, name: &str) -> Result<T, MissingTerm> {
+    term(terms, name).ok_or_else(|| MissingTerm(name.to_owned()))
+}
+
+/// A flag that is off where nothing is said.
+fn allowed(terms: &Terms, name: &str) -> bool {
+    term(terms, name).unwrap_or(false)
+}
+
+// ---------------------------------------------------------------------------------------------- breaker
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum State {
+    Closed,
+    Open { until: Time },
+    HalfOpen,
+}
+
+/// What one outcome says of the upstream.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    Good,
+    Slow,
+    Failed,
+}
+
+struct Breaker {
+    state: State,
+    /// The last outcomes while closed; `WINDOW` at most, emptied at each change of state.
+    window: VecDeque<Verdict>,
+    /// Counts changes of state: what was sent before the last one is no evidence about the present state.
+    epoch: u32,
+    trials_out: u32,
+    trials_good: u32,
+    /// Bad outcomes since the last good one.
+    run: u32,
+    /// Openings without a calm spell between them.
+    openings: u32,
+    closed_at: Time,
+}
+
+/// The design's window, minimum and half shares.
+const WINDOW: usize = 50;
+const MINIMUM: usize = 20;
+const SHARE: f64 = 0.5;
+/// The article's three trials.
+const TRIALS: u32 = 3;
+/// The design's start value; a fault of a few seconds costs one opening.
+const OPEN_FOR: Time = 5 * SECOND;
+/// A flapping upstream passes its trials: each opening soon after the last one doubles, up to four times.
+const MOST_DOUBLINGS: u32 = 2;
+const CALM: Time = 10 * SECOND;
+/// Bad outcomes in a row that open where a window cannot fill within a fault: three in a row by chance need
+/// a bad share that would be a trouble of its own.
+const EARLY_RUN: u32 = 3;
+
+impl Breaker {
+    fn new(epoch: u32) -> Self {
+        Breaker {
+            state: State::Closed,
+            window: VecDeque::new(),
+            epoch,
+            trials_out: 0,
+            trials_good: 0,
+            run: 0,
+            openings: 0,
+            closed_at: 0,
+        }
+    }
+
+    fn change(&mut self, state: State) {
+        self.state = state;
+        self.window.clear();
+        self.epoch += 1;
+        (self.trials_out, self.trials_good, self.run) = (0, 0, 0);
+    }
+
+    /// Takes the state that the clock asks for, and tells whether a transmission may pass.
+    fn passes(&mut self, now: Time) -> bool {
+        if let State::Open { until } = self.state {
+            if now < until {
+                return false;
+            }
+            self.change(State::HalfOpen);
+        }
+        self.state == State::Closed || self.trials_out + self.trials_good < TRIALS
+    }
+
+    /// Takes one verdict of the present epoch; tells whether the upstream should open.
+    fn judge(&mut self, verdict: Verdict, now: Time) -> bool {
+        if self.state == State::HalfOpen {
+            if verdict != Verdict::Good {
+                return true;
+            }
+            self.trials_good += 1;
+            if self.trials_good >= TRIALS {
+                self.change(State::Closed);
+                self.closed_at = now;
+            }
+            return false;
+        }
+        if self.window.len() == WINDOW {
+            self.window.pop_front();
+        }
+        self.window.push_back(verdict);
+        self.run = if verdict == Verdict::Good { 0 } else { self.run + 1 };
+        let share = |v| self.window.iter().filter(|w| **w == v).count() as f64 / self.window.len() as f64;
+        let full = self.window.len() >= MINIMUM;
+        // Guards against swallowed or dead upstreams below the first tier, where twenty calls take too long.
+        full && (share(Verdict::Failed) >= SHARE || share(Verdict::Slow) >= SHARE) || self.run >= EARLY_RUN
+    }
+
+    fn open(&mut self, now: Time, rng: &mut WyRand) {
+        let again = self.state == State::HalfOpen || now < self.closed_at + CALM;
+        self.openings = if again { (self.openings + 1).min(MOST_DOUBLINGS) } else { 0 };
+        let length = (OPEN_FOR << self.openings) as f64;
+        // The design's jitter: up to a fifth either way.
+        let length = length * (0.8 + 0.4 * rng.generate::<f64>());
+        self.change(State::Open { until: now + length as Time });
+    }
+}
+
+// ------------------------------------------------------------------------------------ upstreams, their list
+
+struct Upstream {
+    zone: String,
+    cell: String,
+    /// Clock of its last start; 0 is long ago.
+    started: Time,
+    /// Told that it drains or is gone. One that is gone leaves the table with its last transmission.
+    leaving: bool,
+    gone: bool,
+    /// Named by the full list that is being read.
+    seen: bool,
+    breaker: Breaker,
+    /// Latest reported utilisation.
+    utilisation: Option<f64>,
+    /// When each transmission that is out was sent; emptied by outcomes.
+    out: Vec<Time>,
+    /// Cold budget: nothing before this.
+    cold_next: Time,
+}
+
+/// How this balancer keeps up with the list of upstreams.
+struct Following {
+    /// Where the list must be asked for: time within which a balancer must have asked.
+    ask_within: Option<Time>,
+    following: bool,
+    failures: u32,
+    reading_full: bool,
+}
+
+// ------------------------------------------------------------------------------------------------- methods
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Repeat {
+    Retriable,
+    Deduped,
+    NonRetriable,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+struct Method {
+    name: String,
+    repeat: Repeat,
+    group: Group,
+    window: Time,
+    soft: Option<Time>,
+    late_gain: f64,
+    stream: bool,
+    /// Gain as a share of the highest one.
+    gain: f64,
+    /// What completed transmissions took of late: the mean, and the time that few exceed.
+    mean: f64,
+    late: f64,
+}
+
+struct Tenant {
+    name: String,
+    /// RPCs a second at this balancer that are within the tenant's share, and the unspent ones.
+    rate: f64,
+    unspent: f64,
+    filled: Time,
+}
+
+/// Admission under overload: how many RPCs may be open at once, learnt from how late answers are.
+struct Gate {
+    on: bool,
+    limit: f64,
+    /// Mean share of the soft deadline that RPCs of late took.
+    lateness: f64,
+    lowered: Time,
+}
+
+// ----------------------------------------------------------------------------------------------------- RPCs
+
+struct Tx {
+    upstream: Id,
+    zone: String,
+    cell: String,
+    sent: Time,
+    epoch: u32,
+    trial: bool,
+    out: bool,
+    never_ran: bool,
+}
+
+struct Rpc {
+    method: usize,
+    arrived: Time,
+    /// Answered in time means before this; the hard deadline where no soft one is told.
+    soft: Time,
+    hard: Time,
+    done: bool,
+    streaming: bool,
+    waiting: bool,
+    txs: Vec<Tx>,
+}
+
+impl Rpc {
+    fn out(&self) -> usize {
+        self.txs.iter().filter(|t| t.out).count()
+    }
+
+    /// The first transmission that may have run, or may still.
+    fn may_have_run(&self) -> Option<&Tx> {
+        self.txs.iter().find(|t| t.out || !t.never_ran)
+    }
+}
+
+pub struct Balancer<H: Host> {
+    host: H,
+    rng: WyRand,
+    now: Time,
+    tier: usize,
+    zone: String,
+    tick: Time,
+    max_tx: usize,
+    second_copies: bool,
+    cancel: bool,
+    max_stay_away: Time,
+    over_share_gain: f64,
+    utilisation_at: Option<usize>,
+    cold: ColdRule,
+    methods: Vec<Method>,
+    tenants: Vec<Tenant>,
+    /// Emptied by the list: an upstream that is gone leaves with its last transmission.
+    upstreams: BTreeMap<Id, Upstream>,
+    /// Emptied by final answers: an answered RPC leaves with its last transmission.
+    rpcs: BTreeMap<Id, Rpc>,
+    unanswered: usize,
+    list: Following,
+    gate: Gate,
+    /// Retry budget: further transmissions that may be made now.
+    spare: f64,
+    /// Share of bad outcomes of late, over all upstreams.
+    badness: f64,
+    /// Transmissions a second, and when that was last brought up to date.
+    rate: f64,
+    rate_at: Time,
+}
+
+struct ColdRule {
+    from: f64,
+    warm_within: f64,
+    multiple: f64,
+    window: f64,
+    instances: f64,
+}
+
+impl<H: Host> Balancer<H> {
+    pub fn new(host: H, now: Time, seed: u64, terms: &Terms) -> Result<Self, MissingTerm> {
+        let count = |name: &str| term::<usize>(terms, name).unwrap_or(0);
+        let mut methods = Vec::new();
+        for i in 0..needed::<usize>(terms, "methods.count")? {
+            let at = |what: &str| format!("methods.{i}.{what}");
+            let repeat = match needed::<String>(terms, &at("effect"))?.as_str() {
+                "retriable" => Repeat::Retriable,
+                "deduped" => Repeat::Deduped,
+                // A word that is not known promises nothing.
+                _ => Repeat::NonRetriable,
+            };
+            let deduped = repeat == Repeat::Deduped;
+            let group = match terms.get(&at("group")).map(String::as_str) {
+                Some("all") => Group::All,
+                Some("zone") => Group::Zone,
+                None if deduped => return Err(MissingTerm(at("group"))),
+                _ => Group::Cell,
+            };
+            let window = if deduped { needed(terms, &at("window"))? } else { 0 };
+            let soft = term::<Time>(terms, &at("soft_deadline"));
+            let expected = soft.unwrap_or(SECOND) as f64;
+            methods.push(Method {
+                name: needed(terms, &at("name"))?,
+                repeat,
+                group,
+                window,
+                soft,
+                late_gain: term(terms, &at("late_gain")).unwrap_or(0.0),
+                stream: allowed(terms, &at("stream")),
+                gain: term::<f64>(terms, &at("gain")).unwrap_or(1.0),
+                // Before anything completed: a fifth and a half of the soft deadline.
+                mean: expected * 0.2,
+                late: expected * 0.5,
+            });
+        }
+        let most = methods.iter().map(|m| m.gain).fold(f64::MIN_POSITIVE, f64::max);
+        methods.iter_mut().for_each(|m| m.gain /= most);
+        let cold = ColdRule {
+            from: needed(terms, "rules.cold_from")?,
+            warm_within: needed(terms, "rules.warm_within")?,
+            multiple: needed(terms, "rules.cold_multiple")?,
+            window: needed(terms, "rules.cold_window")?,
+            instances: term(terms, "instances").unwrap_or(1.0),
+        };
+        let tier = count("tier");
+        let ask = terms.get("list_mode").is_some_and(|m| m == "ask");
+        let tenants = (0..count("tenants.count")).filter_map(|i| {
+            let name = terms.get(&format!("tenants.{i}.name"))?.clone();
+            let rate = term::<f64>(terms, &format!("tenants.{i}.rate"))? / cold.instances.max(1.0);
+            Some(Tenant { name, rate, unspent: rate, filled: now })
+        });
+        let stay_away = allowed(terms, "limits.stay_away");
+        let mut balancer = Balancer {
+            host,
+            rng: WyRand::new_seed(seed),
+            now,
+            tier,
+            zone: terms.get("zone").cloned().unwrap_or_default(),
+            tick: term(terms, "tick").unwrap_or(1),
+            max_tx: term(terms, "limits.max_transmissions").unwrap_or(1),
+            second_copies: allowed(terms, "limits.second_copies"),
+            cancel: allowed(terms, "limits.cancel"),
+            max_stay_away: if stay_away { term(terms, "limits.max_stay_away").unwrap_or(0) } else { 0 },
+            over_share_gain: term(terms, "over_share_gain").unwrap_or(1.0),
+            utilisation_at: terms
+                .get("load.names")
+                .and_then(|names| names.split(',').position(|n| n == "utilisation")),
+            tenants: tenants.collect(),
+            methods,
+            cold,
+            upstreams: BTreeMap::new(),
+            rpcs: BTreeMap::new(),
+            unanswered: 0,
+            list: Following {
+                ask_within: if ask { Some(needed(terms, "rules.ask_within")?) } else { None },
+                following: false,
+                failures: 0,
+                reading_full: false,
+            },
+            gate: Gate { on: tier == 0, limit: f64::INFINITY, lateness: 0.0, lowered: now },
+            spare: MOST_SPARE,
+            badness: 0.0,
+            rate: 0.0,
+            rate_at: now,
+        };
+        balancer.ask_later(0);
+        Ok(balancer)
+    }
+
+    // ---------------------------------------------------------------------------------- following the list
+
+    /// Asks again after a spread-out wait, all well within the time in which a balancer must have asked.
+    fn ask_later(&mut self, failures: u32) {
+        if let Some(within) = self.list.ask_within {
+            // At start a twentieth of it: enough to spread a fleet that starts at once; doubled by failures.
+            let most = (within / 20 << failures.min(3)) as f64;
+            let wait = (most * (0.5 + 0.5 * self.rng.generate::<f64>())) as Time;
+            self.host.set_timer(wait.max(1), "ask");
+        }
+    }
+
+    pub fn list_failed(&mut self, now: Time) {
+        self.now = now;
+        self.list.following = false;
+        self.list.failures += 1;
+        self.ask_later(self.list.failures);
+    }
+
+    pub fn list_begins(&mut self, now: Time, full: bool) {
+        self.now = now;
+        self.list.reading_full = full;
+        self.upstreams.values_mut().for_each(|u| u.seen = false);
+    }
+
+    pub fn upstream_ready(&mut self, id: &str, zone: &str, cell: &str, started: Time) {
+        let now = self.now;
+        let known = self.upstreams.contains_key(id);
+        let u = self.upstreams.entry(Id::from(id)).or_insert_with(|| Upstream {
+            zone: String::new(),
+            cell: String::new(),
+            started: 0,
+            leaving: false,
+            gone: false,
+            seen: true,
+            breaker: Breaker::new(0),
+            utilisation: None,
+            out: Vec::new(),
+            cold_next: 0,
+        });
+        (u.seen, u.leaving, u.gone) = (true, false, false);
+        u.zone.clear();
+        u.zone.push_str(zone);
+        u.cell.clear();
+        u.cell.push_str(cell);
+        if !known || u.started != started {
+            // A process that restarted is a new upstream to the breaker; what is out was the old one's.
+            u.started = started;
+            u.breaker = Breaker::new(u.breaker.epoch + 1);
+            u.utilisation = None;
+            // All balancers hear of it at about the same time: a random phase keeps their first sends apart.
+            let gap = self.cold_gap(started).unwrap_or(0.0);
+            let phase = (gap * self.rng.generate::<f64>()) as Time;
+            if let Some(u) = self.upstreams.get_mut(id) {
+                u.cold_next = now + phase;
+            }
+        }
+    }
+
+    pub fn upstream_drains(&mut self, id: &str) {
+        if let Some(u) = self.upstreams.get_mut(id) {
+            (u.seen, u.leaving) = (true, true);
+        }
+    }
+
+    pub fn upstream_gone(&mut self, id: &str) {
+        if let Some(u) = self.upstreams.get_mut(id) {
+            (u.seen, u.leaving, u.gone) = (true, true, true);
+        }
+    }
+
+    /// `fresh` is false for the list that an instance held before and is handed at its start.
+    pub fn list_ends(&mut self, fresh: bool) {
+        if self.list.reading_full {
+            // An upstream that a full list leaves out is gone.
+            for u in self.upstreams.values_mut().filter(|u| !u.seen) {
+                (u.leaving, u.gone) = (true, true);
+            }
+        }
+        self.upstreams.retain(|_, u| !u.gone || !u.out.is_empty());
+        if fresh {
+            (self.list.following, self.list.failures) = (true, 0);
+        }
+    }
+
+    // ----------------------------------------------------------------------------------------- cold budget
+
+    /// The share of its capacity that an upstream has at the least, by the time since its start.
+    fn warmth(&self, started: Time) -> f64 {
+        if started == 0 {
+            return 1.0;
+        }
+        let age = self.now.saturating_sub(started) as f64;
+        (self.cold.from + (1.0 - self.cold.from) * age / self.cold.warm_within).min(1.0)
+    }
+
+    /// The least time between two sends of this balancer to an upstream that is still cold.
+    fn cold_gap(&self, started: Time) -> Option<f64> {
+        /// All balancers together stay at this share of the budget if each does; the rest is for chance.
+        const SAFETY: f64 = 0.4;
+        let warmth = self.warmth(started);
+        if warmth >= 1.0 {
+            return None;
+        }
+        // What a warm upstream gets of this balancer, over how busy that keeps it, is this balancer's part
+        // of its capacity; the number of balancers cancels out.
+        let ready = self.upstreams.values().filter(|u| !u.leaving).count().max(1) as f64;
+        let busy: Vec<f64> = self.upstreams.values().filter_map(|u| u.utilisation).collect();
+        let busy = if busy.is_empty() { 1.0 } else { busy.iter().sum::<f64>() / busy.len() as f64 };
+        // A balancer that has sent nothing yet takes the budget for one send in a window by all balancers.
+        let least = 1.0 / (self.cold.window / SECOND as f64 * self.cold.instances.max(1.0));
+        let part = (self.rate / ready / busy.clamp(0.3, 1.0)).max(least);
+        Some(SECOND as f64 / (SAFETY * self.cold.multiple * warmth * part))
+    }
+
+    fn count_send(&mut self, id: &str) {
+        /// Long enough to ride out bursts: a burst raises what is sent, not what an upstream can do.
+        const MEMORY: f64 = 10.0 * SECOND as f64;
+        let dt = (self.now - self.rate_at) as f64;
+        self.rate = self.rate * (-dt / MEMORY).exp() + SECOND as f64 / MEMORY;
+        self.rate_at = self.now;
+        let started = self.upstreams.get(id).map_or(0, |u| u.started);
+        if let Some(gap) = self.cold_gap(started) {
+            if let Some(u) = self.upstreams.get_mut(id) {
+                u.cold_next = self.now + gap as Time;
+            }
+        }
+    }
+
+    // ------------------------------------------------------------------------------------------------ pick
+
+    /// Rules 2, 3 and 4, and nothing else: whether this RPC may go to this upstream now.
+    fn may_send(&self, rpc: &Rpc, id: &str) -> bool {
+        let Some(u) = self.upstreams.get(id) else { return false };
+        if rpc.done || rpc.streaming || self.now >= rpc.hard || rpc.txs.len() >= self.max_tx {
+            return false;
+        }
+        // Told that it drains or is gone: nothing new at once, the grace is left unused.
+        if u.leaving || (self.now < u.cold_next && self.warmth(u.started) < 1.0) {
+            return false;
+        }
+        let m = &self.methods[rpc.method];
+        if rpc.out() > 0 && !self.second_copies {
+            return false;
+        }
+        let Some(first) = rpc.may_have_run() else { return true };
+        match m.repeat {
+            Repeat::Retriable => true,
+            Repeat::NonRetriable => false,
+            Repeat::Deduped => {
+                // A repeat arrives later than it is sent; two ticks keep it inside the window.
+                let in_window = self.now + 2 * self.tick < first.sent + m.window;
+                let in_group = match m.group {
+                    Group::All => true,
+                    Group::Zone => u.zone == first.zone,
+                    Group::Cell => u.cell == first.cell,
+                };
+                in_window && in_group
+            }
+        }
+    }
+
+    /// A draw among the upstreams that the rules and the breakers allow, weighted by reported headroom.
+    fn pick(&mut self, rpc: &Rpc) -> Option<Id> {
+        /// The design's floor, well under one half: a full upstream still gets news of itself now and then.
+        const FLOOR: f64 = 0.05;
+        /// Own-zone upstreams weigh this much more: the difference in headroom still outweighs it when they
+        /// are nearly full.
+        const NEAR: f64 = 4.0;
+        let now = self.now;
+        let m = &self.methods[rpc.method];
+        let late = m.late as Time;
+        let steady = m.repeat == Repeat::NonRetriable;
+        let reported: Vec<f64> = self.upstreams.values().filter_map(|u| u.utilisation).collect();
+        let mean = 1.0 - reported.iter().sum::<f64>() / reported.len().max(1) as f64;
+        let ids: Vec<Id> = self.upstreams.keys().filter(|id| self.may_send(rpc, id)).cloned().collect();
+        let mut draw: Vec<(Id, f64)> = Vec::new();
+        let mut shut: Vec<(Id, f64)> = Vec::new();
+        for id in ids {
+            let warmth = self.upstreams.get(&id).map_or(1.0, |u| self.warmth(u.started));
+            let Some(u) = self.upstreams.get_mut(&id) else { continue };
+            let mut weight = u.utilisation.map_or(mean, |used| 1.0 - used).max(FLOOR) * warmth;
+            if u.zone == self.zone {
+                weight *= NEAR;
+            }
+            // Guards against upstreams that swallow RPCs or stand still: they report nothing, and their last
+            // good report keeps drawing traffic.
+            let overdue = u.out.iter().filter(|sent| **sent + late < now).count() as f64;
+            weight /= (1.0 + overdue) * (1.0 + overdue);
+            if rpc.txs.iter().any(|t| t.upstream == id) {
+                // Where this RPC has been already is the last resort.
+                weight *= 0.001;
+            }
+            // A trial is a risk: an RPC that gets one chance only takes it where nothing else is left.
+            if u.breaker.passes(now) && !(steady && u.breaker.state == State::HalfOpen) {
+                draw.push((id, weight));
+            } else {
+                shut.push((id, weight));
+            }
+        }
+        // Nothing closed: an answer from an open upstream beats none at all.
+        let draw = if draw.is_empty() { shut } else { draw };
+        let mut at = self.rng.generate::<f64>() * draw.iter().map(|(_, w)| w).sum::<f64>();
+        for (id, weight) in &draw {
+            at -= weight;
+            if at < 0.0 {
+                return Some(id.clone());
+            }
+        }
+        draw.last().map(|(id, _)| id.clone())
+    }
+
+    // -------------------------------------------------------------------------------------------- transmit
+
+    /// The only place that sends. Every rule is checked here, whatever the caller has checked before.
+    fn transmit(&mut self, rpc_id: &Id, id: &Id) -> bool {
+        let Some(rpc) = self.rpcs.get(rpc_id) else { return false };
+        if !self.may_send(rpc, id) {
+            return false;
+        }
+        let time_out = rpc.hard - self.now;
+        self.count_send(id);
+        let (Some(rpc), Some(u)) = (self.rpcs.get_mut(rpc_id), self.upstreams.get_mut(id)) else {
+            return false;
+        };
+        let trial = u.breaker.state == State::HalfOpen;
+        u.breaker.trials_out += u32::from(trial);
+        u.out.push(self.now);
+        rpc.waiting = false;
+        rpc.txs.push(Tx {
+            upstream: id.clone(),
+            zone: u.zone.clone(),
+            cell: u.cell.clone(),
+            sent: self.now,
+            epoch: u.breaker.epoch,
+            trial,
+            out: true,
+            never_ran: false,
+        });
+        self.host.transmit(rpc_id, id, time_out);
+        true
+    }
+
+    // ----------------------------------------------------------------------------- further transmissions
+
+    /// Sends once more if that may help, within the maximum, the time left and the retry budget.
+    fn send_further(&mut self, rpc_id: &Id) -> bool {
+        let Some(rpc) = self.rpcs.get(rpc_id) else { return false };
+        let m = &self.methods[rpc.method];
+        // The operators' way: only if the time left exceeds the time that it is expected to take.
+        let until = if m.late_gain > 0.0 { rpc.hard } else { rpc.soft };
+        if self.spare < 1.0 || self.now as f64 + m.mean > until as f64 {
+            return false;
+        }
+        let Some(rpc) = self.rpcs.remove(rpc_id) else { return false };
+        let id = self.pick(&rpc);
+        self.rpcs.insert(rpc_id.clone(), rpc);
+        let sent = id.is_some_and(|id| self.transmit(rpc_id, &id));
+        if sent {
+            self.spare -= 1.0;
+        }
+        sent
+    }
+
+    /// Guards against upstreams that hang, stand still or crawl: an RPC that may run again and takes longer
+    /// than nearly all others is sent a second time, while the first goes on.
+    fn copy_due(&mut self, rpc_id: &Id) {
+        let Some(rpc) = self.rpcs.get(rpc_id) else { return };
+        if rpc.done || rpc.streaming || rpc.out() != 1 {
+            return;
+        }
+        if self.send_further(rpc_id) {
+            self.arm_copy(rpc_id);
+        }
+    }
+
+    fn arm_copy(&mut self, rpc_id: &Id) {
+        let Some(rpc) = self.rpcs.get(rpc_id) else { return };
+        let m = &self.methods[rpc.method];
+        if self.second_copies && m.repeat != Repeat::NonRetriable && !m.stream && rpc.txs.len() < self.max_tx
+        {
+            self.host.set_timer((m.late as Time).max(1), &format!("copy:{rpc_id}"));
+        }
+    }
+
+    /// Takes what a finished transmission says of how long the method takes.
+    fn learn_time(&mut self, method: usize, took: Time, completed: bool) {
+        /// Few enough exceed it that second copies stay within the retry budget.
+        const QUANTILE: f64 = 0.95;
+        /// A step of a thirtieth follows a change of load within some thirty answers.
+        const STEP: f64 = 0.03;
+        let m = &mut self.methods[method];
+        let took = took as f64;
+        if completed {
+            m.mean += STEP * (took - m.mean);
+        }
+        if took > m.late {
+            m.late *= 1.0 + STEP * QUANTILE;
+        } else if completed {
+            m.late *= 1.0 - STEP * (1.0 - QUANTILE);
+        }
+        m.late = m.late.max(m.mean);
+    }
+
+    // ------------------------------------------------------------------------------------------- admission
+
+    /// What an RPC is worth, as a share of the highest gain, by method and tenant share.
+    fn value(&mut self, method: usize, tenant: &str) -> f64 {
+        let (now, over) = (self.now, self.over_share_gain);
+        let mut value = self.methods[method].gain;
+        if let Some(t) = self.tenants.iter_mut().find(|t| t.name == tenant) {
+            // Two seconds of share can be saved up: less would count ordinary bunching as excess.
+            let filled = t.unspent + t.rate * (now - t.filled) as f64 / SECOND as f64;
+            (t.unspent, t.filled) = (filled.min(2.0 * t.rate), now);
+            if t.unspent >= 1.0 {
+                t.unspent -= 1.0;
+            } else {
+                value *= over;
+            }
+        }
+        value
+    }
+
+    /// Whether an RPC of this value is taken on now.
+    fn admits(&self, value: f64) -> bool {
+        // The least valued stop at six tenths of the limit, the most valued at the limit itself.
+        !self.gate.on || (self.unanswered as f64) < self.gate.limit * (0.6 + 0.4 * value)
+    }
+
+    /// Takes how late an RPC was that just ended, and moves the limit.
+    fn learn_lateness(&mut self, method: usize, took: Time) {
+        /// Answers taking this share of the soft deadline leave no room for chance.
+        const TOO_LATE: f64 = 0.6;
+        let Some(soft) = self.methods[method].soft else { return };
+        let (now, open) = (self.now, self.unanswered as f64);
+        let g = &mut self.gate;
+        g.lateness += 0.05 * (took as f64 / soft as f64 - g.lateness);
+        if g.lateness > TOO_LATE {
+            // One step a fifth of a second: the effect of the last one must show first.
+            if now >= g.lowered + SECOND / 5 {
+                g.limit = (g.limit.min(open) * 0.9).max(4.0);
+                g.lowered = now;
+            }
+        } else if g.limit < 4.0 * open + 16.0 {
+            g.limit += 2.0 / g.limit;
+        } else {
+            g.limit = f64::INFINITY;
+        }
+    }
+
+    // ----------------------------------------------------------------------------------------------- RPCs
+
+    pub fn rpc_arrived(
+        &mut self,
+        now: Time,
+        id: &str,
+        method: &str,
+        tenant: &str,
+        time_left: Time,
+        _repeat: bool,
+    ) {
+        self.now = now;
+        /// Further transmissions an RPC earns: all tiers together then stay under twice the work.
+        const EARNED: f64 = 0.1;
+        self.spare = (self.spare + EARNED).min(MOST_SPARE);
+        let id = Id::from(id);
+        let Some(method) = self.methods.iter().position(|m| m.name == method) else {
+            // A method that the start did not name: nothing is known of it but that it was not sent.
+            self.host.exhaust(&id, 0);
+            return;
+        };
+        let value = self.value(method, tenant);
+        let hard = now + time_left;
+        let soft = match self.methods[method].soft {
+            Some(soft) if self.tier == 0 => hard.min(now + soft),
+            _ => hard,
+        };
+        let admitted = self.admits(value);
+        self.unanswered += 1;
+        let txs = Vec::new();
+        let rpc =
+            Rpc { method, arrived: now, soft, hard, done: false, streaming: false, waiting: false, txs };
+        if !admitted {
+            self.rpcs.insert(id.clone(), rpc);
+            self.finish(&id);
+            return;
+        }
+        let to = self.pick(&rpc);
+        self.rpcs.insert(id.clone(), rpc);
+        if to.is_some_and(|to| self.transmit(&id, &to)) {
+            self.arm_copy(&id);
+        } else {
+            self.hold(&id);
+        }
+    }
+
+    /// Nothing may be sent to just now, as when all upstreams are cold: look again shortly.
+    fn hold(&mut self, id: &Id) {
+        /// Short against any deadline here, long against a tick.
+        const LOOK: Time = SECOND / 40;
+        let Some(rpc) = self.rpcs.get_mut(id) else { return };
+        let mean = self.methods[rpc.method].mean as Time;
+        if self.now + LOOK + mean < rpc.soft {
+            rpc.waiting = true;
+            self.host.set_timer(LOOK, &format!("held:{id}"));
+        } else {
+            self.finish(id);
+        }
+    }
+
+    fn look_again(&mut self, id: &Id) {
+        let Some(rpc) = self.rpcs.get(id) else { return };
+        if !rpc.waiting || rpc.done {
+            return;
+        }
+        let Some(rpc) = self.rpcs.remove(id) else { return };
+        let to = self.pick(&rpc);
+        self.rpcs.insert(id.clone(), rpc);
+        if to.is_some_and(|to| self.transmit(id, &to)) {
+            self.arm_copy(id);
+        } else {
+            self.hold(id);
+        }
+    }
+
+    /// The final answer of an RPC that this balancer gives up: exhausted where that is harmless.
+    fn finish(&mut self, id: &Id) {
+        let Some(rpc) = self.rpcs.get(id) else { return };
+        if rpc.done {
+            return;
+        }
+        let m = &self.methods[rpc.method];
+        let harmless = match m.repeat {
+            Repeat::Retriable => true,
+            Repeat::Deduped => rpc.may_have_run().is_none() || m.group == Group::All,
+            Repeat::NonRetriable => rpc.may_have_run().is_none(),
+        };
+        if harmless {
+            // Half to all of what clients heed at most, so that they do not come back together.
+            let stay_away = self.max_stay_away as f64 * (0.5 + 0.5 * self.rng.generate::<f64>());
+            self.host.exhaust(id, stay_away as Time);
+        } else {
+            self.host.error(id);
+        }
+        self.close(id);
+    }
+
+    /// After the final answer: calls off what is out, and forgets the RPC once nothing is.
+    fn close(&mut self, id: &Id) {
+        let Some(rpc) = self.rpcs.get_mut(id) else { return };
+        if !rpc.done {
+            rpc.done = true;
+            self.unanswered -= 1;
+            for (n, _) in rpc.txs.iter().enumerate().filter(|(_, t)| t.out && self.cancel) {
+                self.host.cancel(id, n);
+            }
+        }
+        if rpc.out() == 0 {
+            self.rpcs.remove(id);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn tx_ended(
+        &mut self,
+        now: Time,
+        id: &str,
+        n: usize,
+        outcome: Outcome,
+        took: Time,
+        ended: bool,
+        loads: &[f64],
+    ) {
+        self.now = now;
+        let id = Id::from(id);
+        let Some(rpc) = self.rpcs.get_mut(&id) else { return };
+        let (method, arrived) = (rpc.method, rpc.arrived);
+        let Some(tx) = rpc.txs.get_mut(n).filter(|t| t.out) else { return };
+        (tx.out, tx.never_ran) = (false, outcome.never_ran());
+        let (upstream, sent, epoch, trial) = (tx.upstream.clone(), tx.sent, tx.epoch, tx.trial);
+        self.learn_time(method, took, outcome == Outcome::Completed);
+        self.tx_left(&upstream, sent, loads);
+        self.learn_verdict(&upstream, method, outcome, took, epoch, trial);
+        let Some(rpc) = self.rpcs.get(&id) else { return };
+        if ended || rpc.done {
+            if !rpc.done {
+                self.learn_lateness(method, now - arrived);
+            }
+            self.close(&id);
+        } else if rpc.out() == 0 && !rpc.streaming && !self.send_further(&id) {
+            self.learn_lateness(method, now - arrived);
+            self.finish(&id);
+        }
+    }
+
+    fn tx_left(&mut self, upstream: &Id, sent: Time, loads: &[f64]) {
+        let Some(u) = self.upstreams.get_mut(upstream) else { return };
+        if let Some(at) = u.out.iter().position(|s| *s == sent) {
+            u.out.swap_remove(at);
+        }
+        // A report of before the last start is the old process's.
+        if sent >= u.started {
+            if let Some(used) = self.utilisation_at.and_then(|i| loads.get(i)).filter(|v| v.is_finite()) {
+                u.utilisation = Some(used.clamp(0.0, 1.0));
+            }
+        }
+        if u.gone && u.out.is_empty() {
+            self.upstreams.remove(upstream);
+        }
+    }
+
+    fn learn_verdict(
+        &mut self,
+        upstream: &Id,
+        method: usize,
+        outcome: Outcome,
+        took: Time,
+        epoch: u32,
+        trial: bool,
+    ) {
+        /// More than four times the mean is slow: the soft deadline is too near the hard one for four of it.
+        const SLOW: f64 = 3.0;
+        /// Above this share of bad outcomes over all upstreams the trouble is shared.
+        const SHARED: f64 = 0.3;
+        let slow = took as f64 > SLOW * self.methods[method].mean;
+        let verdict = match outcome {
+            Outcome::Completed if slow => Some(Verdict::Slow),
+            Outcome::Completed => Some(Verdict::Good),
+            // Called off by this balancer, or cut to what the caller had left: only lateness is evidence.
+            Outcome::Cancelled | Outcome::TimedOut if !slow => None,
+            Outcome::Cancelled => Some(Verdict::Slow),
+            Outcome::Moot => None,
+            _ => Some(Verdict::Failed),
+        };
+        let now = self.now;
+        let most_open = self.upstreams.len() / 3;
+        let open = self.upstreams.values().filter(|u| u.breaker.state != State::Closed).count();
+        let Some(u) = self.upstreams.get_mut(upstream) else { return };
+        if u.breaker.epoch != epoch {
+            return;
+        }
+        if trial {
+            u.breaker.trials_out = u.breaker.trials_out.saturating_sub(1);
+        }
+        let Some(verdict) = verdict else { return };
+        self.badness += 0.02 * (f64::from(u8::from(verdict != Verdict::Good)) - self.badness);
+        let was = u.breaker.state;
+        if u.breaker.judge(verdict, now) {
+            // Guards against closing off the fleet: what most upstreams share is not this one's fault.
+            if was == State::HalfOpen || (open < most_open && self.badness < SHARED) {
+                u.breaker.open(now, &mut self.rng);
+            }
+        }
+        if u.breaker.state != was {
+            self.host.log(&format!("breaker {upstream}: {was:?} -> {:?}", u.breaker.state));
+        }
+    }
+
+    pub fn rpc_abandoned(&mut self, now: Time, id: &str) {
+        self.now = now;
+        self.close(&Id::from(id));
+    }
+
+    pub fn stream_started(&mut self, now: Time, id: &str, n: usize) {
+        self.now = now;
+        let id = Id::from(id);
+        let Some(rpc) = self.rpcs.get_mut(&id) else { return };
+        rpc.streaming = true;
+        // The answer is this transmission's now; a copy beside it is of no use.
+        for (other, _) in rpc.txs.iter().enumerate().filter(|(i, t)| *i != n && t.out && self.cancel) {
+            self.host.cancel(&id, other);
+        }
+    }
+
+    pub fn probe_ended(&mut self, now: Time, upstream: &str, loads: &[f64]) {
+        self.now = now;
+        self.tx_left(&Id::from(upstream), now, loads);
+    }
+
+    pub fn timer(&mut self, now: Time, token: &str) {
+        self.now = now;
+        match token.split_once(':') {
+            Some(("copy", id)) => self.copy_due(&Id::from(id)),
+            Some(("held", id)) => self.look_again(&Id::from(id)),
+            _ if token == "ask" && !self.list.following => {
+                self.host.follow_list();
+                if let Some(within) = self.list.ask_within {
+                    // Should no answer come at all.
+                    self.host.set_timer(within / 2, "ask");
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// A short trouble may spend what calm has saved up, no more.
+const MOST_SPARE: f64 = 10.0;
--- /dev/null
+++ b/crates/fernroute/src/lib.rs
@@ -0,0 +1,9 @@
+//! fernroute: the decisions of a load balancer for services that call services.
+//!
+//! [`Balancer`] holds every decision; it acts through the [`Host`] that it is handed at start.
+
+pub mod decide;
+pub mod host;
+
+pub use decide::Balancer;
+pub use host::{Host, MissingTerm, Outcome, Terms, Time};
