Admission from the rate of answers (Little's law), early opening on silence only

The stepped limit fell far below capacity and stayed there (60 to 90% exhausted while answers took 0.3 s).

--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -49,6 +49,8 @@
     Good,
     Slow,
     Failed,
+    /// Failed, and by itself: nothing below it answers for a connection or for silence.
+    Dead,
 }
 
 struct Breaker {
@@ -130,11 +132,14 @@
             self.window.pop_front();
         }
         self.window.push_back(verdict);
-        self.run = if verdict == Verdict::Good { 0 } else { self.run + 1 };
-        let share = |v| self.window.iter().filter(|w| **w == v).count() as f64 / self.window.len() as f64;
+        self.run = if verdict == Verdict::Dead { self.run + 1 } else { 0 };
+        let share = |slow| {
+            let these = |v: &&Verdict| **v != Verdict::Good && (**v == Verdict::Slow) == slow;
+            self.window.iter().filter(these).count() as f64 / self.window.len() as f64
+        };
         let full = self.window.len() >= MINIMUM;
         // Guards against swallowed or dead upstreams below the first tier, where twenty calls take too long.
-        full && (share(Verdict::Failed) >= SHARE || share(Verdict::Slow) >= SHARE) || self.run >= EARLY_RUN
+        full && (share(false) >= SHARE || share(true) >= SHARE) || self.run >= EARLY_RUN
     }
 
     fn open(&mut self, now: Time, rng: &mut WyRand) {
@@ -216,13 +221,13 @@
     filled: Time,
 }
 
-/// Admission under overload: how many RPCs may be open at once, learnt from how late answers are.
+/// Admission under overload, at the first tier only: answers a second, and when that was brought up to date.
 struct Gate {
     on: bool,
-    limit: f64,
-    /// Mean share of the soft deadline that RPCs of late took.
-    lateness: f64,
-    lowered: Time,
+    answers: f64,
+    at: Time,
+    /// Before this nothing is known of the rate of answers.
+    from: Time,
 }
 
 // ----------------------------------------------------------------------------------------------------- RPCs
@@ -240,7 +245,6 @@
 
 struct Rpc {
     method: usize,
-    arrived: Time,
     /// Answered in time means before this; the hard deadline where no soft one is told.
     soft: Time,
     hard: Time,
@@ -281,7 +285,6 @@
     upstreams: BTreeMap<Id, Upstream>,
     /// Emptied by final answers: an answered RPC leaves with its last transmission.
     rpcs: BTreeMap<Id, Rpc>,
-    unanswered: usize,
     list: Following,
     gate: Gate,
     /// Retry budget: further transmissions that may be made now.
@@ -374,14 +377,13 @@
             cold,
             upstreams: BTreeMap::new(),
             rpcs: BTreeMap::new(),
-            unanswered: 0,
             list: Following {
                 ask_within: if ask { Some(needed(terms, "rules.ask_within")?) } else { None },
                 following: false,
                 failures: 0,
                 reading_full: false,
             },
-            gate: Gate { on: tier == 0, limit: f64::INFINITY, lateness: 0.0, lowered: now },
+            gate: Gate { on: tier == 0, answers: 0.0, at: now, from: now + 4 * SECOND },
             spare: MOST_SPARE,
             badness: 0.0,
             rate: 0.0,
@@ -714,31 +716,37 @@
         value
     }
 
-    /// Whether an RPC of this value is taken on now.
-    fn admits(&self, value: f64) -> bool {
+    /// Whether an RPC of this value is taken on now: by Little's law the open RPCs over the rate of answers
+    /// is the time that the next answer takes, and that must leave room before the soft deadline.
+    /// Guards against overload, where all would be answered too late; what is answered quickly raises the
+    /// rate again, so a short trouble does not keep the gate shut.
+    fn admits(&self, method: usize, value: f64) -> bool {
+        /// The part of the soft deadline that answers may take on average: chance about doubles it.
+        const ROOM: f64 = 0.55;
+        /// Open RPCs below which nothing can be told from chance.
+        const FEW: f64 = 8.0;
+        let Some(soft) = self.methods[method].soft else { return true };
+        if !self.gate.on || self.now < self.gate.from {
+            return true;
+        }
+        // Those past the soft deadline are lost already and hold nothing up that new ones need.
+        let open = self.rpcs.values().filter(|r| !r.done && self.now < r.soft).count() as f64;
+        let limit = self.answer_rate() * ROOM * soft as f64 / SECOND as f64;
         // The least valued stop at six tenths of the limit, the most valued at the limit itself.
-        !self.gate.on || (self.unanswered as f64) < self.gate.limit * (0.6 + 0.4 * value)
+        open < limit.max(FEW) * (0.6 + 0.4 * value)
+    }
+
+    fn answer_rate(&self) -> f64 {
+        /// About the time of an answer: shorter is noise, longer keeps the gate open into a trouble.
+        const MEMORY: f64 = 1.5 * SECOND as f64;
+        self.gate.answers * (-((self.now - self.gate.at) as f64) / MEMORY).exp() * SECOND as f64 / MEMORY
     }
 
-    /// Takes how late an RPC was that just ended, and moves the limit.
-    fn learn_lateness(&mut self, method: usize, took: Time) {
-        /// Answers taking this share of the soft deadline leave no room for chance.
-        const TOO_LATE: f64 = 0.6;
-        let Some(soft) = self.methods[method].soft else { return };
-        let (now, open) = (self.now, self.unanswered as f64);
+    fn count_answer(&mut self) {
+        const MEMORY: f64 = 1.5 * SECOND as f64;
         let g = &mut self.gate;
-        g.lateness += 0.05 * (took as f64 / soft as f64 - g.lateness);
-        if g.lateness > TOO_LATE {
-            // One step a fifth of a second: the effect of the last one must show first.
-            if now >= g.lowered + SECOND / 5 {
-                g.limit = (g.limit.min(open) * 0.9).max(4.0);
-                g.lowered = now;
-            }
-        } else if g.limit < 4.0 * open + 16.0 {
-            g.limit += 2.0 / g.limit;
-        } else {
-            g.limit = f64::INFINITY;
-        }
+        g.answers = g.answers * (-((self.now - g.at) as f64) / MEMORY).exp() + 1.0;
+        g.at = self.now;
     }
 
     // ----------------------------------------------------------------------------------------------- RPCs
@@ -768,11 +776,9 @@
             Some(soft) if self.tier == 0 => hard.min(now + soft),
             _ => hard,
         };
-        let admitted = self.admits(value);
-        self.unanswered += 1;
+        let admitted = self.admits(method, value);
         let txs = Vec::new();
-        let rpc =
-            Rpc { method, arrived: now, soft, hard, done: false, streaming: false, waiting: false, txs };
+        let rpc = Rpc { method, soft, hard, done: false, streaming: false, waiting: false, txs };
         if !admitted {
             self.rpcs.insert(id.clone(), rpc);
             self.finish(&id);
@@ -843,7 +849,6 @@
         let Some(rpc) = self.rpcs.get_mut(id) else { return };
         if !rpc.done {
             rpc.done = true;
-            self.unanswered -= 1;
             for (n, _) in rpc.txs.iter().enumerate().filter(|(_, t)| t.out && self.cancel) {
                 self.host.cancel(id, n);
             }
@@ -867,7 +872,7 @@
         self.now = now;
         let id = Id::from(id);
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        let (method, arrived) = (rpc.method, rpc.arrived);
+        let method = rpc.method;
         let Some(tx) = rpc.txs.get_mut(n).filter(|t| t.out) else { return };
         (tx.out, tx.never_ran) = (false, outcome.never_ran());
         let (upstream, sent, epoch, trial) = (tx.upstream.clone(), tx.sent, tx.epoch, tx.trial);
@@ -877,11 +882,10 @@
         let Some(rpc) = self.rpcs.get(&id) else { return };
         if ended || rpc.done {
             if !rpc.done {
-                self.learn_lateness(method, now - arrived);
+                self.count_answer();
             }
             self.close(&id);
         } else if rpc.out() == 0 && !rpc.streaming && !self.send_further(&id) {
-            self.learn_lateness(method, now - arrived);
             self.finish(&id);
         }
     }
@@ -921,9 +925,10 @@
             Outcome::Completed => Some(Verdict::Good),
             // Called off by this balancer, or cut to what the caller had left: only lateness is evidence.
             Outcome::Cancelled | Outcome::TimedOut if !slow => None,
-            Outcome::Cancelled => Some(Verdict::Slow),
+            Outcome::Cancelled => Some(Verdict::Dead),
+            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => Some(Verdict::Dead),
             Outcome::Moot => None,
-            _ => Some(Verdict::Failed),
+            Outcome::Errored | Outcome::Exhausted | Outcome::Unknown => Some(Verdict::Failed),
         };
         let now = self.now;
         let most_open = self.upstreams.len() / 3;
