--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -8,7 +8,7 @@
 //! The design: a breaker for each upstream, fed by this balancer's own outcomes, and a random draw among
 //! closed upstreams weighted by reported headroom. Mechanisms beside it, six at most (`docs/design.md`):
 //!  1. early opening on a run of bad outcomes, where calls are too few to fill a window;
-//!  2. overdue discount: an upstream that sits on this balancer's transmissions draws less;
+//!  2. crowding discount: an upstream that holds more than its part of what this balancer has out draws less;
 //!  3. second copies of slow RPCs that may run again;
 //!  4. fleet guard: troubles that most upstreams share open no breakers;
 //!  5. nearness: upstreams of the own zone draw more while they have headroom;
@@ -562,6 +562,8 @@
         /// Own-zone upstreams weigh this much more: the difference in headroom still outweighs it when they
         /// are nearly full.
         const NEAR: f64 = 4.0;
+        /// Steep enough that the draw keeps off a crowded upstream as long as others have room.
+        const CROWDED: i32 = 4;
         let now = self.now;
         let m = &self.methods[rpc.method];
         let late = m.late as Time;
@@ -569,6 +571,8 @@
         let reported: Vec<f64> = self.upstreams.values().filter_map(|u| u.utilisation).collect();
         let mean = 1.0 - reported.iter().sum::<f64>() / reported.len().max(1) as f64;
         let ids: Vec<Id> = self.upstreams.keys().filter(|id| self.may_send(rpc, id)).cloned().collect();
+        let out: usize = ids.iter().filter_map(|id| self.upstreams.get(id)).map(|u| u.out.len()).sum();
+        let part = out as f64 / ids.len().max(1) as f64;
         let mut draw: Vec<(Id, f64)> = Vec::new();
         let mut shut: Vec<(Id, f64)> = Vec::new();
         for id in ids {
@@ -578,10 +582,14 @@
             if u.zone == self.zone {
                 weight *= NEAR;
             }
-            // Guards against upstreams that swallow RPCs or stand still: they report nothing, and their last
-            // good report keeps drawing traffic.
-            let overdue = u.out.iter().filter(|sent| **sent + late < now).count() as f64;
-            weight /= (1.0 + overdue) * (1.0 + overdue);
+            // Guards against upstreams that swallow RPCs, stand still or are crowded by what no report shows
+            // yet: one that holds more than its part of this balancer's transmissions draws less, and what
+            // is overdue counts once more.
+            let overdue = u.out.iter().filter(|sent| **sent + late < now).count();
+            let held = (u.out.len() + overdue) as f64;
+            if held > part {
+                weight *= ((1.0 + part) / (1.0 + held)).powi(CROWDED);
+            }
             if rpc.txs.iter().any(|t| t.upstream == id) {
                 // Where this RPC has been already is the last resort.
                 weight *= 0.001;
@@ -720,20 +728,20 @@
     /// is the time that the next answer takes, and that must leave room before the soft deadline.
     /// Guards against overload, where all would be answered too late; what is answered quickly raises the
     /// rate again, so a short trouble does not keep the gate shut.
-    fn admits(&self, method: usize, value: f64) -> bool {
+    fn admits(&self, value: f64) -> bool {
         /// The part of the soft deadline that answers may take on average: chance about doubles it.
-        const ROOM: f64 = 0.55;
+        const ROOM: f64 = 0.65;
         /// Open RPCs below which nothing can be told from chance.
         const FEW: f64 = 8.0;
-        let Some(soft) = self.methods[method].soft else { return true };
+        let Some(soft) = self.methods.iter().filter_map(|m| m.soft).max() else { return true };
         if !self.gate.on || self.now < self.gate.from {
             return true;
         }
         // Those past the soft deadline are lost already and hold nothing up that new ones need.
         let open = self.rpcs.values().filter(|r| !r.done && self.now < r.soft).count() as f64;
         let limit = self.answer_rate() * ROOM * soft as f64 / SECOND as f64;
-        // The least valued stop at six tenths of the limit, the most valued at the limit itself.
-        open < limit.max(FEW) * (0.6 + 0.4 * value)
+        // The least valued stop at eight tenths of the limit, the most valued at the limit itself.
+        open < limit.max(FEW) * (0.8 + 0.2 * value)
     }
 
     fn answer_rate(&self) -> f64 {
@@ -776,7 +784,7 @@
             Some(soft) if self.tier == 0 => hard.min(now + soft),
             _ => hard,
         };
-        let admitted = self.admits(method, value);
+        let admitted = self.admits(value);
         let txs = Vec::new();
         let rpc = Rpc { method, soft, hard, done: false, streaming: false, waiting: false, txs };
         if !admitted {
