--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -169,10 +169,25 @@
     utilisation: Option<f64>,
     /// When each transmission that is out was sent; emptied by outcomes.
     out: Vec<Time>,
+    /// When transmissions failed; the window's length bounds them, a restart empties it.
+    scars: VecDeque<Time>,
     /// Cold budget: nothing before this.
     cold_next: Time,
 }
 
+/// How long a failure counts as held: as the design's open duration.
+const SCAR: Time = OPEN_FOR;
+
+impl Upstream {
+    /// What this upstream holds of this balancer's transmissions: those out, the overdue ones twice, and
+    /// those that failed a moment ago.
+    fn held(&self, now: Time, late: Time) -> f64 {
+        let overdue = self.out.iter().filter(|sent| **sent + late < now).count();
+        let scars = self.scars.iter().filter(|at| **at + SCAR > now).count();
+        (self.out.len() + overdue + scars) as f64
+    }
+}
+
 /// How this balancer keeps up with the list of upstreams.
 struct Following {
     /// Where the list must be asked for: time within which a balancer must have asked.
@@ -431,6 +446,7 @@
             breaker: Breaker::new(0),
             utilisation: None,
             out: Vec::new(),
+            scars: VecDeque::new(),
             cold_next: 0,
         });
         (u.seen, u.leaving, u.gone) = (true, false, false);
@@ -443,6 +459,7 @@
             u.started = started;
             u.breaker = Breaker::new(u.breaker.epoch + 1);
             u.utilisation = None;
+            u.scars.clear();
             // All balancers hear of it at about the same time: a random phase keeps their first sends apart.
             let gap = self.cold_gap(started).unwrap_or(0.0);
             let phase = (gap * self.rng.generate::<f64>()) as Time;
@@ -571,11 +588,12 @@
         let reported: Vec<f64> = self.upstreams.values().filter_map(|u| u.utilisation).collect();
         let mean = 1.0 - reported.iter().sum::<f64>() / reported.len().max(1) as f64;
         let ids: Vec<Id> = self.upstreams.keys().filter(|id| self.may_send(rpc, id)).cloned().collect();
-        let out: usize = ids.iter().filter_map(|id| self.upstreams.get(id)).map(|u| u.out.len()).sum();
-        let part = out as f64 / ids.len().max(1) as f64;
+        let held: Vec<f64> =
+            ids.iter().filter_map(|id| Some(self.upstreams.get(id)?.held(now, late))).collect();
+        let part = held.iter().sum::<f64>() / held.len().max(1) as f64;
         let mut draw: Vec<(Id, f64)> = Vec::new();
         let mut shut: Vec<(Id, f64)> = Vec::new();
-        for id in ids {
+        for (id, held) in ids.into_iter().zip(held) {
             let warmth = self.upstreams.get(&id).map_or(1.0, |u| self.warmth(u.started));
             let Some(u) = self.upstreams.get_mut(&id) else { continue };
             let mut weight = u.utilisation.map_or(mean, |used| 1.0 - used).max(FLOOR) * warmth;
@@ -583,10 +601,9 @@
                 weight *= NEAR;
             }
             // Guards against upstreams that swallow RPCs, stand still or are crowded by what no report shows
-            // yet: one that holds more than its part of this balancer's transmissions draws less, and what
-            // is overdue counts once more.
-            let overdue = u.out.iter().filter(|sent| **sent + late < now).count();
-            let held = (u.out.len() + overdue) as f64;
+            // yet, and against those that fail fast and so look idle: one that holds more than its part of
+            // this balancer's transmissions draws less. What is overdue counts twice, and what failed counts
+            // for a while as if it were out. Being against the mean, troubles that all share cancel out.
             if held > part {
                 weight *= ((1.0 + part) / (1.0 + held)).powi(CROWDED);
             }
@@ -927,7 +944,10 @@
         const SLOW: f64 = 3.0;
         /// Above this share of bad outcomes over all upstreams the trouble is shared.
         const SHARED: f64 = 0.3;
-        let slow = took as f64 > SLOW * self.methods[method].mean;
+        /// An error that comes in less than this part of the mean was not waited for below.
+        const AT_ONCE: f64 = 0.3;
+        let mean = self.methods[method].mean;
+        let slow = took as f64 > SLOW * mean;
         let verdict = match outcome {
             Outcome::Completed if slow => Some(Verdict::Slow),
             Outcome::Completed => Some(Verdict::Good),
@@ -936,12 +956,19 @@
             Outcome::Cancelled => Some(Verdict::Dead),
             Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => Some(Verdict::Dead),
             Outcome::Moot => None,
+            Outcome::Errored if (took as f64) < AT_ONCE * mean => Some(Verdict::Dead),
             Outcome::Errored | Outcome::Exhausted | Outcome::Unknown => Some(Verdict::Failed),
         };
         let now = self.now;
         let most_open = self.upstreams.len() / 3;
         let open = self.upstreams.values().filter(|u| u.breaker.state != State::Closed).count();
         let Some(u) = self.upstreams.get_mut(upstream) else { return };
+        if matches!(verdict, Some(Verdict::Failed | Verdict::Dead)) {
+            if u.scars.len() == WINDOW {
+                u.scars.pop_front();
+            }
+            u.scars.push_back(now);
+        }
         if u.breaker.epoch != epoch {
             return;
         }
