--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -580,7 +580,7 @@
         /// are nearly full.
         const NEAR: f64 = 4.0;
         /// Steep enough that the draw keeps off a crowded upstream as long as others have room.
-        const CROWDED: i32 = 4;
+        const CROWDED: i32 = 8;
         let now = self.now;
         let m = &self.methods[rpc.method];
         let late = m.late as Time;
