--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -236,13 +236,21 @@
     filled: Time,
 }
 
+/// About the time of an answer: shorter is noise, longer keeps the gate open into a trouble.
+const ANSWERS_FOR: f64 = 1.5 * SECOND as f64;
+
+/// What is left of a count of answers after this time.
+fn fade(time: Time) -> f64 {
+    (-(time as f64) / ANSWERS_FOR).exp()
+}
+
 /// Admission under overload, at the first tier only: answers a second, and when that was brought up to date.
 struct Gate {
     on: bool,
     answers: f64,
     at: Time,
-    /// Before this nothing is known of the rate of answers.
-    from: Time,
+    /// When the first RPC was taken.
+    from: Option<Time>,
 }
 
 // ----------------------------------------------------------------------------------------------------- RPCs
@@ -398,7 +406,7 @@
                 failures: 0,
                 reading_full: false,
             },
-            gate: Gate { on: tier == 0, answers: 0.0, at: now, from: now + 4 * SECOND },
+            gate: Gate { on: tier == 0, answers: 0.0, at: now, from: None },
             spare: MOST_SPARE,
             badness: 0.0,
             rate: 0.0,
@@ -750,8 +758,10 @@
         const ROOM: f64 = 0.65;
         /// Open RPCs below which nothing can be told from chance.
         const FEW: f64 = 8.0;
+        /// Nothing is known of the rate of answers before this.
+        const START: Time = SECOND;
         let Some(soft) = self.methods.iter().filter_map(|m| m.soft).max() else { return true };
-        if !self.gate.on || self.now < self.gate.from {
+        if !self.gate.on || self.gate.from.is_none_or(|from| self.now < from + START) {
             return true;
         }
         // Those past the soft deadline are lost already and hold nothing up that new ones need.
@@ -761,16 +771,16 @@
         open < limit.max(FEW) * (0.8 + 0.2 * value)
     }
 
+    /// Answers a second; the time before the first RPC counts for nothing.
     fn answer_rate(&self) -> f64 {
-        /// About the time of an answer: shorter is noise, longer keeps the gate open into a trouble.
-        const MEMORY: f64 = 1.5 * SECOND as f64;
-        self.gate.answers * (-((self.now - self.gate.at) as f64) / MEMORY).exp() * SECOND as f64 / MEMORY
+        let g = &self.gate;
+        let seen = 1.0 - fade(self.now - g.from.unwrap_or(self.now));
+        g.answers * fade(self.now - g.at) * SECOND as f64 / ANSWERS_FOR / seen.max(0.01)
     }
 
     fn count_answer(&mut self) {
-        const MEMORY: f64 = 1.5 * SECOND as f64;
         let g = &mut self.gate;
-        g.answers = g.answers * (-((self.now - g.at) as f64) / MEMORY).exp() + 1.0;
+        g.answers = g.answers * fade(self.now - g.at) + 1.0;
         g.at = self.now;
     }
 
@@ -796,6 +806,7 @@
             return;
         };
         let value = self.value(method, tenant);
+        self.gate.from = self.gate.from.or(Some(now));
         let hard = now + time_left;
         let soft = match self.methods[method].soft {
             Some(soft) if self.tier == 0 => hard.min(now + soft),
