--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -251,6 +251,9 @@
     at: Time,
     /// When the first RPC was taken.
     from: Option<Time>,
+    /// What answers take of late, and what they take in calm times: falls at once, rises slowly.
+    mean: f64,
+    calm: f64,
 }
 
 // ----------------------------------------------------------------------------------------------------- RPCs
@@ -268,6 +271,7 @@
 
 struct Rpc {
     method: usize,
+    arrived: Time,
     /// Answered in time means before this; the hard deadline where no soft one is told.
     soft: Time,
     hard: Time,
@@ -406,7 +410,7 @@
                 failures: 0,
                 reading_full: false,
             },
-            gate: Gate { on: tier == 0, answers: 0.0, at: now, from: None },
+            gate: Gate { on: tier == 0, answers: 0.0, at: now, from: None, mean: 0.0, calm: f64::INFINITY },
             spare: MOST_SPARE,
             badness: 0.0,
             rate: 0.0,
@@ -756,6 +760,9 @@
     fn admits(&self, value: f64) -> bool {
         /// The part of the soft deadline that answers may take on average: chance about doubles it.
         const ROOM: f64 = 0.65;
+        /// Times the calm answer time: where answers take longer, upstreams are crowded and some turn slow
+        /// for long, though there is room before the soft deadline.
+        const STRETCH: f64 = 2.0;
         /// Open RPCs below which nothing can be told from chance.
         const FEW: f64 = 8.0;
         /// Nothing is known of the rate of answers before this.
@@ -766,7 +773,8 @@
         }
         // Those past the soft deadline are lost already and hold nothing up that new ones need.
         let open = self.rpcs.values().filter(|r| !r.done && self.now < r.soft).count() as f64;
-        let limit = self.answer_rate() * ROOM * soft as f64 / SECOND as f64;
+        let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
+        let limit = self.answer_rate() * target / SECOND as f64;
         // The least valued stop at eight tenths of the limit, the most valued at the limit itself.
         open < limit.max(FEW) * (0.8 + 0.2 * value)
     }
@@ -778,8 +786,12 @@
         g.answers * fade(self.now - g.at) * SECOND as f64 / ANSWERS_FOR / seen.max(0.01)
     }
 
-    fn count_answer(&mut self) {
-        let g = &mut self.gate;
+    fn count_answer(&mut self, took: Time) {
+        let (g, took) = (&mut self.gate, took as f64);
+        // The first answers are the quickest RPCs, not the typical ones.
+        g.mean = if g.mean == 0.0 { 2.0 * took } else { g.mean + 0.05 * (took - g.mean) };
+        // Some twenty seconds of answers to believe that what was called slow is the usual.
+        g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.0005 * (g.mean - g.calm) };
         g.answers = g.answers * fade(self.now - g.at) + 1.0;
         g.at = self.now;
     }
@@ -814,7 +826,8 @@
         };
         let admitted = self.admits(value);
         let txs = Vec::new();
-        let rpc = Rpc { method, soft, hard, done: false, streaming: false, waiting: false, txs };
+        let rpc =
+            Rpc { method, arrived: now, soft, hard, done: false, streaming: false, waiting: false, txs };
         if !admitted {
             self.rpcs.insert(id.clone(), rpc);
             self.finish(&id);
@@ -908,7 +921,7 @@
         self.now = now;
         let id = Id::from(id);
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        let method = rpc.method;
+        let (method, arrived) = (rpc.method, rpc.arrived);
         let Some(tx) = rpc.txs.get_mut(n).filter(|t| t.out) else { return };
         (tx.out, tx.never_ran) = (false, outcome.never_ran());
         let (upstream, sent, epoch, trial) = (tx.upstream.clone(), tx.sent, tx.epoch, tx.trial);
@@ -918,7 +931,7 @@
         let Some(rpc) = self.rpcs.get(&id) else { return };
         if ended || rpc.done {
             if !rpc.done {
-                self.count_answer();
+                self.count_answer(now - arrived);
             }
             self.close(&id);
         } else if rpc.out() == 0 && !rpc.streaming && !self.send_further(&id) {
