--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -762,7 +762,7 @@
         const ROOM: f64 = 0.65;
         /// Times the calm answer time: where answers take longer, upstreams are crowded and some turn slow
         /// for long, though there is room before the soft deadline.
-        const STRETCH: f64 = 2.0;
+        const STRETCH: f64 = 3.0;
         /// Open RPCs below which nothing can be told from chance.
         const FEW: f64 = 8.0;
         /// Nothing is known of the rate of answers before this.
@@ -789,9 +789,9 @@
     fn count_answer(&mut self, took: Time) {
         let (g, took) = (&mut self.gate, took as f64);
         // The first answers are the quickest RPCs, not the typical ones.
-        g.mean = if g.mean == 0.0 { 2.0 * took } else { g.mean + 0.05 * (took - g.mean) };
+        g.mean = if g.mean == 0.0 { 2.0 * took } else { g.mean + 0.02 * (took - g.mean) };
         // Some twenty seconds of answers to believe that what was called slow is the usual.
-        g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.0005 * (g.mean - g.calm) };
+        g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.001 * (g.mean - g.calm) };
         g.answers = g.answers * fade(self.now - g.at) + 1.0;
         g.at = self.now;
     }
