--- a/crates/fernroute-benchlink/src/wire.rs
+++ b/crates/fernroute-benchlink/src/wire.rs
@@ -144,6 +144,14 @@
     Some((ours.replace('#', place), value))
 }
 
+/// The wire's path of a term, for messages.
+fn path(ours: &str) -> String {
+    let place = ours.split('.').find(|s| s.bytes().all(|b| b.is_ascii_digit())).unwrap_or("#");
+    let pattern = ours.replace(&format!(".{place}."), ".#.");
+    let wire = TERMS.iter().find(|(_, name, _)| *name == pattern).map_or(ours, |(wire, _, _)| wire);
+    wire.replace('#', place)
+}
+
 /// One instance's acts, written as they are made.
 #[derive(Clone, Default)]
 struct Desk(Rc<RefCell<String>>);
@@ -252,8 +260,8 @@
             let pairs = l.text.split('\t').filter_map(|part| part.split_once('='));
             let terms: Terms = pairs.filter_map(|(path, value)| term(path, value)).collect();
             let desk = Desk::default();
-            let balancer =
-                Balancer::new(desk.clone(), now, seed, &terms).map_err(|e| format!("line 'hello': {e}"))?;
+            let balancer = Balancer::new(desk.clone(), now, seed, &terms)
+                .map_err(|e| format!("line 'hello': missing or unreadable '{}'", path(&e.0)))?;
             self.instances.insert(who, (balancer, desk));
             return Ok(());
         }
@@ -314,3 +322,60 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const HELLO: &str = "hello\trandom-seed=5\tn-instances=2\tlayer=0\tzone=a\tceilings.max-transmissions=3\t\
+        ceilings.second-copies=true\tceilings.novel=7\tcontract.cold-from=0.2\tcontract.overload-for-s=1\t\
+        contract.tip-multiple=3\tcontract.warm-within-s=20\tfeedback.names=avg_ms,cpu\tmembership-mode=automatic\t\
+        methods.count=1\tmethods.0.effect=read_like\tmethods.0.name=look\tmethods.0.soft-deadline-s=1.0";
+    const LIST: &str = "manifest\tset-id=2\telements=1\n\
+        entry\tupstream=10.0.0.1:80\track-zone=a\tkind=k\tblock=0\tstate=1\tsize=1\nupdate\tmode=0\tepoch=1\tset-id=2";
+    const KNOCK: &str = "knock\tcall=c-1\tqos=look\ttime-budget-s=2.00005";
+
+    fn serve(lines: &[&str]) -> (String, Result<(), String>) {
+        let (mut out, batch) = (Vec::new(), lines.join("\n") + "\neob\n");
+        let input = format!("clock\tat-time-s=8.41225\tserial=12\nfor\twho=3\n{batch}");
+        let end = Link::default().serve(&mut input.as_bytes(), &mut out);
+        (String::from_utf8(out).expect("the wire is text"), end)
+    }
+
+    #[test]
+    fn a_whole_batch() {
+        let (out, end) =
+            serve(&[HELLO, LIST, KNOCK, "novel\tx=1", "bell\tkey-back=old", "started\tcall=z\thop=0"]);
+        assert_eq!(end, Ok(()));
+        assert!(
+            out.starts_with("source\twho=3\nhand_off\tcall=c-1\tupstream=10.0.0.1:80\tcap-s=2.0000\n"),
+            "{out}"
+        );
+        assert!(out.ends_with("next\tserial=12\n"), "{out}");
+    }
+
+    #[test]
+    fn an_unknown_outcome_may_have_run() {
+        let reply = "reply\tcall=c-1\thop=0\tupstream=10.0.0.1:80\tresult=novel\ttook-s=0.1\tended=0";
+        let once = HELLO.replace("read_like", "non_idempotent");
+        let (out, end) = serve(&[&once, LIST, KNOCK, reply]);
+        assert_eq!(end, Ok(()));
+        assert!(out.contains("surrender\tcall=c-1\n") && !out.contains("bounce"), "{out}");
+    }
+
+    #[test]
+    fn bad_lines_end_it_and_are_named() {
+        let lacks = |line: &str, member: &str| {
+            let end = serve(&[HELLO, LIST, KNOCK, line]).1.expect_err(line);
+            assert!(end.contains(member) && end.contains(line.split('\t').next().unwrap_or("")), "{end}");
+        };
+        lacks("knock\tcall=c-2\tqos=look", "time-budget-s");
+        lacks("knock\tcall=c-2\tqos=look\ttime-budget-s=soon", "time-budget-s");
+        lacks("reply\tcall=c-1\thop=x\tresult=success\ttook-s=1", "hop");
+        lacks("update\tmode=1\tset-id=9", "9");
+        lacks("hello\trandom-seed=1\tmethods.count=0", "contract.cold-from");
+        let nameless = HELLO.replace("methods.0.name=look\t", "");
+        lacks(&nameless, "methods.0.name");
+        lacks("bell", "key-back");
+    }
+}
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -426,7 +426,7 @@
     fn ask_later(&mut self, failures: u32) {
         if let Some(within) = self.list.ask_within {
             // At start a twentieth of it: enough to spread a fleet that starts at once; doubled by failures.
-            let most = (within / 20 << failures.min(3)) as f64;
+            let most = ((within / 20) << failures.min(3)) as f64;
             let wait = (most * (0.5 + 0.5 * self.rng.generate::<f64>())) as Time;
             self.host.set_timer(wait.max(1), "ask");
         }
--- /dev/null
+++ b/crates/fernroute/tests/failures.rs
@@ -0,0 +1,194 @@
+//! A small test for each failure found, and for the breaker's turns; none needs the bench.
+
+mod common;
+
+use common::{balancer, upstream, Notebook, START};
+use fernroute::host::{Outcome, Time, SECOND};
+use fernroute::Balancer;
+
+/// Offers one RPC and reports where it went, if anywhere.
+fn offer(b: &mut Balancer<Notebook>, notes: &Notebook, now: Time, id: &str, method: &str) -> Option<String> {
+    let before = notes.0.borrow().sent.len();
+    b.rpc_arrived(now, id, method, "", 3 * SECOND, false);
+    notes.0.borrow().sent.get(before).map(|(_, upstream, _)| upstream.clone())
+}
+
+/// Offers `count` RPCs, each answered before the next; `end` says how upstream `u` answers and how long it takes.
+fn run(
+    b: &mut Balancer<Notebook>,
+    notes: &Notebook,
+    from: Time,
+    count: usize,
+    end: impl Fn(&str) -> (Outcome, Time),
+) -> Vec<String> {
+    let mut went = Vec::new();
+    let mut now = from;
+    for i in 0..count {
+        let id = format!("r{from}-{i}");
+        let Some(to) = offer(b, notes, now, &id, "m2") else { continue };
+        let (outcome, took) = end(&to);
+        now += took;
+        b.tx_ended(now, &id, 0, outcome, took, outcome == Outcome::Completed, &[0.5]);
+        went.push(to);
+    }
+    went
+}
+
+fn good(_: &str) -> (Outcome, Time) {
+    (Outcome::Completed, 100)
+}
+
+#[test]
+fn dead_upstream_opens_and_returns_by_trials() {
+    let (mut b, notes) = balancer(6, &[]);
+    let dead = upstream(2).0;
+    let end = |u: &str| if u == dead { (Outcome::ConnectFailed, 50) } else { good(u) };
+    run(&mut b, &notes, START, 200, end);
+    assert!(notes.0.borrow().lines.iter().any(|l| l.contains(&dead) && l.contains("-> Open")));
+    let while_open = run(&mut b, &notes, START + 3 * SECOND, 50, end);
+    assert!(!while_open.contains(&dead), "an open upstream gets nothing");
+    // Trials are for RPCs that may run again.
+    let mut trials = 0;
+    for i in 0..300 {
+        let now = START + 8 * SECOND + i * 100;
+        let id = format!("t{i}");
+        trials += usize::from(offer(&mut b, &notes, now, &id, "m0") == Some(dead.clone()));
+        b.tx_ended(now + 90, &id, 0, Outcome::Completed, 90, true, &[0.5]);
+    }
+    assert!(notes.0.borrow().lines.iter().any(|l| l.contains(&dead) && l.contains("HalfOpen -> Closed")));
+    assert!(trials > 3, "closed again, it takes its part");
+}
+
+#[test]
+fn only_three_trials_are_out_at_once() {
+    let (mut b, notes) = balancer(6, &[]);
+    let dead = upstream(0).0;
+    run(&mut b, &notes, START, 200, |u| if u == dead { (Outcome::Reset, 50) } else { good(u) });
+    let half_open = (0..400)
+        .filter(|i| offer(&mut b, &notes, START + 8 * SECOND, &format!("t{i}"), "m0") == Some(dead.clone()))
+        .count();
+    assert!((1..=3).contains(&half_open), "{half_open} trials out");
+}
+
+#[test]
+fn late_answers_of_before_the_opening_are_no_trials() {
+    let (mut b, notes) = balancer(6, &[]);
+    let dead = upstream(0).0;
+    let mut early = None;
+    for i in 0..60 {
+        if offer(&mut b, &notes, START, &format!("e{i}"), "m0") == Some(dead.clone()) {
+            early = Some(format!("e{i}"));
+        }
+    }
+    run(&mut b, &notes, START, 300, |u| if u == dead { (Outcome::Reset, 50) } else { good(u) });
+    let opened = notes.0.borrow().lines.len();
+    assert!(opened > 0);
+    let early = early.expect("one of sixty went there");
+    b.tx_ended(START + 9 * SECOND, &early, 0, Outcome::Completed, 9 * SECOND, true, &[0.1]);
+    assert_eq!(notes.0.borrow().lines.len(), opened, "no change of state");
+}
+
+#[test]
+fn trouble_that_all_share_opens_few() {
+    let (mut b, notes) = balancer(9, &[]);
+    run(&mut b, &notes, START, 400, |_| (Outcome::Errored, 200));
+    let notes = notes.0.borrow();
+    let opened = notes.lines.iter().filter(|l| l.contains("-> Open")).count();
+    assert!(opened <= 3, "{opened} of nine opened");
+}
+
+#[test]
+fn fast_errors_do_not_look_idle() {
+    let (mut b, notes) = balancer(6, &[]);
+    let bad = upstream(4).0;
+    // It fails under half, so the breaker's half share never fills.
+    let went = run(&mut b, &notes, START, 400, |u| {
+        let fails = u == bad && notes.0.borrow().sent.len() % 5 < 2;
+        if fails {
+            (Outcome::Errored, 80)
+        } else {
+            good(u)
+        }
+    });
+    let share = went.iter().filter(|u| **u == bad).count() as f64 / went.len() as f64;
+    assert!(share < 0.1, "{share} of a sixth");
+}
+
+#[test]
+fn swallowed_rpcs_keep_others_away() {
+    let (mut b, notes) = balancer(6, &[]);
+    let silent = upstream(2).0;
+    let mut went = 0;
+    for i in 0..200 {
+        let (now, id) = (START + i * 200, format!("r{i}"));
+        match offer(&mut b, &notes, now, &id, "m2") {
+            Some(to) if to == silent => went += 1,
+            Some(_) => b.tx_ended(now + 100, &id, 0, Outcome::Completed, 100, true, &[0.9]),
+            None => {}
+        }
+    }
+    assert!(went <= 6, "{went} of 200 swallowed");
+}
+
+#[test]
+fn overload_exhausts_at_once_and_quiet_does_not() {
+    let (mut b, notes) = balancer(4, &[]);
+    run(&mut b, &notes, START, 200, good);
+    assert!(notes.0.borrow().exhausted.is_empty());
+    for i in 0..600 {
+        offer(&mut b, &notes, START + 2 * SECOND + i, &format!("o{i}"), "m0");
+    }
+    let notes = notes.0.borrow();
+    assert!(notes.exhausted.len() > 100, "{} exhausted", notes.exhausted.len());
+    assert!(notes.exhausted.iter().all(|(_, stay_away)| (1..=20_000).contains(stay_away)));
+}
+
+#[test]
+fn slow_rpcs_that_may_run_again_get_a_copy() {
+    let (mut b, notes) = balancer(4, &[]);
+    run(&mut b, &notes, START, 50, good);
+    let first = offer(&mut b, &notes, START + SECOND, "slow", "m0").expect("sent");
+    let (after, token) = notes.0.borrow().timers.last().cloned().expect("a copy is armed");
+    b.timer(START + SECOND + after, &token);
+    let copy = notes.0.borrow().sent.last().cloned().expect("sent");
+    assert_eq!(copy.0, "slow");
+    assert_ne!(copy.1, first);
+    b.tx_ended(START + 2 * SECOND, "slow", 1, Outcome::Completed, 100, true, &[0.5]);
+    assert_eq!(notes.0.borrow().cancelled, [("slow".to_owned(), 0)]);
+}
+
+#[test]
+fn failed_calls_for_the_list_are_made_again() {
+    let (mut b, notes) = balancer(2, &[("list_mode", "ask")]);
+    for failure in 0..6 {
+        let now = START + failure * SECOND;
+        b.list_failed(now);
+        let (after, token) = notes.0.borrow().timers.last().cloned().expect("armed");
+        assert!((1..=100_000 / 2).contains(&after), "well within the time to ask: {after}");
+        b.timer(now + after, &token);
+    }
+    assert_eq!(notes.0.borrow().asked, 6);
+}
+
+#[test]
+fn nothing_is_known_of_rpcs_and_timers_already_dropped() {
+    let (mut b, notes) = balancer(2, &[]);
+    b.tx_ended(START, "none", 0, Outcome::Unknown, 10, false, &[]);
+    b.rpc_abandoned(START, "none");
+    b.stream_started(START, "none", 3);
+    b.timer(START, "copy:none");
+    b.timer(START, "held:none");
+    b.timer(START, "what");
+    let notes = notes.0.borrow();
+    assert!(notes.sent.is_empty() && notes.errored.is_empty() && notes.exhausted.is_empty());
+}
+
+#[test]
+fn a_start_that_lacks_what_a_rule_needs_says_so() {
+    for lacking in ["rules.cold_from", "methods.1.group", "methods.2.effect", "methods.1.window"] {
+        let mut terms = common::terms(&[]);
+        terms.remove(lacking);
+        let started = Balancer::new(Notebook::default(), START, 1, &terms);
+        assert_eq!(started.err().map(|e| e.0), Some(lacking.to_owned()));
+    }
+}
