--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -609,7 +609,8 @@
             let warmth = self.upstreams.get(&id).map_or(1.0, |u| self.warmth(u.started));
             let Some(u) = self.upstreams.get_mut(&id) else { continue };
             let mut weight = u.utilisation.map_or(mean, |used| 1.0 - used).max(FLOOR) * warmth;
-            if u.zone == self.zone {
+            // Not while it is cold: the callers near a zone that comes back would all crowd it.
+            if u.zone == self.zone && warmth >= 1.0 {
                 weight *= NEAR;
             }
             // Guards against upstreams that swallow RPCs, stand still or are crowded by what no report shows
@@ -771,8 +772,7 @@
         if !self.gate.on || self.gate.from.is_none_or(|from| self.now < from + START) {
             return true;
         }
-        // Those past the soft deadline are lost already and hold nothing up that new ones need.
-        let open = self.rpcs.values().filter(|r| !r.done && self.now < r.soft).count() as f64;
+        let open = self.rpcs.values().filter(|r| !r.done).count() as f64;
         let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
         let limit = self.answer_rate() * target / SECOND as f64;
         // The least valued stop at eight tenths of the limit, the most valued at the limit itself.
