--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -772,7 +772,9 @@
         if !self.gate.on || self.gate.from.is_none_or(|from| self.now < from + START) {
             return true;
         }
-        let open = self.rpcs.values().filter(|r| !r.done).count() as f64;
+        // Those past the soft deadline may be swallowed, and then hold up nothing that new ones need; where
+        // they are merely late they no longer count as answers either, and the limit falls.
+        let open = self.rpcs.values().filter(|r| !r.done && self.now < r.soft).count() as f64;
         let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
         let limit = self.answer_rate() * target / SECOND as f64;
         // The least valued stop at eight tenths of the limit, the most valued at the limit itself.
@@ -930,7 +932,7 @@
         self.learn_verdict(&upstream, method, outcome, took, epoch, trial);
         let Some(rpc) = self.rpcs.get(&id) else { return };
         if ended || rpc.done {
-            if !rpc.done {
+            if !rpc.done && now <= rpc.soft {
                 self.count_answer(now - arrived);
             }
             self.close(&id);
