--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -219,6 +219,9 @@
     group: Group,
     window: Time,
     soft: Option<Time>,
+    hard: Option<Time>,
+    /// The longest time that a client has given one try.
+    whole_try: Time,
     late_gain: f64,
     stream: bool,
     /// Gain as a share of the highest one.
@@ -359,6 +362,8 @@
                 group,
                 window,
                 soft,
+                hard: term(terms, &at("hard_deadline")),
+                whole_try: 0,
                 late_gain: term(terms, &at("late_gain")).unwrap_or(0.0),
                 stream: allowed(terms, &at("stream")),
                 gain: term::<f64>(terms, &at("gain")).unwrap_or(1.0),
@@ -754,6 +759,21 @@
         value
     }
 
+    /// Until when an answer counts as in time. A client's tries share one soft deadline, so what is left of it
+    /// for a later try is told by how far the client has cut its time.
+    fn soft_deadline(&mut self, method: usize, time_left: Time) -> Time {
+        let (now, tick) = (self.now, self.tick);
+        let m = &mut self.methods[method];
+        m.whole_try = m.whole_try.max(time_left);
+        match (m.soft, m.hard) {
+            (Some(soft), Some(hard)) if self.tier == 0 && time_left + 2 * tick < m.whole_try => {
+                now.max((now + time_left + soft).saturating_sub(hard)).min(now + time_left)
+            }
+            (Some(soft), _) if self.tier == 0 => now + soft.min(time_left),
+            _ => now + time_left,
+        }
+    }
+
     /// Whether an RPC of this value is taken on now: by Little's law the open RPCs over the rate of answers
     /// is the time that the next answer takes, and that must leave room before the soft deadline.
     /// Guards against overload, where all would be answered too late; what is answered quickly raises the
@@ -777,8 +797,9 @@
         let open = self.rpcs.values().filter(|r| !r.done && self.now < r.soft).count() as f64;
         let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
         let limit = self.answer_rate() * target / SECOND as f64;
-        // The least valued stop at eight tenths of the limit, the most valued at the limit itself.
-        open < limit.max(FEW) * (0.8 + 0.2 * value)
+        // What is worth nothing stops at half the limit, the most valued at the limit itself; the cube root
+        // keeps methods of a tenth of the highest gain well above what is worth nothing.
+        open < limit.max(FEW) * (0.5 + 0.5 * value.cbrt())
     }
 
     /// Answers a second; the time before the first RPC counts for nothing.
@@ -807,7 +828,7 @@
         method: &str,
         tenant: &str,
         time_left: Time,
-        _repeat: bool,
+        repeat: bool,
     ) {
         self.now = now;
         /// Further transmissions an RPC earns: all tiers together then stay under twice the work.
@@ -819,13 +840,16 @@
             self.host.exhaust(&id, 0);
             return;
         };
-        let value = self.value(method, tenant);
         self.gate.from = self.gate.from.or(Some(now));
         let hard = now + time_left;
-        let soft = match self.methods[method].soft {
-            Some(soft) if self.tier == 0 => hard.min(now + soft),
-            _ => hard,
-        };
+        let soft = self.soft_deadline(method, time_left);
+        let mut value = self.value(method, tenant);
+        if soft as f64 <= now as f64 + self.methods[method].mean {
+            value *= self.methods[method].late_gain;
+        } else if repeat {
+            // An unknown part of its time is spent.
+            value *= 0.5;
+        }
         let admitted = self.admits(value);
         let txs = Vec::new();
         let rpc =
@@ -886,8 +910,12 @@
             Repeat::NonRetriable => rpc.may_have_run().is_none(),
         };
         if harmless {
-            // Half to all of what clients heed at most, so that they do not come back together.
-            let stay_away = self.max_stay_away as f64 * (0.5 + 0.5 * self.rng.generate::<f64>());
+            // Early enough that another try can still be in time, and spread so that they do not come
+            // back together; one that can't be in time any more had best stay away for long.
+            let room = rpc.soft.saturating_sub(self.now) as f64 - 1.5 * m.mean;
+            let most = self.max_stay_away as f64;
+            let spread = 0.5 + 0.5 * self.rng.generate::<f64>();
+            let stay_away = if room > 0.0 { room.min(most) * spread } else { most };
             self.host.exhaust(id, stay_away as Time);
         } else {
             self.host.error(id);
