--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -780,7 +780,7 @@
     /// rate again, so a short trouble does not keep the gate shut.
     fn admits(&self, value: f64) -> bool {
         /// The part of the soft deadline that answers may take on average: chance about doubles it.
-        const ROOM: f64 = 0.65;
+        const ROOM: f64 = 0.8;
         /// Times the calm answer time: where answers take longer, upstreams are crowded and some turn slow
         /// for long, though there is room before the soft deadline.
         const STRETCH: f64 = 3.0;
@@ -794,7 +794,7 @@
         }
         // Those past the soft deadline may be swallowed, and then hold up nothing that new ones need; where
         // they are merely late they no longer count as answers either, and the limit falls.
-        let open = self.rpcs.values().filter(|r| !r.done && self.now < r.soft).count() as f64;
+        let open = self.rpcs.values().filter(|r| !r.done && self.now < r.arrived + soft).count() as f64;
         let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
         let limit = self.answer_rate() * target / SECOND as f64;
         // What is worth nothing stops at half the limit, the most valued at the limit itself; the cube root
@@ -828,7 +828,7 @@
         method: &str,
         tenant: &str,
         time_left: Time,
-        repeat: bool,
+        _repeat: bool,
     ) {
         self.now = now;
         /// Further transmissions an RPC earns: all tiers together then stay under twice the work.
@@ -846,9 +846,6 @@
         let mut value = self.value(method, tenant);
         if soft as f64 <= now as f64 + self.methods[method].mean {
             value *= self.methods[method].late_gain;
-        } else if repeat {
-            // An unknown part of its time is spent.
-            value *= 0.5;
         }
         let admitted = self.admits(value);
         let txs = Vec::new();
@@ -960,7 +957,7 @@
         self.learn_verdict(&upstream, method, outcome, took, epoch, trial);
         let Some(rpc) = self.rpcs.get(&id) else { return };
         if ended || rpc.done {
-            if !rpc.done && now <= rpc.soft {
+            if !rpc.done && self.methods[method].soft.is_none_or(|soft| now <= arrived + soft) {
                 self.count_answer(now - arrived);
             }
             self.close(&id);
