The gate always keeps six tenths of the best rate

Cause: with shared slowness answers are late at any load, and a gate aimed at their time shuts down to its floor.

--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -252,6 +252,8 @@
     on: bool,
     answers: f64,
     at: Time,
+    /// The highest rate of answers of late: falls by half within half a minute.
+    best: f64,
     /// When the first RPC was taken.
     from: Option<Time>,
     /// What answers take of late, and what they take in calm times: falls at once, rises slowly.
@@ -415,7 +417,15 @@
                 failures: 0,
                 reading_full: false,
             },
-            gate: Gate { on: tier == 0, answers: 0.0, at: now, from: None, mean: 0.0, calm: f64::INFINITY },
+            gate: Gate {
+                on: tier == 0,
+                answers: 0.0,
+                at: now,
+                best: 0.0,
+                from: None,
+                mean: 0.0,
+                calm: f64::INFINITY,
+            },
             spare: MOST_SPARE,
             badness: 0.0,
             rate: 0.0,
@@ -784,6 +794,9 @@
         /// Times the calm answer time: where answers take longer, upstreams are crowded and some turn slow
         /// for long, though there is room before the soft deadline.
         const STRETCH: f64 = 3.0;
+        /// Guards against shutting on slowness that shedding does not cure, as when all upstreams depend on
+        /// something slow: no matter how late answers are, this part of the best rate still passes.
+        const KEPT: f64 = 0.6;
         /// Open RPCs below which nothing can be told from chance.
         const FEW: f64 = 8.0;
         /// Nothing is known of the rate of answers before this.
@@ -796,7 +809,7 @@
         // they are merely late they no longer count as answers either, and the limit falls.
         let open = self.rpcs.values().filter(|r| !r.done && self.now < r.arrived + soft).count() as f64;
         let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
-        let limit = self.answer_rate() * target / SECOND as f64;
+        let limit = self.answer_rate().max(KEPT * self.gate.best) * target / SECOND as f64;
         // What is worth nothing stops at half the limit, the most valued at the limit itself; the cube root
         // keeps methods of a tenth of the highest gain well above what is worth nothing.
         open < limit.max(FEW) * (0.5 + 0.5 * value.cbrt())
@@ -816,7 +829,12 @@
         // Some twenty seconds of answers to believe that what was called slow is the usual.
         g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.001 * (g.mean - g.calm) };
         g.answers = g.answers * fade(self.now - g.at) + 1.0;
+        g.best *= 1.0 - (self.now - g.at) as f64 / (40.0 * SECOND as f64);
         g.at = self.now;
+        if g.from.is_some_and(|from| self.now > from + 2 * SECOND) {
+            let rate = self.answer_rate();
+            self.gate.best = self.gate.best.max(rate);
+        }
     }
 
     // ----------------------------------------------------------------------------------------------- RPCs
