--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -795,14 +795,13 @@
         /// for long, though there is room before the soft deadline.
         const STRETCH: f64 = 3.0;
         /// Guards against shutting on slowness that shedding does not cure, as when all upstreams depend on
-        /// something slow: no matter how late answers are, this part of the best rate still passes.
-        const KEPT: f64 = 0.6;
+        /// something slow: no matter how late answers are, four fifths of the best rate still pass.
+        const KEPT: f64 = 0.8;
         /// Open RPCs below which nothing can be told from chance.
         const FEW: f64 = 8.0;
-        /// Nothing is known of the rate of answers before this.
-        const START: Time = SECOND;
         let Some(soft) = self.methods.iter().filter_map(|m| m.soft).max() else { return true };
-        if !self.gate.on || self.gate.from.is_none_or(|from| self.now < from + START) {
+        // Nothing is known of the rate of answers before a soft deadline has passed.
+        if !self.gate.on || self.gate.from.is_none_or(|from| self.now < from + soft) {
             return true;
         }
         // Those past the soft deadline may be swallowed, and then hold up nothing that new ones need; where
