--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -254,7 +254,7 @@
     at: Time,
     /// The highest rate of answers of late: falls by half within half a minute.
     best: f64,
-    /// When the first RPC was taken.
+    /// When the first answer came.
     from: Option<Time>,
     /// What answers take of late, and what they take in calm times: falls at once, rises slowly.
     mean: f64,
@@ -800,8 +800,8 @@
         /// Open RPCs below which nothing can be told from chance.
         const FEW: f64 = 8.0;
         let Some(soft) = self.methods.iter().filter_map(|m| m.soft).max() else { return true };
-        // Nothing is known of the rate of answers before a soft deadline has passed.
-        if !self.gate.on || self.gate.from.is_none_or(|from| self.now < from + soft) {
+        // Nothing is known of the rate of answers for half a soft deadline after the first.
+        if !self.gate.on || self.gate.from.is_none_or(|from| self.now < from + soft / 2) {
             return true;
         }
         // Those past the soft deadline may be swallowed, and then hold up nothing that new ones need; where
@@ -814,7 +814,7 @@
         open < limit.max(FEW) * (0.5 + 0.5 * value.cbrt())
     }
 
-    /// Answers a second; the time before the first RPC counts for nothing.
+    /// Answers a second; the time before the first one counts for nothing.
     fn answer_rate(&self) -> f64 {
         let g = &self.gate;
         let seen = 1.0 - fade(self.now - g.from.unwrap_or(self.now));
@@ -823,6 +823,7 @@
 
     fn count_answer(&mut self, took: Time) {
         let (g, took) = (&mut self.gate, took as f64);
+        g.from = g.from.or(Some(self.now));
         // The first answers are the quickest RPCs, not the typical ones.
         g.mean = if g.mean == 0.0 { 2.0 * took } else { g.mean + 0.02 * (took - g.mean) };
         // Some twenty seconds of answers to believe that what was called slow is the usual.
@@ -857,7 +858,6 @@
             self.host.exhaust(&id, 0);
             return;
         };
-        self.gate.from = self.gate.from.or(Some(now));
         let hard = now + time_left;
         let soft = self.soft_deadline(method, time_left);
         let mut value = self.value(method, tenant);
