--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -36,10 +36,13 @@
 
 // ---------------------------------------------------------------------------------------------- breaker
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
 enum State {
+    #[default]
     Closed,
-    Open { until: Time },
+    Open {
+        until: Time,
+    },
     HalfOpen,
 }
 
@@ -53,6 +56,7 @@
     Dead,
 }
 
+#[derive(Default)]
 struct Breaker {
     state: State,
     /// The last outcomes while closed; `WINDOW` at most, emptied at each change of state.
@@ -84,19 +88,6 @@
 const EARLY_RUN: u32 = 3;
 
 impl Breaker {
-    fn new(epoch: u32) -> Self {
-        Breaker {
-            state: State::Closed,
-            window: VecDeque::new(),
-            epoch,
-            trials_out: 0,
-            trials_good: 0,
-            run: 0,
-            openings: 0,
-            closed_at: 0,
-        }
-    }
-
     fn change(&mut self, state: State) {
         self.state = state;
         self.window.clear();
@@ -154,6 +145,7 @@
 
 // ------------------------------------------------------------------------------------ upstreams, their list
 
+#[derive(Default)]
 struct Upstream {
     zone: String,
     cell: String,
@@ -189,6 +181,7 @@
 }
 
 /// How this balancer keeps up with the list of upstreams.
+#[derive(Default)]
 struct Following {
     /// Where the list must be asked for: time within which a balancer must have asked.
     ask_within: Option<Time>,
@@ -248,6 +241,7 @@
 }
 
 /// Admission under overload, at the first tier only: answers a second, and when that was brought up to date.
+#[derive(Default)]
 struct Gate {
     on: bool,
     answers: f64,
@@ -274,6 +268,7 @@
     never_ran: bool,
 }
 
+#[derive(Default)]
 struct Rpc {
     method: usize,
     arrived: Time,
@@ -413,19 +408,9 @@
             rpcs: BTreeMap::new(),
             list: Following {
                 ask_within: if ask { Some(needed(terms, "rules.ask_within")?) } else { None },
-                following: false,
-                failures: 0,
-                reading_full: false,
-            },
-            gate: Gate {
-                on: tier == 0,
-                answers: 0.0,
-                at: now,
-                best: 0.0,
-                from: None,
-                mean: 0.0,
-                calm: f64::INFINITY,
+                ..Following::default()
             },
+            gate: Gate { on: tier == 0, calm: f64::INFINITY, ..Gate::default() },
             spare: MOST_SPARE,
             badness: 0.0,
             rate: 0.0,
@@ -463,28 +448,13 @@
     pub fn upstream_ready(&mut self, id: &str, zone: &str, cell: &str, started: Time) {
         let now = self.now;
         let known = self.upstreams.contains_key(id);
-        let u = self.upstreams.entry(Id::from(id)).or_insert_with(|| Upstream {
-            zone: String::new(),
-            cell: String::new(),
-            started: 0,
-            leaving: false,
-            gone: false,
-            seen: true,
-            breaker: Breaker::new(0),
-            utilisation: None,
-            out: Vec::new(),
-            scars: VecDeque::new(),
-            cold_next: 0,
-        });
+        let u = self.upstreams.entry(Id::from(id)).or_default();
         (u.seen, u.leaving, u.gone) = (true, false, false);
-        u.zone.clear();
-        u.zone.push_str(zone);
-        u.cell.clear();
-        u.cell.push_str(cell);
+        (u.zone, u.cell) = (zone.to_owned(), cell.to_owned());
         if !known || u.started != started {
             // A process that restarted is a new upstream to the breaker; what is out was the old one's.
             u.started = started;
-            u.breaker = Breaker::new(u.breaker.epoch + 1);
+            u.breaker = Breaker { epoch: u.breaker.epoch + 1, ..Breaker::default() };
             u.utilisation = None;
             u.scars.clear();
             // All balancers hear of it at about the same time: a random phase keeps their first sends apart.
@@ -660,6 +630,14 @@
 
     // -------------------------------------------------------------------------------------------- transmit
 
+    fn send(&mut self, rpc_id: &Id) -> bool {
+        // Taken out for the pick, which looks at all upstreams while it reads this one RPC.
+        let Some(rpc) = self.rpcs.remove(rpc_id) else { return false };
+        let id = self.pick(&rpc);
+        self.rpcs.insert(rpc_id.clone(), rpc);
+        id.is_some_and(|id| self.transmit(rpc_id, &id))
+    }
+
     /// The only place that sends. Every rule is checked here, whatever the caller has checked before.
     fn transmit(&mut self, rpc_id: &Id, id: &Id) -> bool {
         let Some(rpc) = self.rpcs.get(rpc_id) else { return false };
@@ -700,10 +678,7 @@
         if self.spare < 1.0 || self.now as f64 + m.mean > until as f64 {
             return false;
         }
-        let Some(rpc) = self.rpcs.remove(rpc_id) else { return false };
-        let id = self.pick(&rpc);
-        self.rpcs.insert(rpc_id.clone(), rpc);
-        let sent = id.is_some_and(|id| self.transmit(rpc_id, &id));
+        let sent = self.send(rpc_id);
         if sent {
             self.spare -= 1.0;
         }
@@ -865,17 +840,11 @@
             value *= self.methods[method].late_gain;
         }
         let admitted = self.admits(value);
-        let txs = Vec::new();
-        let rpc =
-            Rpc { method, arrived: now, soft, hard, done: false, streaming: false, waiting: false, txs };
+        let rpc = Rpc { method, arrived: now, soft, hard, ..Rpc::default() };
+        self.rpcs.insert(id.clone(), rpc);
         if !admitted {
-            self.rpcs.insert(id.clone(), rpc);
             self.finish(&id);
-            return;
-        }
-        let to = self.pick(&rpc);
-        self.rpcs.insert(id.clone(), rpc);
-        if to.is_some_and(|to| self.transmit(&id, &to)) {
+        } else if self.send(&id) {
             self.arm_copy(&id);
         } else {
             self.hold(&id);
@@ -901,10 +870,7 @@
         if !rpc.waiting || rpc.done {
             return;
         }
-        let Some(rpc) = self.rpcs.remove(id) else { return };
-        let to = self.pick(&rpc);
-        self.rpcs.insert(id.clone(), rpc);
-        if to.is_some_and(|to| self.transmit(id, &to)) {
+        if self.send(id) {
             self.arm_copy(id);
         } else {
             self.hold(id);
