--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -671,16 +671,20 @@
 
     /// Sends once more if that may help, within the maximum, the time left and the retry budget.
     fn send_further(&mut self, rpc_id: &Id) -> bool {
+        /// Guards against a budget that runs dry where upstreams turn much away: an RPC still pays for it.
+        const TURNED_AWAY: f64 = 0.1;
         let Some(rpc) = self.rpcs.get(rpc_id) else { return false };
         let m = &self.methods[rpc.method];
         // The operators' way: only if the time left exceeds the time that it is expected to take.
         let until = if m.late_gain > 0.0 { rpc.hard } else { rpc.soft };
-        if self.spare < 1.0 || self.now as f64 + m.mean > until as f64 {
+        // Being turned away unseen cost the upstreams next to nothing, and so does trying elsewhere.
+        let cost = if rpc.may_have_run().is_none() { TURNED_AWAY } else { 1.0 };
+        if self.spare < cost || self.now as f64 + m.mean > until as f64 {
             return false;
         }
         let sent = self.send(rpc_id);
         if sent {
-            self.spare -= 1.0;
+            self.spare -= cost;
         }
         sent
     }
