--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -161,8 +161,8 @@
     utilisation: Option<f64>,
     /// When each transmission that is out was sent; emptied by outcomes.
     out: Vec<Time>,
-    /// When transmissions failed; the window's length bounds them, a restart empties it.
-    scars: VecDeque<Time>,
+    /// When transmissions of which method failed; the window's length bounds them, a restart empties it.
+    scars: VecDeque<(Time, usize)>,
     /// Cold budget: nothing before this.
     cold_next: Time,
 }
@@ -172,10 +172,10 @@
 
 impl Upstream {
     /// What this upstream holds of this balancer's transmissions: those out, the overdue ones twice, and
-    /// those that failed a moment ago.
-    fn held(&self, now: Time, late: Time) -> f64 {
+    /// those of this method that failed a moment ago: an upstream may turn away one method and serve others.
+    fn held(&self, now: Time, late: Time, method: usize) -> f64 {
         let overdue = self.out.iter().filter(|sent| **sent + late < now).count();
-        let scars = self.scars.iter().filter(|at| **at + SCAR > now).count();
+        let scars = self.scars.iter().filter(|(at, m)| at + SCAR > now && *m == method).count();
         (self.out.len() + overdue + scars) as f64
     }
 }
@@ -586,7 +586,7 @@
         let mean = 1.0 - reported.iter().sum::<f64>() / reported.len().max(1) as f64;
         let ids: Vec<Id> = self.upstreams.keys().filter(|id| self.may_send(rpc, id)).cloned().collect();
         let held: Vec<f64> =
-            ids.iter().filter_map(|id| Some(self.upstreams.get(id)?.held(now, late))).collect();
+            ids.iter().filter_map(|id| Some(self.upstreams.get(id)?.held(now, late, rpc.method))).collect();
         let part = held.iter().sum::<f64>() / held.len().max(1) as f64;
         let mut draw: Vec<(Id, f64)> = Vec::new();
         let mut shut: Vec<(Id, f64)> = Vec::new();
@@ -1005,7 +1005,7 @@
             if u.scars.len() == WINDOW {
                 u.scars.pop_front();
             }
-            u.scars.push_back(now);
+            u.scars.push_back((now, method));
         }
         if u.breaker.epoch != epoch {
             return;
