--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -161,8 +161,8 @@
     utilisation: Option<f64>,
     /// When each transmission that is out was sent; emptied by outcomes.
     out: Vec<Time>,
-    /// When transmissions of which method failed; the window's length bounds them, a restart empties it.
-    scars: VecDeque<(Time, usize)>,
+    /// When transmissions failed, and of which method where that says nothing of others; the window's length bounds them, a restart empties it.
+    scars: VecDeque<(Time, Option<usize>)>,
     /// Cold budget: nothing before this.
     cold_next: Time,
 }
@@ -172,10 +172,11 @@
 
 impl Upstream {
     /// What this upstream holds of this balancer's transmissions: those out, the overdue ones twice, and
-    /// those of this method that failed a moment ago: an upstream may turn away one method and serve others.
+    /// those that failed a moment ago; one may turn away one method unseen and serve the others.
     fn held(&self, now: Time, late: Time, method: usize) -> f64 {
         let overdue = self.out.iter().filter(|sent| **sent + late < now).count();
-        let scars = self.scars.iter().filter(|(at, m)| at + SCAR > now && *m == method).count();
+        let scars =
+            self.scars.iter().filter(|(at, m)| at + SCAR > now && m.is_none_or(|m| m == method)).count();
         (self.out.len() + overdue + scars) as f64
     }
 }
@@ -1005,7 +1006,7 @@
             if u.scars.len() == WINDOW {
                 u.scars.pop_front();
             }
-            u.scars.push_back((now, method));
+            u.scars.push_back((now, (outcome == Outcome::Exhausted).then_some(method)));
         }
         if u.breaker.epoch != epoch {
             return;
