--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -5,6 +5,7 @@
 use common::{balancer, upstream, Notebook, START};
 use fernroute::host::{Outcome, Time, SECOND};
 use fernroute::Balancer;
+use std::collections::VecDeque;
 
 /// Offers one RPC and reports where it went, if anywhere.
 fn offer(b: &mut Balancer<Notebook>, notes: &Notebook, now: Time, id: &str, method: &str) -> Option<String> {
@@ -114,6 +115,68 @@
     assert!(share < 0.1, "{share} of a sixth");
 }
 
+#[test]
+fn an_upstream_that_turns_one_method_away_still_serves_others() {
+    let (mut b, notes) = balancer(6, &[]);
+    let picky = upstream(1).0;
+    let mut went = [0, 0];
+    for i in 0..400 {
+        let (now, id, method) = (START + i * 100, format!("r{i}"), ["m0", "m2"][i as usize % 2]);
+        let Some(to) = offer(&mut b, &notes, now, &id, method) else { continue };
+        went[i as usize % 2] += usize::from(to == picky);
+        let refused = to == picky && method == "m2";
+        let outcome = if refused { Outcome::Exhausted } else { Outcome::Completed };
+        b.tx_ended(now + 90, &id, 0, outcome, 90, !refused, &[0.5]);
+        if refused {
+            assert_eq!(
+                notes.0.borrow().sent.last().map(|s| s.0.clone()),
+                Some(id.clone()),
+                "tried elsewhere"
+            );
+            b.tx_ended(now + 95, &id, 1, Outcome::Completed, 5, true, &[0.5]);
+        }
+    }
+    assert!(went[0] > 5 && went[1] < 5, "{went:?}");
+}
+
+#[test]
+fn tries_that_cannot_be_in_time_are_shed_first() {
+    let (mut b, notes) = balancer(4, &[("methods.0.hard_deadline", "30000")]);
+    run(&mut b, &notes, START, 200, good);
+    let mut exhausted = [0, 0];
+    for i in 0..200 {
+        // A whole try, then one whose cut time says that its soft deadline is over.
+        for (late, left) in [(0, 30_000), (1, 15_000)] {
+            let before = notes.0.borrow().exhausted.len();
+            b.rpc_arrived(START + 2 * SECOND + i, &format!("t{i}-{late}"), "m0", "", left, false);
+            exhausted[late] += notes.0.borrow().exhausted.len() - before;
+        }
+    }
+    assert!(exhausted[1] > exhausted[0], "{exhausted:?}");
+}
+
+#[test]
+fn shared_slowness_does_not_shut_the_gate() {
+    let (mut b, notes) = balancer(9, &[]);
+    let mut out: VecDeque<(Time, String, Time)> = VecDeque::new();
+    let mut sent_late = 0;
+    for i in 0..4000 {
+        let now = START + i * 20;
+        // From the middle on everything is four times as slow, at any load.
+        let took = if i < 2000 { 1000 } else { 4000 };
+        while out.front().is_some_and(|(until, _, _)| *until <= now) {
+            let (_, id, took) = out.pop_front().expect("seen");
+            b.tx_ended(now, &id, 0, Outcome::Completed, took, true, &[0.5]);
+        }
+        let id = format!("r{i}");
+        if offer(&mut b, &notes, now, &id, "m2").is_some() {
+            out.push_back((now + took, id, took));
+            sent_late += usize::from(i >= 3000);
+        }
+    }
+    assert!(sent_late > 400, "{sent_late} of 1000 passed");
+}
+
 #[test]
 fn swallowed_rpcs_keep_others_away() {
     let (mut b, notes) = balancer(6, &[]);
