--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -777,8 +777,10 @@
         /// Guards against shutting on slowness that shedding does not cure, as when all upstreams depend on
         /// something slow: no matter how late answers are, four fifths of the best rate still pass.
         const KEPT: f64 = 0.8;
-        /// Open RPCs below which nothing can be told from chance.
-        const FEW: f64 = 8.0;
+        /// Chance goes beyond this many roots once in fifty times.
+        const SCATTER: f64 = 2.0;
+        /// Guards against shutting altogether: with nothing open there are no answers to learn from.
+        const FEW: f64 = 4.0;
         let Some(soft) = self.methods.iter().filter_map(|m| m.soft).max() else { return true };
         // Nothing is known of the rate of answers for half a soft deadline after the first.
         if !self.gate.on || self.gate.from.is_none_or(|from| self.now < from + soft / 2) {
@@ -789,9 +791,12 @@
         let open = self.rpcs.values().filter(|r| !r.done && self.now < r.arrived + soft).count() as f64;
         let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
         let limit = self.answer_rate().max(KEPT * self.gate.best) * target / SECOND as f64;
+        // Open RPCs scatter by the root of their mean with nothing wrong; a small balancer needs that room.
+        let limit = limit.max(FEW);
+        let limit = limit + SCATTER * limit.sqrt();
         // What is worth nothing stops at half the limit, the most valued at the limit itself; the cube root
         // keeps methods of a tenth of the highest gain well above what is worth nothing.
-        open < limit.max(FEW) * (0.5 + 0.5 * value.cbrt())
+        open < limit * (0.5 + 0.5 * value.cbrt())
     }
 
     /// Answers a second; the time before the first one counts for nothing.
