--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -236,12 +236,6 @@
 /// About the time of an answer: shorter is noise, longer keeps the gate open into a trouble.
 const ANSWERS_FOR: f64 = 1.5 * SECOND as f64;
 
-impl Gate {
-    fn answers_now(&self, now: Time) -> f64 {
-        self.answers * fade(now - self.at)
-    }
-}
-
 /// What is left of a count of answers after this time.
 fn fade(time: Time) -> f64 {
     (-(time as f64) / ANSWERS_FOR).exp()
@@ -253,9 +247,6 @@
     on: bool,
     answers: f64,
     at: Time,
-    /// What was asked of late, faded like the answers.
-    asked: f64,
-    asked_at: Time,
     /// The highest rate of answers of late: falls by half within half a minute.
     best: f64,
     /// When the first answer came.
@@ -585,7 +576,7 @@
         const FLOOR: f64 = 0.05;
         /// Own-zone upstreams weigh this much more: the difference in headroom still outweighs it when they
         /// are nearly full.
-        const NEAR: f64 = 4.0;
+        const NEAR: f64 = 8.0;
         /// Steep enough that the draw keeps off a crowded upstream as long as others have room.
         const CROWDED: i32 = 8;
         let now = self.now;
@@ -788,8 +779,6 @@
         const KEPT: f64 = 0.8;
         /// Chance goes beyond one root once in six times, and seldom for long.
         const SCATTER: f64 = 1.0;
-        /// What is asked may exceed the answers by this much by chance.
-        const KEEPS_UP: f64 = 1.1;
         /// Guards against shutting altogether: with nothing open there are no answers to learn from.
         const FEW: f64 = 4.0;
         let Some(soft) = self.methods.iter().filter_map(|m| m.soft).max() else { return true };
@@ -802,11 +791,6 @@
         let open = self.rpcs.values().filter(|r| !r.done && self.now < r.arrived + soft).count() as f64;
         let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
         let limit = self.answer_rate().max(KEPT * self.gate.best) * target / SECOND as f64;
-        // Slowness alone is no overload: as long as answers keep up with what is asked, open RPCs don't grow.
-        if self.gate.asked * fade(self.now - self.gate.asked_at) < KEEPS_UP * self.gate.answers_now(self.now)
-        {
-            return true;
-        }
         // Open RPCs scatter by the root of their mean with nothing wrong; a small balancer needs that room.
         let limit = limit.max(FEW);
         let limit = limit + SCATTER * limit.sqrt();
@@ -819,7 +803,7 @@
     fn answer_rate(&self) -> f64 {
         let g = &self.gate;
         let seen = 1.0 - fade(self.now - g.from.unwrap_or(self.now));
-        g.answers_now(self.now) * SECOND as f64 / ANSWERS_FOR / seen.max(0.01)
+        g.answers * fade(self.now - g.at) * SECOND as f64 / ANSWERS_FOR / seen.max(0.01)
     }
 
     fn count_answer(&mut self, took: Time) {
@@ -865,10 +849,6 @@
         if soft as f64 <= now as f64 + self.methods[method].mean {
             value *= self.methods[method].late_gain;
         }
-        if value > 0.0 {
-            self.gate.asked = self.gate.asked * fade(now - self.gate.asked_at) + 1.0;
-            self.gate.asked_at = now;
-        }
         let admitted = self.admits(value);
         let rpc = Rpc { method, arrived: now, soft, hard, ..Rpc::default() };
         self.rpcs.insert(id.clone(), rpc);
