--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -574,8 +574,9 @@
     fn pick(&mut self, rpc: &Rpc) -> Option<Id> {
         /// The design's floor, well under one half: a full upstream still gets news of itself now and then.
         const FLOOR: f64 = 0.05;
-        /// Own-zone upstreams weigh this much more for each part of headroom, so that a full zone has no pull.
-        const NEAR: f64 = 15.0;
+        /// Own-zone upstreams weigh this much more: the difference in headroom still outweighs it when they
+        /// are nearly full.
+        const NEAR: f64 = 8.0;
         /// Steep enough that the draw keeps off a crowded upstream as long as others have room.
         const CROWDED: i32 = 8;
         let now = self.now;
@@ -596,7 +597,7 @@
             let mut weight = u.utilisation.map_or(mean, |used| 1.0 - used).max(FLOOR) * warmth;
             // Not while it is cold: the callers near a zone that comes back would all crowd it.
             if u.zone == self.zone && warmth >= 1.0 {
-                weight *= 1.0 + NEAR * weight;
+                weight *= NEAR;
             }
             // Guards against upstreams that swallow RPCs, stand still or are crowded by what no report shows
             // yet, and against those that fail fast and so look idle: one that holds more than its part of
