--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -768,12 +768,12 @@
     /// is the time that the next answer takes, and that must leave room before the soft deadline.
     /// Guards against overload, where all would be answered too late; what is answered quickly raises the
     /// rate again, so a short trouble does not keep the gate shut.
-    fn admits(&self, method: usize, value: f64) -> bool {
+    fn admits(&self, value: f64) -> bool {
         /// The part of the soft deadline that answers may take on average: chance about doubles it.
         const ROOM: f64 = 0.8;
         /// Times the calm answer time: where answers take longer, upstreams are crowded and some turn slow
         /// for long, though there is room before the soft deadline.
-        const STRETCH: f64 = 4.0;
+        const STRETCH: f64 = 3.0;
         /// Guards against shutting on slowness that shedding does not cure, as when all upstreams depend on
         /// something slow: no matter how late answers are, four fifths of the best rate still pass.
         const KEPT: f64 = 0.8;
@@ -789,8 +789,7 @@
         // Those past the soft deadline may be swallowed, and then hold up nothing that new ones need; where
         // they are merely late they no longer count as answers either, and the limit falls.
         let open = self.rpcs.values().filter(|r| !r.done && self.now < r.arrived + soft).count() as f64;
-        let own = self.methods[method].soft.unwrap_or(soft);
-        let target = (ROOM * own as f64).min(STRETCH * self.gate.calm);
+        let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
         let limit = self.answer_rate().max(KEPT * self.gate.best) * target / SECOND as f64;
         // Open RPCs scatter by the root of their mean with nothing wrong; a small balancer needs that room.
         let limit = limit.max(FEW);
@@ -850,7 +849,7 @@
         if soft as f64 <= now as f64 + self.methods[method].mean {
             value *= self.methods[method].late_gain;
         }
-        let admitted = self.admits(method, value);
+        let admitted = self.admits(value);
         let rpc = Rpc { method, arrived: now, soft, hard, ..Rpc::default() };
         self.rpcs.insert(id.clone(), rpc);
         if !admitted {
