The kept rate of answers is counted for each upstream in use

Told from plain overload by the list: the low began when upstreams left, with traffic not above before.

--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -247,7 +247,7 @@
     on: bool,
     answers: f64,
     at: Time,
-    /// The highest rate of answers of late: falls by half within half a minute.
+    /// The highest rate of answers of late for each upstream in use: falls by half within twenty seconds.
     best: f64,
     /// When the first answer came.
     from: Option<Time>,
@@ -504,6 +504,11 @@
         (self.cold.from + (1.0 - self.cold.from) * age / self.cold.warm_within).min(1.0)
     }
 
+    /// How many upstreams are in use, warm or cold.
+    fn ready(&self) -> f64 {
+        self.upstreams.values().filter(|u| !u.leaving).count().max(1) as f64
+    }
+
     /// The least time between two sends of this balancer to an upstream that is still cold.
     fn cold_gap(&self, started: Time) -> Option<f64> {
         /// All balancers together stay at this share of the budget if each does; the rest is for chance.
@@ -514,7 +519,7 @@
         }
         // What a warm upstream gets of this balancer, over how busy that keeps it, is this balancer's part
         // of its capacity; the number of balancers cancels out.
-        let ready = self.upstreams.values().filter(|u| !u.leaving).count().max(1) as f64;
+        let ready = self.ready();
         let busy: Vec<f64> = self.upstreams.values().filter_map(|u| u.utilisation).collect();
         let busy = if busy.is_empty() { 1.0 } else { busy.iter().sum::<f64>() / busy.len() as f64 };
         // A balancer that has sent nothing yet takes the budget for one send in a window by all balancers.
@@ -790,7 +795,7 @@
         // they are merely late they no longer count as answers either, and the limit falls.
         let open = self.rpcs.values().filter(|r| !r.done && self.now < r.arrived + soft).count() as f64;
         let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
-        let limit = self.answer_rate().max(KEPT * self.gate.best) * target / SECOND as f64;
+        let limit = self.answer_rate().max(KEPT * self.gate.best * self.ready()) * target / SECOND as f64;
         // Open RPCs scatter by the root of their mean with nothing wrong; a small balancer needs that room.
         let limit = limit.max(FEW);
         let limit = limit + SCATTER * limit.sqrt();
@@ -814,10 +819,11 @@
         // Some twenty seconds of answers to believe that what was called slow is the usual.
         g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.001 * (g.mean - g.calm) };
         g.answers = g.answers * fade(self.now - g.at) + 1.0;
-        g.best *= 1.0 - (self.now - g.at) as f64 / (40.0 * SECOND as f64);
+        g.best *= 1.0 - (self.now - g.at) as f64 / (30.0 * SECOND as f64);
         g.at = self.now;
         if g.from.is_some_and(|from| self.now > from + 2 * SECOND) {
-            let rate = self.answer_rate();
+            // Guards against a limit from before the fleet shrank: the rate is kept for each upstream.
+            let rate = self.answer_rate() / self.ready();
             self.gate.best = self.gate.best.max(rate);
         }
     }
