--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -247,7 +247,7 @@
     on: bool,
     answers: f64,
     at: Time,
-    /// The highest rate of answers of late for each upstream in use: falls by half within twenty seconds.
+    /// The highest rate of answers of late for each upstream in use: falls by half in eight seconds.
     best: f64,
     /// When the first answer came.
     from: Option<Time>,
@@ -819,7 +819,7 @@
         // Some twenty seconds of answers to believe that what was called slow is the usual.
         g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.001 * (g.mean - g.calm) };
         g.answers = g.answers * fade(self.now - g.at) + 1.0;
-        g.best *= 1.0 - (self.now - g.at) as f64 / (30.0 * SECOND as f64);
+        g.best *= 1.0 - (self.now - g.at) as f64 / (12.0 * SECOND as f64);
         g.at = self.now;
         if g.from.is_some_and(|from| self.now > from + 2 * SECOND) {
             // Guards against a limit from before the fleet shrank: the rate is kept for each upstream.
