--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -778,7 +778,7 @@
         const ROOM: f64 = 0.8;
         /// Times the calm answer time: where answers take longer, upstreams are crowded and some turn slow
         /// for long, though there is room before the soft deadline.
-        const STRETCH: f64 = 3.0;
+        const STRETCH: f64 = 4.0;
         /// Guards against shutting on slowness that shedding does not cure, as when all upstreams depend on
         /// something slow: no matter how late answers are, four fifths of the best rate still pass.
         const KEPT: f64 = 0.8;
