--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -710,7 +710,7 @@
 
     fn arm_copy(&mut self, rpc_id: &Id) {
         /// Copies of what is merely among the slowest load all tiers and gain nothing; this is for silence.
-        const AFTER: f64 = 2.5;
+        const AFTER: f64 = 4.0;
         let Some(rpc) = self.rpcs.get(rpc_id) else { return };
         let m = &self.methods[rpc.method];
         if self.second_copies && m.repeat != Repeat::NonRetriable && !m.stream && rpc.txs.len() < self.max_tx
