--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -318,8 +318,6 @@
     gate: Gate,
     /// Retry budget: further transmissions that may be made now.
     spare: f64,
-    /// Share of bad outcomes of late, over all upstreams.
-    badness: f64,
     /// Transmissions a second, and when that was last brought up to date.
     rate: f64,
     rate_at: Time,
@@ -414,7 +412,6 @@
             },
             gate: Gate { on: tier == 0, calm: f64::INFINITY, ..Gate::default() },
             spare: MOST_SPARE,
-            badness: 0.0,
             rate: 0.0,
             rate_at: now,
         };
@@ -979,8 +976,6 @@
     fn learn_verdict(&mut self, tx: &Tx, method: usize, outcome: Outcome, took: Time) {
         /// More than this many means is slow: four soft deadlines would lie past the hard one.
         const SLOW: f64 = 3.0;
-        /// Above this share of bad outcomes over all upstreams the trouble is shared.
-        const SHARED: f64 = 0.3;
         /// An error that comes in less than this part of the mean was not waited for below.
         const AT_ONCE: f64 = 0.3;
         let mean = self.methods[method].mean;
@@ -1013,11 +1008,10 @@
             u.breaker.trials_out = u.breaker.trials_out.saturating_sub(1);
         }
         let Some(verdict) = verdict else { return };
-        self.badness += 0.02 * (f64::from(u8::from(verdict != Verdict::Good)) - self.badness);
         let was = u.breaker.state;
         if u.breaker.judge(verdict, now) {
             // Guards against closing off the fleet: what most upstreams share is not this one's fault.
-            if was == State::HalfOpen || (open < most_open && self.badness < SHARED) {
+            if was == State::HalfOpen || open < most_open {
                 u.breaker.open(now, &mut self.rng);
             }
         }
