--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -9,10 +9,9 @@
 //! closed upstreams weighted by reported headroom. Mechanisms beside it, six at most (`docs/design.md`):
 //!  1. early opening on a run of bad outcomes, where calls are too few to fill a window;
 //!  2. crowding discount: an upstream that holds more than its part of what this balancer has out draws less;
-//!  3. second copies of slow RPCs that may run again;
-//!  4. fleet guard: troubles that most upstreams share open no breakers;
-//!  5. nearness: upstreams of the own zone draw more while they have headroom;
-//!  6. admission: under overload the least gain is exhausted first, at the first tier.
+//!  3. fleet guard: troubles that most upstreams share open no breakers;
+//!  4. nearness: upstreams of the own zone draw more while they have headroom;
+//!  5. admission: under overload the least gain is exhausted first, at the first tier.
 
 use crate::host::{Host, MissingTerm, Outcome, Terms, Time, SECOND};
 use nanorand::{Rng, WyRand};
@@ -161,7 +160,8 @@
     utilisation: Option<f64>,
     /// When each transmission that is out was sent; emptied by outcomes.
     out: Vec<Time>,
-    /// When transmissions failed, and of which method where that says nothing of others; the window's length bounds them, a restart empties it.
+    /// When transmissions failed, and of which method where that says nothing of others; at most as many
+    /// as the window holds, and a restart empties it.
     scars: VecDeque<(Time, Option<usize>)>,
     /// Cold budget: nothing before this.
     cold_next: Time,
@@ -217,7 +217,6 @@
     /// The longest time that a client has given one try.
     whole_try: Time,
     late_gain: f64,
-    stream: bool,
     /// Gain as a share of the highest one.
     gain: f64,
     /// What completed transmissions took of late: the mean, and the time that few exceed.
@@ -362,7 +361,6 @@
                 hard: term(terms, &at("hard_deadline")),
                 whole_try: 0,
                 late_gain: term(terms, &at("late_gain")).unwrap_or(0.0),
-                stream: allowed(terms, &at("stream")),
                 gain: term::<f64>(terms, &at("gain")).unwrap_or(1.0),
                 // Before anything completed: a fifth and a half of the soft deadline.
                 mean: expected * 0.2,
@@ -693,32 +691,9 @@
         sent
     }
 
-    /// Guards against upstreams that hang, stand still or crawl: an RPC that may run again and takes longer
-    /// than nearly all others is sent a second time, while the first goes on.
-    fn copy_due(&mut self, rpc_id: &Id) {
-        let Some(rpc) = self.rpcs.get(rpc_id) else { return };
-        if rpc.done || rpc.streaming || rpc.out() != 1 {
-            return;
-        }
-        if self.send_further(rpc_id) {
-            self.arm_copy(rpc_id);
-        }
-    }
-
-    fn arm_copy(&mut self, rpc_id: &Id) {
-        /// Copies of what is merely among the slowest load all tiers and gain nothing; this is for silence.
-        const AFTER: f64 = 4.0;
-        let Some(rpc) = self.rpcs.get(rpc_id) else { return };
-        let m = &self.methods[rpc.method];
-        if self.second_copies && m.repeat != Repeat::NonRetriable && !m.stream && rpc.txs.len() < self.max_tx
-        {
-            self.host.set_timer((AFTER * m.late) as Time + 1, &format!("copy:{rpc_id}"));
-        }
-    }
-
     /// Takes what a finished transmission says of how long the method takes.
     fn learn_time(&mut self, method: usize, took: Time, completed: bool) {
-        /// Few enough exceed it that second copies stay within the retry budget.
+        /// What few exceed: a transmission out for longer counts as overdue.
         const QUANTILE: f64 = 0.95;
         /// A step of a thirtieth follows a change of load within some thirty answers.
         const STEP: f64 = 0.03;
@@ -754,8 +729,8 @@
         value
     }
 
-    /// Until when an answer counts as in time. A client's tries share one soft deadline, so what is left of it
-    /// for a later try is told by how far the client has cut its time.
+    /// Until when an answer counts as in time. A client's tries share one soft deadline, so what is left
+    /// of it for a later try is told by how far the client has cut its time.
     fn soft_deadline(&mut self, method: usize, time_left: Time) -> Time {
         let (now, tick) = (self.now, self.tick);
         let m = &mut self.methods[method];
@@ -819,7 +794,7 @@
         // Some twenty seconds of answers to believe that what was called slow is the usual.
         g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.001 * (g.mean - g.calm) };
         g.answers = g.answers * fade(self.now - g.at) + 1.0;
-        g.best *= 1.0 - (self.now - g.at) as f64 / (12.0 * SECOND as f64);
+        g.best *= (1.0 - (self.now - g.at) as f64 / (12.0 * SECOND as f64)).max(0.0);
         g.at = self.now;
         if g.from.is_some_and(|from| self.now > from + 2 * SECOND) {
             // Guards against a limit from before the fleet shrank: the rate is kept for each upstream.
@@ -852,9 +827,7 @@
         self.rpcs.insert(id.clone(), rpc);
         if !admitted {
             self.finish(&id);
-        } else if self.send(&id) {
-            self.arm_copy(&id);
-        } else {
+        } else if !self.send(&id) {
             self.hold(&id);
         }
     }
@@ -878,9 +851,7 @@
         if !rpc.waiting || rpc.done {
             return;
         }
-        if self.send(id) {
-            self.arm_copy(id);
-        } else {
+        if !self.send(id) {
             self.hold(id);
         }
     }
@@ -1044,7 +1015,6 @@
     pub fn timer(&mut self, now: Time, token: &str) {
         self.now = now;
         match token.split_once(':') {
-            Some(("copy", id)) => self.copy_due(&Id::from(id)),
             Some(("held", id)) => self.look_again(&Id::from(id)),
             _ if token == "ask" && !self.list.following => {
                 self.host.follow_list();
