--- a/crates/fernroute-benchlink/src/wire.rs
+++ b/crates/fernroute-benchlink/src/wire.rs
@@ -130,9 +130,14 @@
     }
 }
 
+/// The place in a list that a term's name holds, or the sign for any.
+fn list_place(name: &str) -> &str {
+    name.split('.').find(|s| s.bytes().all(|b| b.is_ascii_digit())).unwrap_or("#")
+}
+
 /// Renames one start value; `None` for one that this version does not know.
 fn term(path: &str, value: &str) -> Option<(String, String)> {
-    let place = path.split('.').find(|s| s.bytes().all(|b| b.is_ascii_digit())).unwrap_or("#");
+    let place = list_place(path);
     let pattern: Vec<&str> = path.split('.').map(|s| if s == place { "#" } else { s }).collect();
     let pattern = pattern.join(".");
     let (_, ours, form) = TERMS.iter().find(|(wire, _, _)| *wire == pattern)?;
@@ -146,7 +151,7 @@
 
 /// The wire's path of a term, for messages.
 fn path(ours: &str) -> String {
-    let place = ours.split('.').find(|s| s.bytes().all(|b| b.is_ascii_digit())).unwrap_or("#");
+    let place = list_place(ours);
     let pattern = ours.replace(&format!(".{place}."), ".#.");
     let wire = TERMS.iter().find(|(_, name, _)| *name == pattern).map_or(ours, |(wire, _, _)| wire);
     wire.replace('#', place)
@@ -313,7 +318,7 @@
                 &l.loads(),
             ),
             "aborted" => b.rpc_abandoned(now, l.need("call")?),
-            "started" => b.stream_started(now, l.need("call")?, l.number("hop")?),
+            "started" => b.stream_started(now, l.need("call")?),
             "bell" => b.timer(now, l.need("key-back")?),
             "health_result" => b.probe_ended(now, l.need("upstream")?, &l.loads()),
             _ => {}
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -505,6 +505,12 @@
         self.upstreams.values().filter(|u| !u.leaving).count().max(1) as f64
     }
 
+    /// How busy upstreams report to be on average, if any has reported.
+    fn mean_utilisation(&self) -> Option<f64> {
+        let reported: Vec<f64> = self.upstreams.values().filter_map(|u| u.utilisation).collect();
+        (!reported.is_empty()).then(|| reported.iter().sum::<f64>() / reported.len() as f64)
+    }
+
     /// The least time between two sends of this balancer to an upstream that is still cold.
     fn cold_gap(&self, started: Time) -> Option<f64> {
         /// All balancers together stay at this share of the budget if each does; the rest is for chance.
@@ -516,8 +522,7 @@
         // What a warm upstream gets of this balancer, over how busy that keeps it, is this balancer's part
         // of its capacity; the number of balancers cancels out.
         let ready = self.ready();
-        let busy: Vec<f64> = self.upstreams.values().filter_map(|u| u.utilisation).collect();
-        let busy = if busy.is_empty() { 1.0 } else { busy.iter().sum::<f64>() / busy.len() as f64 };
+        let busy = self.mean_utilisation().unwrap_or(1.0);
         // A balancer that has sent nothing yet takes the budget for one send in a window by all balancers.
         let least = 1.0 / (self.cold.window / SECOND as f64 * self.cold.instances.max(1.0));
         let part = (self.rate / ready / busy.clamp(0.3, 1.0)).max(least);
@@ -584,8 +589,7 @@
         let m = &self.methods[rpc.method];
         let late = m.late as Time;
         let steady = m.repeat == Repeat::NonRetriable;
-        let reported: Vec<f64> = self.upstreams.values().filter_map(|u| u.utilisation).collect();
-        let mean = 1.0 - reported.iter().sum::<f64>() / reported.len().max(1) as f64;
+        let mean = 1.0 - self.mean_utilisation().unwrap_or(0.0);
         let ids: Vec<Id> = self.upstreams.keys().filter(|id| self.may_send(rpc, id)).cloned().collect();
         let held: Vec<f64> =
             ids.iter().filter_map(|id| Some(self.upstreams.get(id)?.held(now, late, rpc.method))).collect();
@@ -825,17 +829,20 @@
         let admitted = self.admits(value);
         let rpc = Rpc { method, arrived: now, soft, hard, ..Rpc::default() };
         self.rpcs.insert(id.clone(), rpc);
-        if !admitted {
+        if admitted {
+            self.send_or_hold(&id);
+        } else {
             self.finish(&id);
-        } else if !self.send(&id) {
-            self.hold(&id);
         }
     }
 
-    /// Nothing may be sent to just now, as when all upstreams are cold: look again shortly.
-    fn hold(&mut self, id: &Id) {
+    /// Where nothing may be sent to just now, as when all upstreams are cold, looks again shortly.
+    fn send_or_hold(&mut self, id: &Id) {
         /// Short against any deadline here, long against a tick.
         const LOOK: Time = SECOND / 40;
+        if self.send(id) {
+            return;
+        }
         let Some(rpc) = self.rpcs.get_mut(id) else { return };
         let mean = self.methods[rpc.method].mean as Time;
         if self.now + LOOK + mean < rpc.soft {
@@ -847,12 +854,8 @@
     }
 
     fn look_again(&mut self, id: &Id) {
-        let Some(rpc) = self.rpcs.get(id) else { return };
-        if !rpc.waiting || rpc.done {
-            return;
-        }
-        if !self.send(id) {
-            self.hold(id);
+        if self.rpcs.get(id).is_some_and(|rpc| rpc.waiting && !rpc.done) {
+            self.send_or_hold(id);
         }
     }
 
@@ -915,7 +918,8 @@
         (tx.out, tx.never_ran) = (false, outcome.never_ran());
         let tx = tx.clone();
         self.learn_time(method, took, outcome == Outcome::Completed);
-        self.tx_left(&tx.upstream, tx.sent, loads);
+        self.take_report(&tx.upstream, tx.sent, loads);
+        self.tx_left(&tx.upstream, tx.sent);
         self.learn_verdict(&tx, method, outcome, took);
         let Some(rpc) = self.rpcs.get(&id) else { return };
         if ended || rpc.done {
@@ -928,22 +932,24 @@
         }
     }
 
-    fn tx_left(&mut self, upstream: &Id, sent: Time, loads: &[f64]) {
+    fn tx_left(&mut self, upstream: &Id, sent: Time) {
         let Some(u) = self.upstreams.get_mut(upstream) else { return };
         if let Some(at) = u.out.iter().position(|s| *s == sent) {
             u.out.swap_remove(at);
         }
-        // A report of before the last start is the old process's.
-        if sent >= u.started {
-            if let Some(used) = self.utilisation_at.and_then(|i| loads.get(i)).filter(|v| v.is_finite()) {
-                u.utilisation = Some(used.clamp(0.0, 1.0));
-            }
-        }
         if u.gone && u.out.is_empty() {
             self.upstreams.remove(upstream);
         }
     }
 
+    fn take_report(&mut self, upstream: &str, sent: Time, loads: &[f64]) {
+        let used = self.utilisation_at.and_then(|i| loads.get(i)).filter(|v| v.is_finite());
+        // A report of before the last start is the old process's.
+        if let Some(u) = self.upstreams.get_mut(upstream).filter(|u| sent >= u.started) {
+            u.utilisation = used.map(|used| used.clamp(0.0, 1.0)).or(u.utilisation);
+        }
+    }
+
     fn learn_verdict(&mut self, tx: &Tx, method: usize, outcome: Outcome, took: Time) {
         /// More than this many means is slow: four soft deadlines would lie past the hard one.
         const SLOW: f64 = 3.0;
@@ -956,8 +962,8 @@
             Outcome::Completed => Some(Verdict::Good),
             // Called off by this balancer, or cut to what the caller had left: only lateness is evidence.
             Outcome::Cancelled | Outcome::TimedOut if !slow => None,
-            Outcome::Cancelled => Some(Verdict::Dead),
-            Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => Some(Verdict::Dead),
+            Outcome::Cancelled | Outcome::TimedOut => Some(Verdict::Dead),
+            Outcome::ConnectFailed | Outcome::Reset => Some(Verdict::Dead),
             Outcome::Moot => None,
             Outcome::Errored if (took as f64) < AT_ONCE * mean => Some(Verdict::Dead),
             Outcome::Errored | Outcome::Exhausted | Outcome::Unknown => Some(Verdict::Failed),
@@ -996,20 +1002,17 @@
         self.close(&Id::from(id));
     }
 
-    pub fn stream_started(&mut self, now: Time, id: &str, n: usize) {
+    /// The answer has begun: it is the client's now, and nothing more is sent for it.
+    pub fn stream_started(&mut self, now: Time, id: &str) {
         self.now = now;
-        let id = Id::from(id);
-        let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        rpc.streaming = true;
-        // The answer is this transmission's now; a copy beside it is of no use.
-        for (other, _) in rpc.txs.iter().enumerate().filter(|(i, t)| *i != n && t.out && self.cancel) {
-            self.host.cancel(&id, other);
+        if let Some(rpc) = self.rpcs.get_mut(id) {
+            rpc.streaming = true;
         }
     }
 
     pub fn probe_ended(&mut self, now: Time, upstream: &str, loads: &[f64]) {
         self.now = now;
-        self.tx_left(&Id::from(upstream), now, loads);
+        self.take_report(upstream, now, loads);
     }
 
     pub fn timer(&mut self, now: Time, token: &str) {
--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -238,7 +238,7 @@
     let (mut b, notes) = balancer(2, &[]);
     b.tx_ended(START, "none", 0, Outcome::Unknown, 10, false, &[]);
     b.rpc_abandoned(START, "none");
-    b.stream_started(START, "none", 3);
+    b.stream_started(START, "none");
     b.timer(START, "held:none");
     b.timer(START, "what");
     let notes = notes.0.borrow();
