Circle: a balancer of few calls draws among a part of the upstreams; one pending ask

Cause: at full size a balancer sends an upstream one call a minute, so reports, breakers and crowding know nothing. Each now turns to upstreams from its own place on the circle, as many as it calls in a second, six at least. Pending calls for the list no longer multiply after failures.

--- a/crates/fernroute-benchlink/src/wire.rs
+++ b/crates/fernroute-benchlink/src/wire.rs
@@ -12,6 +12,7 @@
 #[rustfmt::skip]
 const TERMS: &[(&str, &str, Form)] = &[
     ("n-instances", "instances", Form::Plain),
+    ("me", "number", Form::Plain),
     ("layer", "tier", Form::Plain),
     ("zone", "zone", Form::Plain),
     ("quantum-s", "tick", Form::Seconds),
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -11,7 +11,8 @@
 //!  2. crowding discount: an upstream that holds more than its part of what this balancer has out draws less;
 //!  3. fleet guard: troubles that most upstreams share open no breakers;
 //!  4. nearness: upstreams of the own zone draw more while they have headroom;
-//!  5. admission: under overload the least gain is exhausted first, at the first tier.
+//!  5. admission: under overload the least gain is exhausted first, at the first tier;
+//!  6. circle: a balancer of few calls draws among a part of the upstreams, its own by its number.
 
 use crate::host::{Host, MissingTerm, Outcome, Terms, Time, SECOND};
 use nanorand::{Rng, WyRand};
@@ -184,6 +185,12 @@
 /// How this balancer keeps up with the list of upstreams.
 #[derive(Default)]
 struct Following {
+    /// Upstreams that may be used, in the order in which this balancer turns to them; made anew by each list.
+    order: Vec<Id>,
+    /// Where on the circle of all upstreams this balancer begins, from 0 to 1.
+    place: f64,
+    /// How many times it asked: only the timer of the last one counts.
+    asks: u32,
     /// Where the list must be asked for: time within which a balancer must have asked.
     ask_within: Option<Time>,
     following: bool,
@@ -317,6 +324,8 @@
     gate: Gate,
     /// Retry budget: further transmissions that may be made now.
     spare: f64,
+    /// How busy the upstreams it uses report to be of late, if any has reported.
+    busy: Option<f64>,
     /// Transmissions a second, and when that was last brought up to date.
     rate: f64,
     rate_at: Time,
@@ -405,11 +414,13 @@
             upstreams: BTreeMap::new(),
             rpcs: BTreeMap::new(),
             list: Following {
+                place: (count("number") as f64 * GOLDEN).fract(),
                 ask_within: if ask { Some(needed(terms, "rules.ask_within")?) } else { None },
                 ..Following::default()
             },
             gate: Gate { on: tier == 0, calm: f64::INFINITY, ..Gate::default() },
             spare: MOST_SPARE,
+            busy: None,
             rate: 0.0,
             rate_at: now,
         };
@@ -425,10 +436,16 @@
             // At start a twentieth of it: enough to spread a fleet that starts at once; doubled by failures.
             let most = ((within / 20) << failures.min(3)) as f64;
             let wait = (most * (0.5 + 0.5 * self.rng.generate::<f64>())) as Time;
-            self.host.set_timer(wait.max(1), "ask");
+            self.set_ask(wait);
         }
     }
 
+    /// Guards against calls that multiply in a long failure of the list: one pending ask is enough.
+    fn set_ask(&mut self, wait: Time) {
+        self.list.asks += 1;
+        self.host.set_timer(wait.max(1), &format!("ask:{}", self.list.asks));
+    }
+
     pub fn list_failed(&mut self, now: Time) {
         self.now = now;
         self.list.following = false;
@@ -484,11 +501,35 @@
             }
         }
         self.upstreams.retain(|_, u| !u.gone || !u.out.is_empty());
+        self.draw_circle();
         if fresh {
             (self.list.following, self.list.failures) = (true, 0);
         }
     }
 
+    /// Orders the upstreams from this balancer's place on: one of its own zone, one of the others, and so on.
+    fn draw_circle(&mut self) {
+        let usable = self.upstreams.iter().filter(|(_, u)| !u.leaving);
+        let (mut near, mut far): (Vec<_>, Vec<_>) = usable.partition(|(_, u)| u.zone == self.zone);
+        for part in [&mut near, &mut far] {
+            let start = (part.len() as f64 * self.list.place) as usize;
+            part.rotate_left(start);
+        }
+        let longest = near.len().max(far.len());
+        let turns = (0..longest).flat_map(|i| [near.get(i), far.get(i)]);
+        self.list.order = turns.flatten().map(|(id, _)| Id::clone(id)).collect();
+    }
+
+    /// How many upstreams this balancer spreads over. Guards against knowing nothing of any: one call a minute
+    /// to each of hundreds leaves reports, breakers and the crowding discount without evidence.
+    fn reach(&self) -> usize {
+        /// Each is used about once in this time: reports are about as old, and older ones mislead.
+        const FRESH: f64 = 1.0;
+        /// Enough that one bad upstream or two are not missed, few enough to learn of.
+        const LEAST: f64 = 6.0;
+        ((self.rate * FRESH).max(LEAST) as usize).min(self.list.order.len().max(1))
+    }
+
     // ----------------------------------------------------------------------------------------- cold budget
 
     /// The share of its capacity that an upstream has at the least, by the time since its start.
@@ -502,13 +543,7 @@
 
     /// How many upstreams are in use, warm or cold.
     fn ready(&self) -> f64 {
-        self.upstreams.values().filter(|u| !u.leaving).count().max(1) as f64
-    }
-
-    /// How busy upstreams report to be on average, if any has reported.
-    fn mean_utilisation(&self) -> Option<f64> {
-        let reported: Vec<f64> = self.upstreams.values().filter_map(|u| u.utilisation).collect();
-        (!reported.is_empty()).then(|| reported.iter().sum::<f64>() / reported.len() as f64)
+        self.list.order.len().max(1) as f64
     }
 
     /// The least time between two sends of this balancer to an upstream that is still cold.
@@ -520,9 +555,9 @@
             return None;
         }
         // What a warm upstream gets of this balancer, over how busy that keeps it, is this balancer's part
-        // of its capacity; the number of balancers cancels out.
-        let ready = self.ready();
-        let busy = self.mean_utilisation().unwrap_or(1.0);
+        // of its capacity; the number of balancers cancels out, and so does how few each of them uses.
+        let ready = self.reach() as f64;
+        let busy = self.busy.unwrap_or(1.0);
         // A balancer that has sent nothing yet takes the budget for one send in a window by all balancers.
         let least = 1.0 / (self.cold.window / SECOND as f64 * self.cold.instances.max(1.0));
         let part = (self.rate / ready / busy.clamp(0.3, 1.0)).max(least);
@@ -589,16 +624,39 @@
         let m = &self.methods[rpc.method];
         let late = m.late as Time;
         let steady = m.repeat == Repeat::NonRetriable;
-        let mean = 1.0 - self.mean_utilisation().unwrap_or(0.0);
-        let ids: Vec<Id> = self.upstreams.keys().filter(|id| self.may_send(rpc, id)).cloned().collect();
-        let held: Vec<f64> =
-            ids.iter().filter_map(|id| Some(self.upstreams.get(id)?.held(now, late, rpc.method))).collect();
-        let part = held.iter().sum::<f64>() / held.len().max(1) as f64;
-        let mut draw: Vec<(Id, f64)> = Vec::new();
-        let mut shut: Vec<(Id, f64)> = Vec::new();
-        for (id, held) in ids.into_iter().zip(held) {
-            let warmth = self.upstreams.get(&id).map_or(1.0, |u| self.warmth(u.started));
+        let reach = self.reach();
+        // Closed upstreams from this balancer's place on, as many as it spreads over; the others it passed.
+        let (mut near, mut shut): (Vec<Id>, Vec<Id>) = (Vec::new(), Vec::new());
+        for at in 0..self.list.order.len() {
+            if near.len() >= reach {
+                break;
+            }
+            let id = self.list.order[at].clone();
+            if !self.may_send(rpc, &id) {
+                continue;
+            }
             let Some(u) = self.upstreams.get_mut(&id) else { continue };
+            // A trial is a risk: an RPC that gets one chance only takes it where nothing else is left.
+            // Where this RPC has been already is the last resort.
+            let open = !u.breaker.passes(now) || steady && u.breaker.state == State::HalfOpen;
+            let list = if open || rpc.txs.iter().any(|t| t.upstream == id) { &mut shut } else { &mut near };
+            list.push(id);
+        }
+        // Nothing closed: an answer from an open upstream beats none at all.
+        let ids = if near.is_empty() { shut } else { near };
+        let known: Vec<(Id, f64, f64, &Upstream)> = ids
+            .into_iter()
+            .filter_map(|id| {
+                let u = self.upstreams.get(&id)?;
+                Some((id, u.held(now, late, rpc.method), self.warmth(u.started), u))
+            })
+            .collect();
+        let part = known.iter().map(|(_, held, ..)| held).sum::<f64>() / known.len().max(1) as f64;
+        let reports = known.iter().filter_map(|(.., u)| u.utilisation);
+        let (sum, count) = reports.fold((0.0, 0.0), |(sum, count), used| (sum + used, count + 1.0));
+        let mean = if count > 0.0 { 1.0 - sum / count } else { 1.0 };
+        let mut draw: Vec<(Id, f64)> = Vec::new();
+        for (id, held, warmth, u) in known {
             let mut weight = u.utilisation.map_or(mean, |used| 1.0 - used).max(FLOOR) * warmth;
             // Not while it is cold: the callers near a zone that comes back would all crowd it.
             if u.zone == self.zone && warmth >= 1.0 {
@@ -611,19 +669,8 @@
             if held > part {
                 weight *= ((1.0 + part) / (1.0 + held)).powi(CROWDED);
             }
-            if rpc.txs.iter().any(|t| t.upstream == id) {
-                // Where this RPC has been already is the last resort.
-                weight *= 0.001;
-            }
-            // A trial is a risk: an RPC that gets one chance only takes it where nothing else is left.
-            if u.breaker.passes(now) && !(steady && u.breaker.state == State::HalfOpen) {
-                draw.push((id, weight));
-            } else {
-                shut.push((id, weight));
-            }
+            draw.push((id, weight));
         }
-        // Nothing closed: an answer from an open upstream beats none at all.
-        let draw = if draw.is_empty() { shut } else { draw };
         let mut at = self.rng.generate::<f64>() * draw.iter().map(|(_, w)| w).sum::<f64>();
         for (id, weight) in &draw {
             at -= weight;
@@ -943,10 +990,15 @@
     }
 
     fn take_report(&mut self, upstream: &str, sent: Time, loads: &[f64]) {
+        /// Some dozen reports make the mean.
+        const RECENT: f64 = 0.08;
         let used = self.utilisation_at.and_then(|i| loads.get(i)).filter(|v| v.is_finite());
         // A report of before the last start is the old process's.
-        if let Some(u) = self.upstreams.get_mut(upstream).filter(|u| sent >= u.started) {
-            u.utilisation = used.map(|used| used.clamp(0.0, 1.0)).or(u.utilisation);
+        if let (Some(u), Some(used)) =
+            (self.upstreams.get_mut(upstream).filter(|u| sent >= u.started), used.map(|v| v.clamp(0.0, 1.0)))
+        {
+            u.utilisation = Some(used);
+            self.busy = Some(self.busy.map_or(used, |busy| busy + RECENT * (used - busy)));
         }
     }
 
@@ -969,8 +1021,6 @@
             Outcome::Errored | Outcome::Exhausted | Outcome::Unknown => Some(Verdict::Failed),
         };
         let now = self.now;
-        let most_open = self.upstreams.len() / 3;
-        let open = self.upstreams.values().filter(|u| u.breaker.state != State::Closed).count();
         let Some(u) = self.upstreams.get_mut(&tx.upstream) else { return };
         if matches!(verdict, Some(Verdict::Failed | Verdict::Dead)) {
             if u.scars.len() == WINDOW {
@@ -988,10 +1038,15 @@
         let was = u.breaker.state;
         if u.breaker.judge(verdict, now) {
             // Guards against closing off the fleet: what most upstreams share is not this one's fault.
-            if was == State::HalfOpen || open < most_open {
-                u.breaker.open(now, &mut self.rng);
+            let open = self.upstreams.values().filter(|u| u.breaker.state != State::Closed).count();
+            if was == State::HalfOpen || open < self.upstreams.len() / 3 {
+                self.upstreams
+                    .get_mut(&tx.upstream)
+                    .into_iter()
+                    .for_each(|u| u.breaker.open(now, &mut self.rng));
             }
         }
+        let Some(u) = self.upstreams.get(&tx.upstream) else { return };
         if u.breaker.state != was {
             self.host.log(&format!("breaker {}: {was:?} -> {:?}", tx.upstream, u.breaker.state));
         }
@@ -1019,11 +1074,11 @@
         self.now = now;
         match token.split_once(':') {
             Some(("held", id)) => self.look_again(&Id::from(id)),
-            _ if token == "ask" && !self.list.following => {
+            Some(("ask", n)) if !self.list.following && n.parse() == Ok(self.list.asks) => {
                 self.host.follow_list();
                 if let Some(within) = self.list.ask_within {
                     // Should no answer come at all.
-                    self.host.set_timer(within / 2, "ask");
+                    self.set_ask(within / 2);
                 }
             }
             _ => {}
@@ -1033,3 +1088,6 @@
 
 /// A short trouble may spend what calm has saved up, no more.
 const MOST_SPARE: f64 = 10.0;
+
+/// Multiples of the golden section spread evenly over a circle, whichever of the numbers share a zone.
+const GOLDEN: f64 = 0.618_033_988_749_895;
