--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -242,9 +242,9 @@
 /// About the time of an answer: shorter is noise, longer keeps the gate open into a trouble.
 const ANSWERS_FOR: f64 = 1.5 * SECOND as f64;
 
-/// What is left of a count of answers after this time.
-fn fade(time: Time) -> f64 {
-    (-(time as f64) / ANSWERS_FOR).exp()
+/// What is left after this time of a count that is kept for `memory`.
+fn fade(time: Time, memory: f64) -> f64 {
+    (-(time as f64) / memory).exp()
 }
 
 /// Admission under overload, at the first tier only: answers a second, and when that was brought up to date.
@@ -253,6 +253,9 @@
     on: bool,
     answers: f64,
     at: Time,
+    /// RPCs that are open, over the time that answers are kept for beyond the usual; and as of when.
+    open: f64,
+    open_at: Time,
     /// The highest rate of answers of late for each upstream in use: falls by half in eight seconds.
     best: f64,
     /// When the first answer came.
@@ -799,7 +802,7 @@
     /// is the time that the next answer takes, and that must leave room before the soft deadline.
     /// Guards against overload, where all would be answered too late; what is answered quickly raises the
     /// rate again, so a short trouble does not keep the gate shut.
-    fn admits(&self, value: f64) -> bool {
+    fn admits(&mut self, value: f64) -> bool {
         /// The part of the soft deadline that answers may take on average: chance about doubles it.
         const ROOM: f64 = 0.8;
         /// Times the calm answer time: where answers take longer, upstreams are crowded and some turn slow
@@ -820,31 +823,47 @@
         // Those past the soft deadline may be swallowed, and then hold up nothing that new ones need; where
         // they are merely late they no longer count as answers either, and the limit falls.
         let open = self.rpcs.values().filter(|r| !r.done && self.now < r.arrived + soft).count() as f64;
+        let beyond = (self.memory() - ANSWERS_FOR).max(1.0);
+        let kept = fade(self.now - self.gate.open_at, beyond);
+        (self.gate.open, self.gate.open_at) = (open + (self.gate.open - open) * kept, self.now);
+        let open = self.gate.open;
         let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
         let limit = self.answer_rate().max(KEPT * self.gate.best * self.ready()) * target / SECOND as f64;
-        // Open RPCs scatter by the root of their mean with nothing wrong; a small balancer needs that room.
-        let limit = limit.max(FEW);
-        let limit = limit + SCATTER * limit.sqrt();
+        // Open RPCs scatter by the root of their mean with nothing wrong; a small balancer needs that room,
+        // but less of it the longer the time that its count is taken over.
+        let steadier = ANSWERS_FOR / self.memory();
+        let limit = limit.max(FEW * steadier);
+        let limit = limit + SCATTER * (limit * steadier).sqrt();
         // What is worth nothing stops at half the limit, the most valued at the limit itself; the cube root
         // keeps methods of a tenth of the highest gain well above what is worth nothing.
         open < limit * (0.5 + 0.5 * value.cbrt())
     }
 
+    /// How long answers are kept for: guards against a gate that in a balancer of few RPCs sees only chance.
+    fn memory(&self) -> f64 {
+        /// A dozen answers tell the rate to a third.
+        const DOZEN: f64 = 12.0;
+        /// Longer would sleep through a burst.
+        const MOST: f64 = 6.0 * SECOND as f64;
+        (DOZEN * SECOND as f64 / self.rate.max(0.1)).clamp(ANSWERS_FOR, MOST)
+    }
+
     /// Answers a second; the time before the first one counts for nothing.
     fn answer_rate(&self) -> f64 {
-        let g = &self.gate;
-        let seen = 1.0 - fade(self.now - g.from.unwrap_or(self.now));
-        g.answers * fade(self.now - g.at) * SECOND as f64 / ANSWERS_FOR / seen.max(0.01)
+        let (g, memory) = (&self.gate, self.memory());
+        let seen = 1.0 - fade(self.now - g.from.unwrap_or(self.now), memory);
+        g.answers * fade(self.now - g.at, memory) * SECOND as f64 / memory / seen.max(0.01)
     }
 
     fn count_answer(&mut self, took: Time) {
+        let memory = self.memory();
         let (g, took) = (&mut self.gate, took as f64);
         g.from = g.from.or(Some(self.now));
         // The first answers are the quickest RPCs, not the typical ones.
         g.mean = if g.mean == 0.0 { 2.0 * took } else { g.mean + 0.02 * (took - g.mean) };
         // Some twenty seconds of answers to believe that what was called slow is the usual.
         g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.001 * (g.mean - g.calm) };
-        g.answers = g.answers * fade(self.now - g.at) + 1.0;
+        g.answers = g.answers * fade(self.now - g.at, memory) + 1.0;
         g.best *= (1.0 - (self.now - g.at) as f64 / (12.0 * SECOND as f64)).max(0.0);
         g.at = self.now;
         if g.from.is_some_and(|from| self.now > from + 2 * SECOND) {
