--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -833,7 +833,7 @@
         // but less of it the longer the time that its count is taken over.
         let steadier = ANSWERS_FOR / self.memory();
         let limit = limit.max(FEW * steadier);
-        let limit = limit + SCATTER * (limit * steadier).sqrt();
+        let limit = limit + (2.0 - steadier) * SCATTER * (limit * steadier).sqrt();
         // What is worth nothing stops at half the limit, the most valued at the limit itself; the cube root
         // keeps methods of a tenth of the highest gain well above what is worth nothing.
         open < limit * (0.5 + 0.5 * value.cbrt())
