Circles shuffled for every sixteen balancers

Cause from the tap: an upstream that chokes sheds onto the same neighbours at every balancer that uses it, and they follow.

--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -17,6 +17,7 @@
 use crate::host::{Host, MissingTerm, Outcome, Terms, Time, SECOND};
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::{BuildHasher, DefaultHasher, Hasher};
 use std::rc::Rc;
 
 type Id = Rc<str>;
@@ -182,13 +183,32 @@
     }
 }
 
+/// Lays the upstreams out in an order of its own for each number. Guards against a jam that runs along one
+/// circle: what an upstream sheds would fall on the same few others at every balancer that uses it.
+#[derive(Default)]
+struct Circle(usize);
+
+impl BuildHasher for Circle {
+    type Hasher = DefaultHasher;
+
+    fn build_hasher(&self) -> DefaultHasher {
+        let mut hasher = DefaultHasher::new();
+        hasher.write_usize(self.0);
+        hasher
+    }
+}
+
+/// Balancers that share a circle: enough to cover it evenly, few enough that there are many circles.
+const SHARED: usize = 16;
+
 /// How this balancer keeps up with the list of upstreams.
 #[derive(Default)]
 struct Following {
     /// Upstreams that may be used, in the order in which this balancer turns to them; made anew by each list.
     order: Vec<Id>,
-    /// Where on the circle of all upstreams this balancer begins, from 0 to 1.
+    /// Where on the circle of all upstreams this balancer begins, from 0 to 1, and how that circle is laid.
     place: f64,
+    shuffle: Circle,
     /// How many times it asked: only the timer of the last one counts.
     asks: u32,
     /// Where the list must be asked for: time within which a balancer must have asked.
@@ -418,6 +438,7 @@
             rpcs: BTreeMap::new(),
             list: Following {
                 place: (count("number") as f64 * GOLDEN).fract(),
+                shuffle: Circle(count("number") / SHARED),
                 ask_within: if ask { Some(needed(terms, "rules.ask_within")?) } else { None },
                 ..Following::default()
             },
@@ -515,6 +536,7 @@
         let usable = self.upstreams.iter().filter(|(_, u)| !u.leaving);
         let (mut near, mut far): (Vec<_>, Vec<_>) = usable.partition(|(_, u)| u.zone == self.zone);
         for part in [&mut near, &mut far] {
+            part.sort_by_cached_key(|(id, _)| self.list.shuffle.hash_one(id));
             let start = (part.len() as f64 * self.list.place) as usize;
             part.rotate_left(start);
         }
