--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -1046,6 +1046,8 @@
     fn learn_verdict(&mut self, tx: &Tx, method: usize, outcome: Outcome, took: Time) {
         /// More than this many means is slow: four soft deadlines would lie past the hard one.
         const SLOW: f64 = 3.0;
+        /// Reports are a little noisy; one core of a dozen idle is not full.
+        const FULL: f64 = 0.95;
         /// An error that comes in less than this part of the mean was not waited for below.
         const AT_ONCE: f64 = 0.3;
         let mean = self.methods[method].mean;
@@ -1063,7 +1065,9 @@
         };
         let now = self.now;
         let Some(u) = self.upstreams.get_mut(&tx.upstream) else { return };
-        if matches!(verdict, Some(Verdict::Failed | Verdict::Dead)) {
+        // Slow and full by its own report: that is no wait for a tier below.
+        let swamped = verdict == Some(Verdict::Slow) && u.utilisation.is_some_and(|used| used >= FULL);
+        if swamped || matches!(verdict, Some(Verdict::Failed | Verdict::Dead)) {
             if u.scars.len() == WINDOW {
                 u.scars.pop_front();
             }
