The best rate of answers is counted one root of its count lower

Cause: in a balancer of some seven counted answers the best of late is chance, and four fifths of it kept the gate open into a collapse.

--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -890,7 +890,9 @@
         g.at = self.now;
         if g.from.is_some_and(|from| self.now > from + 2 * SECOND) {
             // Guards against a limit from before the fleet shrank: the rate is kept for each upstream.
-            let rate = self.answer_rate() / self.ready();
+            // Guards against a best that is mere chance, in a balancer of few answers: one root is taken off.
+            let counted = (self.answer_rate() * self.memory() / SECOND as f64).max(1.0);
+            let rate = self.answer_rate() * (1.0 - counted.sqrt().recip()) / self.ready();
             self.gate.best = self.gate.best.max(rate);
         }
     }
