--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -280,7 +280,8 @@
     best: f64,
     /// When the first answer came.
     from: Option<Time>,
-    /// What answers take of late, and what they take in calm times: falls at once, rises slowly.
+    /// How many answers there were; what they take of late, and in calm times: falls at once, rises slowly.
+    seen: f64,
     mean: f64,
     calm: f64,
 }
@@ -881,10 +882,13 @@
         let memory = self.memory();
         let (g, took) = (&mut self.gate, took as f64);
         g.from = g.from.or(Some(self.now));
-        // The first answers are the quickest RPCs, not the typical ones.
-        g.mean = if g.mean == 0.0 { 2.0 * took } else { g.mean + 0.02 * (took - g.mean) };
-        // Some twenty seconds of answers to believe that what was called slow is the usual.
-        g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.001 * (g.mean - g.calm) };
+        g.seen += 1.0;
+        g.mean += (took - g.mean) * g.seen.recip().max(0.02);
+        // Guards against one quick first answer that passes for the calm time: a score of them tell it to a
+        // sixth. Then some twenty seconds of answers to believe that what was called slow is the usual.
+        if g.seen >= 20.0 {
+            g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.001 * (g.mean - g.calm) };
+        }
         g.answers = g.answers * fade(self.now - g.at, memory) + 1.0;
         g.best *= (1.0 - (self.now - g.at) as f64 / (12.0 * SECOND as f64)).max(0.0);
         g.at = self.now;
--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -254,3 +254,11 @@
         assert_eq!(started.err().map(|e| e.0), Some(lacking.to_owned()));
     }
 }
+
+#[test]
+fn one_quick_first_answer_does_not_shut_the_gate() {
+    let (mut b, notes) = balancer(9, &[]);
+    run(&mut b, &notes, START, 1, |_| (Outcome::Completed, 10));
+    let sent = stream(&mut b, &notes, START + SECOND / 10, 1000, 2000);
+    assert!(sent > 980, "{sent} of 1000 passed");
+}
