--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -859,7 +859,7 @@
         let limit = limit + (2.0 - steadier) * SCATTER * (limit * steadier).sqrt();
         // What is worth nothing stops at half the limit, the most valued at the limit itself; the cube root
         // keeps methods of a tenth of the highest gain well above what is worth nothing.
-        open < limit * (0.5 + 0.5 * value.cbrt())
+        open < limit * (0.5 + 0.5 * value)
     }
 
     /// How long answers are kept for: guards against a gate that in a balancer of few RPCs sees only chance.
