--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -857,9 +857,11 @@
         let steadier = ANSWERS_FOR / self.memory();
         let limit = limit.max(FEW * steadier);
         let limit = limit + (2.0 - steadier) * SCATTER * (limit * steadier).sqrt();
-        // What is worth nothing stops at half the limit, the most valued at the limit itself; the cube root
-        // keeps methods of a tenth of the highest gain well above what is worth nothing.
-        open < limit * (0.5 + 0.5 * value)
+        // What is worth nothing stops at half the limit, what is worth two thirds of the highest gain or more at
+        // the limit itself. Guards against sleeping into a jam: a small balancer's counts tell it late, so it
+        // begins with the lowest gains at a quarter of the limit.
+        let least = 0.25 + 0.25 * steadier;
+        open < limit * (least + (1.0 - least) * (1.5 * value).min(1.0))
     }
 
     /// How long answers are kept for: guards against a gate that in a balancer of few RPCs sees only chance.
