--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -833,7 +833,7 @@
         const STRETCH: f64 = 4.0;
         /// Guards against shutting on slowness that shedding does not cure, as when all upstreams depend on
         /// something slow: no matter how late answers are, four fifths of the best rate still pass.
-        const KEPT: f64 = 0.6;
+        const KEPT: f64 = 0.8;
         /// Chance goes beyond one root once in six times, and seldom for long.
         const SCATTER: f64 = 1.0;
         /// Guards against shutting altogether: with nothing open there are no answers to learn from.
