Tenants' shares at small balancers: four RPCs can be saved up, however small the share

Cause: at full size two seconds of a tenant's share are less than one RPC, so every RPC counted as beyond its share and the gate could not tell gains.

--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -251,6 +251,9 @@
     late: f64,
 }
 
+/// RPCs of one tenant that come together by chance now and then, at any rate.
+const BUNCH: f64 = 4.0;
+
 struct Tenant {
     name: String,
     /// RPCs a second at this balancer that are within the tenant's share, and the unspent ones.
@@ -414,7 +417,7 @@
         let tenants = (0..count("tenants.count")).filter_map(|i| {
             let name = terms.get(&format!("tenants.{i}.name"))?.clone();
             let rate = term::<f64>(terms, &format!("tenants.{i}.rate"))? / cold.instances.max(1.0);
-            Some(Tenant { name, rate, unspent: rate, filled: now })
+            Some(Tenant { name, rate, unspent: rate.max(BUNCH), filled: now })
         });
         let stay_away = allowed(terms, "limits.stay_away");
         let mut balancer = Balancer {
@@ -794,9 +797,10 @@
         let (now, over) = (self.now, self.over_share_gain);
         let mut value = self.methods[method].gain;
         if let Some(t) = self.tenants.iter_mut().find(|t| t.name == tenant) {
-            // Two seconds of share can be saved up: less would count ordinary bunching as excess.
+            // Two seconds of share can be saved up: less would count ordinary bunching as excess. Guards against
+            // small balancers where all would be excess: some RPCs can be saved up however small the share.
             let filled = t.unspent + t.rate * (now - t.filled) as f64 / SECOND as f64;
-            (t.unspent, t.filled) = (filled.min(2.0 * t.rate), now);
+            (t.unspent, t.filled) = (filled.min((2.0 * t.rate).max(BUNCH)), now);
             if t.unspent >= 1.0 {
                 t.unspent -= 1.0;
             } else {
