--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -860,7 +860,7 @@
         // but less of it the longer the time that its count is taken over.
         let steadier = ANSWERS_FOR / self.memory();
         let limit = limit.max(FEW * steadier);
-        let limit = limit + (2.0 - steadier) * SCATTER * (limit * steadier).sqrt();
+        let limit = limit * (0.5 + 0.5 * steadier) + SCATTER * (limit * steadier).sqrt();
         // What is worth nothing stops at half the limit, what is worth two thirds of the highest gain or more at
         // the limit itself. Guards against sleeping into a jam: a small balancer's counts tell it late, so it
         // begins with the lowest gains at a quarter of the limit.
