--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -854,13 +854,13 @@
         let kept = fade(self.now - self.gate.open_at, beyond);
         (self.gate.open, self.gate.open_at) = (open + (self.gate.open - open) * kept, self.now);
         let open = self.gate.open;
-        let target = (ROOM * soft as f64).min(STRETCH * self.gate.calm);
+        let steadier = ANSWERS_FOR / self.memory();
+        let target = (ROOM * soft as f64).min(STRETCH * (0.2 + 0.8 * steadier) * self.gate.calm);
         let limit = self.answer_rate().max(KEPT * self.gate.best * self.ready()) * target / SECOND as f64;
         // Open RPCs scatter by the root of their mean with nothing wrong; a small balancer needs that room,
         // but less of it the longer the time that its count is taken over.
-        let steadier = ANSWERS_FOR / self.memory();
         let limit = limit.max(FEW * steadier);
-        let limit = limit * (0.5 + 0.5 * steadier) + SCATTER * (limit * steadier).sqrt();
+        let limit = limit + SCATTER * (limit * steadier).sqrt();
         // What is worth nothing stops at half the limit, what is worth two thirds of the highest gain or more at
         // the limit itself. Guards against sleeping into a jam: a small balancer's counts tell it late, so it
         // begins with the lowest gains at a quarter of the limit.
