--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -17,7 +17,7 @@
 use crate::host::{Host, MissingTerm, Outcome, Terms, Time, SECOND};
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, VecDeque};
-use std::hash::{BuildHasher, DefaultHasher, Hasher};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
 type Id = Rc<str>;
@@ -30,9 +30,9 @@
     term(terms, name).ok_or_else(|| MissingTerm(name.to_owned()))
 }
 
-/// A flag that is off where nothing is said.
-fn allowed(terms: &Terms, name: &str) -> bool {
-    term(terms, name).unwrap_or(false)
+fn mean(of: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = of.fold((0.0, 0.0), |(sum, count), x| (sum + x, count + 1.0));
+    (count > 0.0).then(|| sum / count)
 }
 
 // ---------------------------------------------------------------------------------------------- breaker
@@ -81,9 +81,9 @@
 const TRIALS: u32 = 3;
 /// The design's start value; a fault of a few seconds costs one opening.
 const OPEN_FOR: Time = 5 * SECOND;
-/// A flapping upstream passes its trials: each opening soon after the last one doubles, up to four times.
-const MOST_DOUBLINGS: u32 = 2;
+/// A flapping upstream passes its trials: each opening within this time of the last doubles, twice at most.
 const CALM: Time = 10 * SECOND;
+const MOST_DOUBLINGS: u32 = 2;
 /// Bad outcomes in a row that open where a window cannot fill within a fault: three in a row by chance need
 /// a bad share that would be a trouble of its own.
 const EARLY_RUN: u32 = 3;
@@ -183,32 +183,13 @@
     }
 }
 
-/// Lays the upstreams out in an order of its own for each number. Guards against a jam that runs along one
-/// circle: what an upstream sheds would fall on the same few others at every balancer that uses it.
-#[derive(Default)]
-struct Circle(usize);
-
-impl BuildHasher for Circle {
-    type Hasher = DefaultHasher;
-
-    fn build_hasher(&self) -> DefaultHasher {
-        let mut hasher = DefaultHasher::new();
-        hasher.write_usize(self.0);
-        hasher
-    }
-}
-
-/// Balancers that share a circle: enough to cover it evenly, few enough that there are many circles.
-const SHARED: usize = 16;
-
 /// How this balancer keeps up with the list of upstreams.
 #[derive(Default)]
 struct Following {
     /// Upstreams that may be used, in the order in which this balancer turns to them; made anew by each list.
     order: Vec<Id>,
-    /// Where on the circle of all upstreams this balancer begins, from 0 to 1, and how that circle is laid.
-    place: f64,
-    shuffle: Circle,
+    /// This balancer's number among those of its tier.
+    number: usize,
     /// How many times it asked: only the timer of the last one counts.
     asks: u32,
     /// Where the list must be asked for: time within which a balancer must have asked.
@@ -220,24 +201,21 @@
 
 // ------------------------------------------------------------------------------------------------- methods
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+/// What may be sent again after it may have run, and to which upstreams.
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Repeat {
-    Retriable,
-    Deduped,
-    NonRetriable,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Group {
-    All,
-    Zone,
-    Cell,
+    Anywhere,
+    /// Deduped, by all upstreams, those of one zone or those of one cell.
+    AmongAll,
+    InZone,
+    InCell,
+    Never,
 }
 
 struct Method {
     name: String,
     repeat: Repeat,
-    group: Group,
+    /// How long a deduped one is remembered.
     window: Time,
     soft: Option<Time>,
     hard: Option<Time>,
@@ -273,7 +251,6 @@
 /// Admission under overload, at the first tier only: answers a second, and when that was brought up to date.
 #[derive(Default)]
 struct Gate {
-    on: bool,
     answers: f64,
     at: Time,
     /// RPCs that are open, over the time that answers are kept for beyond the usual; and as of when.
@@ -299,8 +276,8 @@
     sent: Time,
     epoch: u32,
     trial: bool,
-    out: bool,
-    never_ran: bool,
+    /// How it ended; none while it is out.
+    end: Option<Outcome>,
 }
 
 #[derive(Default)]
@@ -317,13 +294,14 @@
 }
 
 impl Rpc {
-    fn out(&self) -> usize {
-        self.txs.iter().filter(|t| t.out).count()
+    /// There are no second copies: only the last transmission can be out.
+    fn is_out(&self) -> bool {
+        self.txs.last().is_some_and(|t| t.end.is_none())
     }
 
     /// The first transmission that may have run, or may still.
     fn may_have_run(&self) -> Option<&Tx> {
-        self.txs.iter().find(|t| t.out || !t.never_ran)
+        self.txs.iter().find(|t| !t.end.is_some_and(Outcome::never_ran))
     }
 }
 
@@ -335,7 +313,6 @@
     zone: String,
     tick: Time,
     max_tx: usize,
-    second_copies: bool,
     cancel: bool,
     max_stay_away: Time,
     over_share_gain: f64,
@@ -373,25 +350,22 @@
         for i in 0..needed::<usize>(terms, "methods.count")? {
             let at = |what: &str| format!("methods.{i}.{what}");
             let repeat = match needed::<String>(terms, &at("effect"))?.as_str() {
-                "retriable" => Repeat::Retriable,
-                "deduped" => Repeat::Deduped,
+                "retriable" => Repeat::Anywhere,
+                "deduped" => match needed::<String>(terms, &at("group"))?.as_str() {
+                    "all" => Repeat::AmongAll,
+                    "zone" => Repeat::InZone,
+                    _ => Repeat::InCell,
+                },
                 // A word that is not known promises nothing.
-                _ => Repeat::NonRetriable,
-            };
-            let deduped = repeat == Repeat::Deduped;
-            let group = match terms.get(&at("group")).map(String::as_str) {
-                Some("all") => Group::All,
-                Some("zone") => Group::Zone,
-                None if deduped => return Err(MissingTerm(at("group"))),
-                _ => Group::Cell,
+                _ => Repeat::Never,
             };
+            let deduped = !matches!(repeat, Repeat::Anywhere | Repeat::Never);
             let window = if deduped { needed(terms, &at("window"))? } else { 0 };
             let soft = term::<Time>(terms, &at("soft_deadline"));
             let expected = soft.unwrap_or(SECOND) as f64;
             methods.push(Method {
                 name: needed(terms, &at("name"))?,
                 repeat,
-                group,
                 window,
                 soft,
                 hard: term(terms, &at("hard_deadline")),
@@ -412,24 +386,22 @@
             window: needed(terms, "rules.cold_window")?,
             instances: term(terms, "instances").unwrap_or(1.0),
         };
-        let tier = count("tier");
         let ask = terms.get("list_mode").is_some_and(|m| m == "ask");
         let tenants = (0..count("tenants.count")).filter_map(|i| {
             let name = terms.get(&format!("tenants.{i}.name"))?.clone();
             let rate = term::<f64>(terms, &format!("tenants.{i}.rate"))? / cold.instances.max(1.0);
             Some(Tenant { name, rate, unspent: rate.max(BUNCH), filled: now })
         });
-        let stay_away = allowed(terms, "limits.stay_away");
+        let stay_away = term(terms, "limits.stay_away").unwrap_or(false);
         let mut balancer = Balancer {
             host,
             rng: WyRand::new_seed(seed),
             now,
-            tier,
+            tier: count("tier"),
             zone: terms.get("zone").cloned().unwrap_or_default(),
             tick: term(terms, "tick").unwrap_or(1),
             max_tx: term(terms, "limits.max_transmissions").unwrap_or(1),
-            second_copies: allowed(terms, "limits.second_copies"),
-            cancel: allowed(terms, "limits.cancel"),
+            cancel: term(terms, "limits.cancel").unwrap_or(false),
             max_stay_away: if stay_away { term(terms, "limits.max_stay_away").unwrap_or(0) } else { 0 },
             over_share_gain: term(terms, "over_share_gain").unwrap_or(1.0),
             utilisation_at: terms
@@ -441,12 +413,11 @@
             upstreams: BTreeMap::new(),
             rpcs: BTreeMap::new(),
             list: Following {
-                place: (count("number") as f64 * GOLDEN).fract(),
-                shuffle: Circle(count("number") / SHARED),
+                number: count("number"),
                 ask_within: if ask { Some(needed(terms, "rules.ask_within")?) } else { None },
                 ..Following::default()
             },
-            gate: Gate { on: tier == 0, calm: f64::INFINITY, ..Gate::default() },
+            gate: Gate { calm: f64::INFINITY, ..Gate::default() },
             spare: MOST_SPARE,
             busy: None,
             rate: 0.0,
@@ -489,22 +460,18 @@
 
     pub fn upstream_ready(&mut self, id: &str, zone: &str, cell: &str, started: Time) {
         let now = self.now;
-        let known = self.upstreams.contains_key(id);
+        // All balancers hear of a start at about the same time: a random phase keeps their first sends apart.
+        let known = self.upstreams.get(id).is_some_and(|u| u.started == started);
+        let gap = if known { None } else { self.cold_gap(started) };
+        let phase = gap.map_or(0, |gap| (gap * self.rng.generate::<f64>()) as Time);
         let u = self.upstreams.entry(Id::from(id)).or_default();
         (u.seen, u.leaving, u.gone) = (true, false, false);
         (u.zone, u.cell) = (zone.to_owned(), cell.to_owned());
-        if !known || u.started != started {
+        if !known {
             // A process that restarted is a new upstream to the breaker; what is out was the old one's.
-            u.started = started;
+            (u.started, u.cold_next, u.utilisation) = (started, now + phase, None);
             u.breaker = Breaker { epoch: u.breaker.epoch + 1, ..Breaker::default() };
-            u.utilisation = None;
             u.scars.clear();
-            // All balancers hear of it at about the same time: a random phase keeps their first sends apart.
-            let gap = self.cold_gap(started).unwrap_or(0.0);
-            let phase = (gap * self.rng.generate::<f64>()) as Time;
-            if let Some(u) = self.upstreams.get_mut(id) {
-                u.cold_next = now + phase;
-            }
         }
     }
 
@@ -515,9 +482,8 @@
     }
 
     pub fn upstream_gone(&mut self, id: &str) {
-        if let Some(u) = self.upstreams.get_mut(id) {
-            (u.seen, u.leaving, u.gone) = (true, true, true);
-        }
+        self.upstream_drains(id);
+        self.upstreams.get_mut(id).into_iter().for_each(|u| u.gone = true);
     }
 
     /// `fresh` is false for the list that an instance held before and is handed at its start.
@@ -536,12 +502,24 @@
     }
 
     /// Orders the upstreams from this balancer's place on: one of its own zone, one of the others, and so on.
+    /// Guards against a jam that runs along the circle: what one upstream sheds would fall on the same few
+    /// others at all balancers that use it, so some balancers share a circle, and the next have another.
     fn draw_circle(&mut self) {
+        /// Enough to cover a circle evenly, few enough that there are many circles.
+        const SHARED: usize = 16;
+        /// Its multiples spread evenly over a circle, whichever of the numbers share a zone.
+        const GOLDEN_SECTION: f64 = 0.618_033_988_749_895;
+        let number = self.list.number;
+        let place = (number as f64 * GOLDEN_SECTION).fract();
         let usable = self.upstreams.iter().filter(|(_, u)| !u.leaving);
         let (mut near, mut far): (Vec<_>, Vec<_>) = usable.partition(|(_, u)| u.zone == self.zone);
         for part in [&mut near, &mut far] {
-            part.sort_by_cached_key(|(id, _)| self.list.shuffle.hash_one(id));
-            let start = (part.len() as f64 * self.list.place) as usize;
+            part.sort_by_cached_key(|(id, _)| {
+                let mut hasher = DefaultHasher::new();
+                (number / SHARED, id).hash(&mut hasher);
+                hasher.finish()
+            });
+            let start = (part.len() as f64 * place) as usize;
             part.rotate_left(start);
         }
         let longest = near.len().max(far.len());
@@ -549,8 +527,8 @@
         self.list.order = turns.flatten().map(|(id, _)| Id::clone(id)).collect();
     }
 
-    /// How many upstreams this balancer spreads over. Guards against knowing nothing of any: one call a minute
-    /// to each of hundreds leaves reports, breakers and the crowding discount without evidence.
+    /// How many upstreams this balancer spreads over. Guards against knowing nothing of any: one call a
+    /// minute to each of hundreds leaves reports, breakers and the crowding discount without evidence.
     fn reach(&self) -> usize {
         /// Each is used about once in this time: reports are about as old, and older ones mislead.
         const FRESH: f64 = 1.0;
@@ -601,9 +579,7 @@
         self.rate_at = self.now;
         let started = self.upstreams.get(id).map_or(0, |u| u.started);
         if let Some(gap) = self.cold_gap(started) {
-            if let Some(u) = self.upstreams.get_mut(id) {
-                u.cold_next = self.now + gap as Time;
-            }
+            self.upstreams.get_mut(id).into_iter().for_each(|u| u.cold_next = self.now + gap as Time);
         }
     }
 
@@ -612,7 +588,8 @@
     /// Rules 2, 3 and 4, and nothing else: whether this RPC may go to this upstream now.
     fn may_send(&self, rpc: &Rpc, id: &str) -> bool {
         let Some(u) = self.upstreams.get(id) else { return false };
-        if rpc.done || rpc.streaming || self.now >= rpc.hard || rpc.txs.len() >= self.max_tx {
+        let over = rpc.done || rpc.streaming || self.now >= rpc.hard || rpc.is_out();
+        if over || rpc.txs.len() >= self.max_tx {
             return false;
         }
         // Told that it drains or is gone: nothing new at once, the grace is left unused.
@@ -620,23 +597,15 @@
             return false;
         }
         let m = &self.methods[rpc.method];
-        if rpc.out() > 0 && !self.second_copies {
-            return false;
-        }
         let Some(first) = rpc.may_have_run() else { return true };
+        // A repeat arrives later than it is sent; two ticks keep it inside the window.
+        let in_window = self.now + 2 * self.tick < first.sent + m.window;
         match m.repeat {
-            Repeat::Retriable => true,
-            Repeat::NonRetriable => false,
-            Repeat::Deduped => {
-                // A repeat arrives later than it is sent; two ticks keep it inside the window.
-                let in_window = self.now + 2 * self.tick < first.sent + m.window;
-                let in_group = match m.group {
-                    Group::All => true,
-                    Group::Zone => u.zone == first.zone,
-                    Group::Cell => u.cell == first.cell,
-                };
-                in_window && in_group
-            }
+            Repeat::Anywhere => true,
+            Repeat::AmongAll => in_window,
+            Repeat::InZone => in_window && u.zone == first.zone,
+            Repeat::InCell => in_window && u.cell == first.cell,
+            Repeat::Never => false,
         }
     }
 
@@ -651,9 +620,7 @@
         const CROWDED: i32 = 8;
         let now = self.now;
         let m = &self.methods[rpc.method];
-        let late = m.late as Time;
-        let steady = m.repeat == Repeat::NonRetriable;
-        let reach = self.reach();
+        let (late, steady, reach) = (m.late as Time, m.repeat == Repeat::Never, self.reach());
         // Closed upstreams from this balancer's place on, as many as it spreads over; the others it passed.
         let (mut near, mut shut): (Vec<Id>, Vec<Id>) = (Vec::new(), Vec::new());
         for at in 0..self.list.order.len() {
@@ -673,41 +640,28 @@
         }
         // Nothing closed: an answer from an open upstream beats none at all.
         let ids = if near.is_empty() { shut } else { near };
-        let known: Vec<(Id, f64, f64, &Upstream)> = ids
-            .into_iter()
-            .filter_map(|id| {
-                let u = self.upstreams.get(&id)?;
-                Some((id, u.held(now, late, rpc.method), self.warmth(u.started), u))
-            })
-            .collect();
-        let part = known.iter().map(|(_, held, ..)| held).sum::<f64>() / known.len().max(1) as f64;
-        let reports = known.iter().filter_map(|(.., u)| u.utilisation);
-        let (sum, count) = reports.fold((0.0, 0.0), |(sum, count), used| (sum + used, count + 1.0));
-        let mean = if count > 0.0 { 1.0 - sum / count } else { 1.0 };
-        let mut draw: Vec<(Id, f64)> = Vec::new();
-        for (id, held, warmth, u) in known {
-            let mut weight = u.utilisation.map_or(mean, |used| 1.0 - used).max(FLOOR) * warmth;
+        let us: Vec<&Upstream> = ids.iter().filter_map(|id| self.upstreams.get(id)).collect();
+        let held: Vec<f64> = us.iter().map(|u| u.held(now, late, rpc.method)).collect();
+        let part = mean(held.iter().copied()).unwrap_or(0.0);
+        let usual = 1.0 - mean(us.iter().filter_map(|u| u.utilisation)).unwrap_or(0.0);
+        let weigh = |(u, held): (&&Upstream, &f64)| {
+            let warmth = self.warmth(u.started);
+            let weight = u.utilisation.map_or(usual, |used| 1.0 - used).max(FLOOR) * warmth;
             // Not while it is cold: the callers near a zone that comes back would all crowd it.
-            if u.zone == self.zone && warmth >= 1.0 {
-                weight *= NEAR;
-            }
+            let weight = if u.zone == self.zone && warmth >= 1.0 { weight * NEAR } else { weight };
             // Guards against upstreams that swallow RPCs, stand still or are crowded by what no report shows
             // yet, and against those that fail fast and so look idle: one that holds more than its part of
             // this balancer's transmissions draws less. What is overdue counts twice, and what failed counts
             // for a while as if it were out. Being against the mean, troubles that all share cancel out.
-            if held > part {
-                weight *= ((1.0 + part) / (1.0 + held)).powi(CROWDED);
-            }
-            draw.push((id, weight));
-        }
-        let mut at = self.rng.generate::<f64>() * draw.iter().map(|(_, w)| w).sum::<f64>();
-        for (id, weight) in &draw {
-            at -= weight;
-            if at < 0.0 {
-                return Some(id.clone());
-            }
-        }
-        draw.last().map(|(id, _)| id.clone())
+            weight * ((1.0 + part) / (1.0 + held.max(part))).powi(CROWDED)
+        };
+        let weights: Vec<f64> = us.iter().zip(&held).map(weigh).collect();
+        let mut left = self.rng.generate::<f64>() * weights.iter().sum::<f64>();
+        let drawn = weights.iter().position(|weight| {
+            left -= weight;
+            left < 0.0
+        });
+        ids.get(drawn.unwrap_or(ids.len().saturating_sub(1))).cloned()
     }
 
     // -------------------------------------------------------------------------------------------- transmit
@@ -742,8 +696,7 @@
             sent: self.now,
             epoch: u.breaker.epoch,
             trial,
-            out: true,
-            never_ran: false,
+            end: None,
         });
         self.host.transmit(rpc_id, id, time_out);
         true
@@ -765,9 +718,7 @@
             return false;
         }
         let sent = self.send(rpc_id);
-        if sent {
-            self.spare -= cost;
-        }
+        self.spare -= if sent { cost } else { 0.0 };
         sent
     }
 
@@ -794,20 +745,18 @@
 
     /// What an RPC is worth, as a share of the highest gain, by method and tenant share.
     fn value(&mut self, method: usize, tenant: &str) -> f64 {
-        let (now, over) = (self.now, self.over_share_gain);
-        let mut value = self.methods[method].gain;
+        let (now, gain) = (self.now, self.methods[method].gain);
         if let Some(t) = self.tenants.iter_mut().find(|t| t.name == tenant) {
-            // Two seconds of share can be saved up: less would count ordinary bunching as excess. Guards against
-            // small balancers where all would be excess: some RPCs can be saved up however small the share.
+            // Two seconds of share can be saved up: less would count ordinary bunching as excess. Some RPCs
+            // can be however small the share: at a small balancer all would be excess.
             let filled = t.unspent + t.rate * (now - t.filled) as f64 / SECOND as f64;
             (t.unspent, t.filled) = (filled.min((2.0 * t.rate).max(BUNCH)), now);
-            if t.unspent >= 1.0 {
-                t.unspent -= 1.0;
-            } else {
-                value *= over;
+            if t.unspent < 1.0 {
+                return gain * self.over_share_gain;
             }
+            t.unspent -= 1.0;
         }
-        value
+        gain
     }
 
     /// Until when an answer counts as in time. A client's tries share one soft deadline, so what is left
@@ -833,37 +782,35 @@
         /// The part of the soft deadline that answers may take on average: chance about doubles it.
         const ROOM: f64 = 0.8;
         /// Times the calm answer time: where answers take longer, upstreams are crowded and some turn slow
-        /// for long, though there is room before the soft deadline.
+        /// for long, though there is room before the soft deadline. At least a fifth of it, where the count
+        /// is taken over a long time: more lets a jam grow unseen, less exhausts in calm times.
         const STRETCH: f64 = 4.0;
         /// Guards against shutting on slowness that shedding does not cure, as when all upstreams depend on
         /// something slow: no matter how late answers are, four fifths of the best rate still pass.
         const KEPT: f64 = 0.8;
-        /// Chance goes beyond one root once in six times, and seldom for long.
-        const SCATTER: f64 = 1.0;
         /// Guards against shutting altogether: with nothing open there are no answers to learn from.
         const FEW: f64 = 4.0;
         let Some(soft) = self.methods.iter().filter_map(|m| m.soft).max() else { return true };
         // Nothing is known of the rate of answers for half a soft deadline after the first.
-        if !self.gate.on || self.gate.from.is_none_or(|from| self.now < from + soft / 2) {
+        if self.tier > 0 || self.gate.from.is_none_or(|from| self.now < from + soft / 2) {
             return true;
         }
         // Those past the soft deadline may be swallowed, and then hold up nothing that new ones need; where
         // they are merely late they no longer count as answers either, and the limit falls.
         let open = self.rpcs.values().filter(|r| !r.done && self.now < r.arrived + soft).count() as f64;
-        let beyond = (self.memory() - ANSWERS_FOR).max(1.0);
-        let kept = fade(self.now - self.gate.open_at, beyond);
-        (self.gate.open, self.gate.open_at) = (open + (self.gate.open - open) * kept, self.now);
-        let open = self.gate.open;
-        let steadier = ANSWERS_FOR / self.memory();
+        let memory = self.memory();
+        let kept = fade(self.now - self.gate.open_at, (memory - ANSWERS_FOR).max(1.0));
+        let open = open + (self.gate.open - open) * kept;
+        (self.gate.open, self.gate.open_at) = (open, self.now);
+        let steadier = ANSWERS_FOR / memory;
         let target = (ROOM * soft as f64).min(STRETCH * (0.2 + 0.8 * steadier) * self.gate.calm);
         let limit = self.answer_rate().max(KEPT * self.gate.best * self.ready()) * target / SECOND as f64;
-        // Open RPCs scatter by the root of their mean with nothing wrong; a small balancer needs that room,
-        // but less of it the longer the time that its count is taken over.
+        // Open RPCs scatter by the root of their mean with nothing wrong, seldom by more; by less the longer
+        // the time that their count is taken over.
         let limit = limit.max(FEW * steadier);
-        let limit = limit + SCATTER * (limit * steadier).sqrt();
-        // What is worth nothing stops at half the limit, what is worth two thirds of the highest gain or more at
-        // the limit itself. Guards against sleeping into a jam: a small balancer's counts tell it late, so it
-        // begins with the lowest gains at a quarter of the limit.
+        let limit = limit + (limit * steadier).sqrt();
+        // What is worth nothing stops at half the limit, two thirds of the highest gain or more at the limit
+        // itself. A small balancer's counts tell a jam late, so it begins at some quarter.
         let least = 0.25 + 0.25 * steadier;
         open < limit * (least + (1.0 - least) * (1.5 * value).min(1.0))
     }
@@ -899,10 +846,11 @@
         g.best *= (1.0 - (self.now - g.at) as f64 / (12.0 * SECOND as f64)).max(0.0);
         g.at = self.now;
         if g.from.is_some_and(|from| self.now > from + 2 * SECOND) {
-            // Guards against a limit from before the fleet shrank: the rate is kept for each upstream.
-            // Guards against a best that is mere chance, in a balancer of few answers: one root is taken off.
-            let counted = (self.answer_rate() * self.memory() / SECOND as f64).max(1.0);
-            let rate = self.answer_rate() * (1.0 - counted.sqrt().recip()) / self.ready();
+            // Guards against a limit from before the fleet shrank: the rate is kept for each upstream. And
+            // against a best that is mere chance, in a balancer of few answers: one root is taken off.
+            let rate = self.answer_rate();
+            let counted = (rate * memory / SECOND as f64).max(1.0);
+            let rate = rate * (1.0 - counted.sqrt().recip()) / self.ready();
             self.gate.best = self.gate.best.max(rate);
         }
     }
@@ -920,15 +868,13 @@
             self.host.exhaust(&id, 0);
             return;
         };
-        let hard = now + time_left;
-        let soft = self.soft_deadline(method, time_left);
+        let (soft, hard) = (self.soft_deadline(method, time_left), now + time_left);
         let mut value = self.value(method, tenant);
         if soft as f64 <= now as f64 + self.methods[method].mean {
             value *= self.methods[method].late_gain;
         }
         let admitted = self.admits(value);
-        let rpc = Rpc { method, arrived: now, soft, hard, ..Rpc::default() };
-        self.rpcs.insert(id.clone(), rpc);
+        self.rpcs.insert(id.clone(), Rpc { method, arrived: now, soft, hard, ..Rpc::default() });
         if admitted {
             self.send_or_hold(&id);
         } else {
@@ -953,12 +899,6 @@
         }
     }
 
-    fn look_again(&mut self, id: &Id) {
-        if self.rpcs.get(id).is_some_and(|rpc| rpc.waiting && !rpc.done) {
-            self.send_or_hold(id);
-        }
-    }
-
     /// The final answer of an RPC that this balancer gives up: exhausted where that is harmless.
     fn finish(&mut self, id: &Id) {
         let Some(rpc) = self.rpcs.get(id) else { return };
@@ -966,12 +906,8 @@
             return;
         }
         let m = &self.methods[rpc.method];
-        let harmless = match m.repeat {
-            Repeat::Retriable => true,
-            Repeat::Deduped => rpc.may_have_run().is_none() || m.group == Group::All,
-            Repeat::NonRetriable => rpc.may_have_run().is_none(),
-        };
-        if harmless {
+        let repeatable = matches!(m.repeat, Repeat::Anywhere | Repeat::AmongAll);
+        if repeatable || rpc.may_have_run().is_none() {
             // Early enough that another try can still be in time, and spread so that they do not come
             // back together; one that can't be in time any more had best stay away for long.
             let room = rpc.soft.saturating_sub(self.now) as f64 - 1.5 * m.mean;
@@ -990,11 +926,11 @@
         let Some(rpc) = self.rpcs.get_mut(id) else { return };
         if !rpc.done {
             rpc.done = true;
-            for (n, _) in rpc.txs.iter().enumerate().filter(|(_, t)| t.out && self.cancel) {
-                self.host.cancel(id, n);
+            if rpc.is_out() && self.cancel {
+                self.host.cancel(id, rpc.txs.len() - 1);
             }
         }
-        if rpc.out() == 0 {
+        if !rpc.is_out() {
             self.rpcs.remove(id);
         }
     }
@@ -1014,8 +950,8 @@
         let id = Id::from(id);
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
         let (method, arrived) = (rpc.method, rpc.arrived);
-        let Some(tx) = rpc.txs.get_mut(n).filter(|t| t.out) else { return };
-        (tx.out, tx.never_ran) = (false, outcome.never_ran());
+        let Some(tx) = rpc.txs.get_mut(n).filter(|t| t.end.is_none()) else { return };
+        tx.end = Some(outcome);
         let tx = tx.clone();
         self.learn_time(method, took, outcome == Outcome::Completed);
         self.take_report(&tx.upstream, tx.sent, loads);
@@ -1027,7 +963,7 @@
                 self.count_answer(now - arrived);
             }
             self.close(&id);
-        } else if rpc.out() == 0 && !rpc.streaming && !self.send_further(&id) {
+        } else if !rpc.is_out() && !rpc.streaming && !self.send_further(&id) {
             self.finish(&id);
         }
     }
@@ -1047,12 +983,10 @@
         const RECENT: f64 = 0.08;
         let used = self.utilisation_at.and_then(|i| loads.get(i)).filter(|v| v.is_finite());
         // A report of before the last start is the old process's.
-        if let (Some(u), Some(used)) =
-            (self.upstreams.get_mut(upstream).filter(|u| sent >= u.started), used.map(|v| v.clamp(0.0, 1.0)))
-        {
-            u.utilisation = Some(used);
-            self.busy = Some(self.busy.map_or(used, |busy| busy + RECENT * (used - busy)));
-        }
+        let u = self.upstreams.get_mut(upstream).filter(|u| sent >= u.started);
+        let (Some(used), Some(u)) = (used.map(|used| used.clamp(0.0, 1.0)), u) else { return };
+        u.utilisation = Some(used);
+        self.busy = Some(self.busy.map_or(used, |busy| busy + RECENT * (used - busy)));
     }
 
     fn learn_verdict(&mut self, tx: &Tx, method: usize, outcome: Outcome, took: Time) {
@@ -1069,13 +1003,16 @@
             Outcome::Completed => Some(Verdict::Good),
             // Called off by this balancer, or cut to what the caller had left: only lateness is evidence.
             Outcome::Cancelled | Outcome::TimedOut if !slow => None,
-            Outcome::Cancelled | Outcome::TimedOut => Some(Verdict::Dead),
-            Outcome::ConnectFailed | Outcome::Reset => Some(Verdict::Dead),
+            Outcome::Cancelled | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
+                Some(Verdict::Dead)
+            }
             Outcome::Moot => None,
             Outcome::Errored if (took as f64) < AT_ONCE * mean => Some(Verdict::Dead),
             Outcome::Errored | Outcome::Exhausted | Outcome::Unknown => Some(Verdict::Failed),
         };
-        let now = self.now;
+        let (now, most_open) = (self.now, self.upstreams.len() / 3);
+        let opened = self.upstreams.values().filter(|u| u.breaker.state != State::Closed);
+        let open = if verdict == Some(Verdict::Good) { 0 } else { opened.count() };
         let Some(u) = self.upstreams.get_mut(&tx.upstream) else { return };
         // Slow and full by its own report: that is no wait for a tier below.
         let swamped = verdict == Some(Verdict::Slow) && u.utilisation.is_some_and(|used| used >= FULL);
@@ -1093,17 +1030,10 @@
         }
         let Some(verdict) = verdict else { return };
         let was = u.breaker.state;
-        if u.breaker.judge(verdict, now) {
-            // Guards against closing off the fleet: what most upstreams share is not this one's fault.
-            let open = self.upstreams.values().filter(|u| u.breaker.state != State::Closed).count();
-            if was == State::HalfOpen || open < self.upstreams.len() / 3 {
-                self.upstreams
-                    .get_mut(&tx.upstream)
-                    .into_iter()
-                    .for_each(|u| u.breaker.open(now, &mut self.rng));
-            }
+        // Guards against closing off the fleet: what most upstreams share is not this one's fault.
+        if u.breaker.judge(verdict, now) && (was == State::HalfOpen || open < most_open) {
+            u.breaker.open(now, &mut self.rng);
         }
-        let Some(u) = self.upstreams.get(&tx.upstream) else { return };
         if u.breaker.state != was {
             self.host.log(&format!("breaker {}: {was:?} -> {:?}", tx.upstream, u.breaker.state));
         }
@@ -1130,7 +1060,9 @@
     pub fn timer(&mut self, now: Time, token: &str) {
         self.now = now;
         match token.split_once(':') {
-            Some(("held", id)) => self.look_again(&Id::from(id)),
+            Some(("held", id)) if self.rpcs.get(id).is_some_and(|rpc| rpc.waiting && !rpc.done) => {
+                self.send_or_hold(&Id::from(id));
+            }
             Some(("ask", n)) if !self.list.following && n.parse() == Ok(self.list.asks) => {
                 self.host.follow_list();
                 if let Some(within) = self.list.ask_within {
@@ -1145,6 +1077,3 @@
 
 /// A short trouble may spend what calm has saved up, no more.
 const MOST_SPARE: f64 = 10.0;
-
-/// Multiples of the golden section spread evenly over a circle, whichever of the numbers share a zone.
-const GOLDEN: f64 = 0.618_033_988_749_895;
