--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -810,8 +810,10 @@
         let limit = limit.max(FEW * steadier);
         let limit = limit + (limit * steadier).sqrt();
         // What is worth nothing stops at half the limit, two thirds of the highest gain or more at the limit
-        // itself. A small balancer's counts tell a jam late, so it begins at some quarter.
-        let least = 0.25 + 0.25 * steadier;
+        // itself. A small balancer's counts tell a jam late: where upstreams report to be two thirds busy or
+        // more, it holds the lowest gains back from a fifth of the limit on.
+        let full = ((self.busy.unwrap_or(0.0) - 0.65) / 0.2).clamp(0.0, 1.0);
+        let least = 0.5 - 0.4 * full * (1.0 - steadier);
         open < limit * (least + (1.0 - least) * (1.5 * value).min(1.0))
     }
 
