--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -230,7 +230,7 @@
 }
 
 /// RPCs of one tenant that come together by chance now and then, at any rate.
-const BUNCH: f64 = 0.1;
+const BUNCH: f64 = 4.0;
 
 struct Tenant {
     name: String,
