--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -804,7 +804,7 @@
         (self.gate.open, self.gate.open_at) = (open, self.now);
         let steadier = ANSWERS_FOR / memory;
         let target = (ROOM * soft as f64).min(STRETCH * (0.2 + 0.8 * steadier) * self.gate.calm);
-        let limit = self.answer_rate().max(KEPT * self.gate.best * self.ready()) * target / SECOND as f64;
+        let limit = self.answer_rate().max(KEPT * (0.4 + 0.6 * steadier) * self.gate.best * self.ready()) * target / SECOND as f64;
         // Open RPCs scatter by the root of their mean with nothing wrong, seldom by more; by less the longer
         // the time that their count is taken over.
         let limit = limit.max(FEW * steadier);
