--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -632,8 +632,7 @@
                 continue;
             }
             let Some(u) = self.upstreams.get_mut(&id) else { continue };
-            // A trial is a risk: an RPC that gets one chance only takes it where nothing else is left.
-            // Where this RPC has been already is the last resort.
+            // A trial is a risk for an RPC that gets one chance, and where this one has been is a last resort.
             let open = !u.breaker.passes(now) || steady && u.breaker.state == State::HalfOpen;
             let list = if open || rpc.txs.iter().any(|t| t.upstream == id) { &mut shut } else { &mut near };
             list.push(id);
@@ -776,14 +775,12 @@
 
     /// Whether an RPC of this value is taken on now: by Little's law the open RPCs over the rate of answers
     /// is the time that the next answer takes, and that must leave room before the soft deadline.
-    /// Guards against overload, where all would be answered too late; what is answered quickly raises the
-    /// rate again, so a short trouble does not keep the gate shut.
+    /// Guards against overload, where all would be answered too late.
     fn admits(&mut self, value: f64) -> bool {
         /// The part of the soft deadline that answers may take on average: chance about doubles it.
         const ROOM: f64 = 0.8;
-        /// Times the calm answer time: where answers take longer, upstreams are crowded and some turn slow
-        /// for long, though there is room before the soft deadline. At least a fifth of it, where the count
-        /// is taken over a long time: more lets a jam grow unseen, less exhausts in calm times.
+        /// Times the calm answer time: where answers take longer, upstreams are crowded and turn slow, though
+        /// there is room before the soft deadline. A fifth of it at the least, where counts tell a jam late.
         const STRETCH: f64 = 4.0;
         /// Guards against shutting on slowness that shedding does not cure, as when all upstreams depend on
         /// something slow: no matter how late answers are, four fifths of the best rate still pass.
@@ -804,7 +801,9 @@
         (self.gate.open, self.gate.open_at) = (open, self.now);
         let steadier = ANSWERS_FOR / memory;
         let target = (ROOM * soft as f64).min(STRETCH * (0.2 + 0.8 * steadier) * self.gate.calm);
-        let limit = self.answer_rate().max(KEPT * (0.4 + 0.6 * steadier) * self.gate.best * self.ready()) * target / SECOND as f64;
+        let limit = self.answer_rate().max(KEPT * (0.4 + 0.6 * steadier) * self.gate.best * self.ready())
+            * target
+            / SECOND as f64;
         // Open RPCs scatter by the root of their mean with nothing wrong, seldom by more; by less the longer
         // the time that their count is taken over.
         let limit = limit.max(FEW * steadier);
@@ -839,15 +838,16 @@
         g.from = g.from.or(Some(self.now));
         g.seen += 1.0;
         g.mean += (took - g.mean) * g.seen.recip().max(0.02);
-        // Guards against one quick first answer that passes for the calm time: a score of them tell it to a
-        // sixth. Then some twenty seconds of answers to believe that what was called slow is the usual.
-        if g.seen >= 20.0 {
+        let age = g.from.map_or(0, |from| self.now - from);
+        // Guards against quick first answers that pass for the calm time: the first to come are the quickest,
+        // and a score tell it to a sixth. Then some twenty seconds of answers to believe that slow is usual.
+        if age > SECOND / 2 && g.seen >= 20.0 {
             g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.001 * (g.mean - g.calm) };
         }
         g.answers = g.answers * fade(self.now - g.at, memory) + 1.0;
         g.best *= (1.0 - (self.now - g.at) as f64 / (12.0 * SECOND as f64)).max(0.0);
         g.at = self.now;
-        if g.from.is_some_and(|from| self.now > from + 2 * SECOND) {
+        if age > 2 * SECOND {
             // Guards against a limit from before the fleet shrank: the rate is kept for each upstream. And
             // against a best that is mere chance, in a balancer of few answers: one root is taken off.
             let rate = self.answer_rate();
