--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -177,9 +177,8 @@
     /// those that failed a moment ago; one may turn away one method unseen and serve the others.
     fn held(&self, now: Time, late: Time, method: usize) -> f64 {
         let overdue = self.out.iter().filter(|sent| **sent + late < now).count();
-        let scars =
-            self.scars.iter().filter(|(at, m)| at + SCAR > now && m.is_none_or(|m| m == method)).count();
-        (self.out.len() + overdue + scars) as f64
+        let scars = self.scars.iter().filter(|(at, m)| at + SCAR > now && m.is_none_or(|m| m == method));
+        (self.out.len() + overdue + scars.count()) as f64
     }
 }
 
@@ -632,7 +631,7 @@
                 continue;
             }
             let Some(u) = self.upstreams.get_mut(&id) else { continue };
-            // A trial is a risk for an RPC that gets one chance, and where this one has been is a last resort.
+            // A trial is a risk for an RPC that gets one chance; where this one has been is the last resort.
             let open = !u.breaker.passes(now) || steady && u.breaker.state == State::HalfOpen;
             let list = if open || rpc.txs.iter().any(|t| t.upstream == id) { &mut shut } else { &mut near };
             list.push(id);
@@ -732,11 +731,8 @@
         if completed {
             m.mean += STEP * (took - m.mean);
         }
-        if took > m.late {
-            m.late *= 1.0 + STEP * QUANTILE;
-        } else if completed {
-            m.late *= 1.0 - STEP * (1.0 - QUANTILE);
-        }
+        let step = if took > m.late { QUANTILE } else { QUANTILE - 1.0 };
+        m.late *= if completed || took > m.late { 1.0 + STEP * step } else { 1.0 };
         m.late = m.late.max(m.mean);
     }
 
@@ -867,8 +863,7 @@
         let id = Id::from(id);
         let Some(method) = self.methods.iter().position(|m| m.name == method) else {
             // A method that the start did not name: nothing is known of it but that it was not sent.
-            self.host.exhaust(&id, 0);
-            return;
+            return self.host.exhaust(&id, 0);
         };
         let (soft, hard) = (self.soft_deadline(method, time_left), now + time_left);
         let mut value = self.value(method, tenant);
@@ -903,10 +898,7 @@
 
     /// The final answer of an RPC that this balancer gives up: exhausted where that is harmless.
     fn finish(&mut self, id: &Id) {
-        let Some(rpc) = self.rpcs.get(id) else { return };
-        if rpc.done {
-            return;
-        }
+        let Some(rpc) = self.rpcs.get(id).filter(|rpc| !rpc.done) else { return };
         let m = &self.methods[rpc.method];
         let repeatable = matches!(m.repeat, Repeat::Anywhere | Repeat::AmongAll);
         if repeatable || rpc.may_have_run().is_none() {
