--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -555,7 +555,7 @@
     /// The least time between two sends of this balancer to an upstream that is still cold.
     fn cold_gap(&self, started: Time) -> Option<f64> {
         /// All balancers together stay at this share of the budget if each does; the rest is for chance.
-        const SAFETY: f64 = 0.4;
+        const SAFETY: f64 = 0.6;
         let warmth = self.warmth(started);
         if warmth >= 1.0 {
             return None;
