--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -832,12 +832,14 @@
         let memory = self.memory();
         let (g, took) = (&mut self.gate, took as f64);
         g.from = g.from.or(Some(self.now));
-        g.seen += 1.0;
-        g.mean += (took - g.mean) * g.seen.recip().max(0.02);
         let age = g.from.map_or(0, |from| self.now - from);
         // Guards against quick first answers that pass for the calm time: the first to come are the quickest,
         // and a score tell it to a sixth. Then some twenty seconds of answers to believe that slow is usual.
-        if age > SECOND / 2 && g.seen >= 20.0 {
+        if age > SECOND {
+            g.seen += 1.0;
+            g.mean += (took - g.mean) * g.seen.recip().max(0.02);
+        }
+        if g.seen >= 20.0 {
             g.calm = if g.mean < g.calm { g.mean } else { g.calm + 0.001 * (g.mean - g.calm) };
         }
         g.answers = g.answers * fade(self.now - g.at, memory) + 1.0;
