--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -834,7 +834,8 @@
         g.from = g.from.or(Some(self.now));
         let age = g.from.map_or(0, |from| self.now - from);
         // Guards against quick first answers that pass for the calm time: the first to come are the quickest,
-        // and a score after half a second tell it to a sixth. Then some twenty seconds of answers to believe that slow is usual.
+        // and a score after half a second tell it to a sixth. Then some twenty seconds of answers to believe
+        // that what was called slow is the usual.
         if age > SECOND / 2 {
             g.seen += 1.0;
             g.mean += (took - g.mean) * g.seen.recip().max(0.02);
