--- /dev/null
+++ b/crates/fernroute-server/src/program/mod.rs
@@ -0,0 +1,7 @@
+//! Starting, running and stopping the program.
+
+pub mod commands;
+pub mod log;
+pub mod serve;
+pub mod shutdown;
+pub mod station;
--- /dev/null
+++ b/crates/fernroute-server/src/program/station.rs
@@ -0,0 +1,85 @@
+//! Where this balancer stands: its name and addresses, its limits, its terms, the upstreams it knew last.
+
+use crate::protocol::list::{self, List};
+use crate::protocol::terms;
+use crate::routing::desk::Desk;
+use fernroute::{Balancer, Terms};
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug)]
+pub struct Station {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// The most descriptors that the program may hold.
+    pub descriptors: usize,
+    pub known: List,
+    pub terms: Terms,
+}
+
+/// The file as it is written.
+#[derive(Deserialize)]
+struct Page {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: Value,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        /// What a process commonly gets where nothing is said.
+        const USUAL: usize = 1024;
+        Limits { sockets: USUAL }
+    }
+}
+
+/// Below this there is no room for callers and upstreams beside the program's own descriptors.
+const LEAST_DESCRIPTORS: usize = 64;
+
+impl Station {
+    pub fn read(path: &Path) -> Result<Self, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Station::decode(&text).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    pub fn decode(text: &str) -> Result<Self, String> {
+        let page: Page = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        if page.limits.sockets < LEAST_DESCRIPTORS {
+            return Err(format!("limits.sockets is under {LEAST_DESCRIPTORS}"));
+        }
+        let known = match page.known {
+            Value::Null => List::default(),
+            known => list::decode(&known).ok_or("known is not a list of upstreams")?,
+        };
+        Ok(Station {
+            name: page.name,
+            listen: page.listen,
+            discovery: page.discovery,
+            seed: u64::from_str_radix(&page.seed, 16).map_err(|e| format!("seed: {e}"))?,
+            descriptors: page.limits.sockets,
+            known,
+            terms: terms::decode(&page.settings),
+        })
+    }
+
+    /// Whether a balancer can start with these terms.
+    pub fn check(&self) -> Result<(), String> {
+        let balancer = Balancer::new(Desk::default(), 0, self.seed, &self.terms);
+        balancer.map(drop).map_err(|missing| format!("settings: {}", fernroute_terms::path(&missing.0)))
+    }
+}
--- /dev/null
+++ b/crates/fernroute-server/src/protocol/terms.rs
@@ -0,0 +1,31 @@
+//! The settings, nested JSON, to the plain map that a balancer starts with.
+
+use fernroute::Terms;
+use serde_json::Value;
+
+/// Paths and values as the one table of settings takes them: a list of objects by count and place, a list of
+/// plain values joined.
+fn flatten(path: &str, value: &Value, out: &mut Vec<(String, String)>) {
+    let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(members) => members.iter().for_each(|(name, v)| flatten(&under(name), v, out)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            out.push((under("count"), items.len().to_string()));
+            items.iter().enumerate().for_each(|(i, v)| flatten(&under(&i.to_string()), v, out));
+        }
+        Value::Array(items) => {
+            out.push((path.to_owned(), items.iter().map(plain).collect::<Vec<_>>().join(",")));
+        }
+        _ => out.push((path.to_owned(), plain(value))),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
+
+pub fn decode(settings: &Value) -> Terms {
+    let mut pairs = Vec::new();
+    flatten("", settings, &mut pairs);
+    pairs.iter().filter_map(|(path, value)| fernroute_terms::term(path, value)).collect()
+}
--- /dev/null
+++ b/crates/fernroute-server/src/routing/admit.rs
@@ -0,0 +1,40 @@
+//! Puts an RPC before the decisions, and waits for its final answer.
+
+use super::switchboard::{Open, Switchboard};
+use crate::protocol::answer::Final;
+use crate::protocol::request::{Request, Unfit};
+use actix_http::StatusCode;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+
+/// Tells that the caller has gone, should it go before the final answer.
+struct Caller {
+    board: Rc<Switchboard>,
+    rpc: Rc<str>,
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.board.abandoned(&self.rpc);
+    }
+}
+
+impl Switchboard {
+    pub async fn admit(self: &Rc<Self>, request: Request) -> Result<Final, Unfit> {
+        let rpc = Rc::clone(&request.id);
+        // One id, one final answer.
+        if self.open.borrow().contains_key(&rpc) {
+            return Err(Unfit(StatusCode::BAD_REQUEST, "id in use"));
+        }
+        let (answer, waiting) = oneshot::channel();
+        let request = Rc::new(request);
+        let open = Open { request: Rc::clone(&request), answer: Some(answer), made: 0, out: BTreeMap::new() };
+        self.open.borrow_mut().insert(Rc::clone(&rpc), open);
+        let _caller = Caller { board: Rc::clone(self), rpc: Rc::clone(&rpc) };
+        self.decide(Some(&rpc), |b, now| {
+            b.rpc_arrived(now, &rpc, &request.method, &request.tenant, request.time_left);
+        });
+        Ok(waiting.await.unwrap_or(Final::Errored))
+    }
+}
--- /dev/null
+++ b/crates/fernroute-server/src/routing/book.rs
@@ -0,0 +1,46 @@
+//! What became of transmissions and callers, told to the decisions.
+
+use super::switchboard::Switchboard;
+use crate::protocol::answer::{Answer, Final};
+use fernroute::{Outcome, Time};
+use std::rc::Rc;
+
+impl Switchboard {
+    pub(super) fn book(self: &Rc<Self>, rpc: &str, tx: usize, result: Result<Answer, Outcome>, took: Time) {
+        if let Some(entry) = self.open.borrow_mut().get_mut(rpc) {
+            // One that was stopped is off the table already.
+            if let Some(out) = entry.out.remove(&tx) {
+                self.timers.drop(&out.time_out);
+            }
+        }
+        let (outcome, loads, answer) = match result {
+            Ok(mut answer) => (answer.outcome, std::mem::take(&mut answer.loads), Some(answer)),
+            Err(outcome) => (outcome, Vec::new(), None),
+        };
+        log::debug!("RPC {rpc} transmission {tx}: {outcome:?} after {took} tenths of a ms");
+        if let Some(answer) = answer.filter(|a| a.outcome == Outcome::Completed) {
+            self.give(rpc, Final::Completed(answer));
+        }
+        let ended = self.open.borrow().get(rpc).is_none_or(|entry| entry.answer.is_none());
+        self.decide(Some(rpc), |b, now| b.tx_ended(now, rpc, tx, outcome, took, ended, &loads));
+        self.forget(rpc);
+    }
+
+    /// The caller has gone, or has its answer: what is open of the RPC then is told as abandoned.
+    pub(super) fn abandoned(self: &Rc<Self>, rpc: &str) {
+        let waiting = self.open.borrow_mut().get_mut(rpc).and_then(|entry| entry.answer.take());
+        if waiting.is_some() {
+            log::debug!("RPC {rpc}: the caller has gone");
+            self.decide(None, |b, now| b.rpc_abandoned(now, rpc));
+            self.forget(rpc);
+        }
+    }
+
+    /// An answered RPC leaves with its last transmission.
+    fn forget(&self, rpc: &str) {
+        let mut open = self.open.borrow_mut();
+        if open.get(rpc).is_some_and(|entry| entry.answer.is_none() && entry.out.is_empty()) {
+            open.remove(rpc);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernroute-server/src/routing/relay.rs
@@ -0,0 +1,32 @@
+//! The final answer, on its way to the caller.
+
+use super::switchboard::Switchboard;
+use crate::protocol::answer::{self, Final};
+use crate::protocol::request::Unfit;
+use actix_http::body::BoxBody;
+use actix_http::{ConnectionType, Response};
+
+impl Switchboard {
+    /// Gives an RPC its final answer, unless it has one; tells whether it did.
+    pub(super) fn give(&self, rpc: &str, last: Final) -> bool {
+        let mut open = self.open.borrow_mut();
+        let Some(entry) = open.get_mut(rpc) else { return false };
+        let given = entry.answer.take().is_some_and(|answer| answer.send(last).is_ok());
+        if entry.out.is_empty() {
+            open.remove(rpc);
+        }
+        given
+    }
+}
+
+pub fn encode(last: Result<Final, Unfit>) -> Response<BoxBody> {
+    last.map_or_else(|unfit| answer::unfit(&unfit), Final::encode)
+}
+
+/// When the program ends, each answer is the last on its connection.
+pub fn close_if_last(board: &Switchboard, mut response: Response<BoxBody>) -> Response<BoxBody> {
+    if board.last_answers.get() {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response
+}
--- /dev/null
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -0,0 +1,65 @@
+//! One transmission, from its first byte to its outcome.
+
+use super::switchboard::Switchboard;
+use crate::protocol::answer::Answer;
+use crate::protocol::request::{Request, MOST_BODY};
+use crate::transport::client::Call;
+use crate::transport::outbound::{Course, Reached};
+use fernroute::{Outcome, Time};
+use futures_util::future::{select, Either};
+use futures_util::FutureExt as _;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::pin::pin;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+
+impl Switchboard {
+    pub(super) async fn transmission(
+        self: Rc<Self>,
+        rpc: Rc<str>,
+        tx: usize,
+        request: Rc<Request>,
+        address: Option<SocketAddr>,
+        time_out: Time,
+        stopped: oneshot::Receiver<Outcome>,
+    ) {
+        let sent = self.clock.now();
+        let made = self.make(&request, address, time_out, stopped);
+        let result = AssertUnwindSafe(made).catch_unwind().await.unwrap_or(Err(Outcome::Unknown));
+        self.book(&rpc, tx, result, self.clock.now() - sent);
+    }
+
+    /// A whole answer, or how it ended without one.
+    async fn make(
+        &self,
+        request: &Request,
+        address: Option<SocketAddr>,
+        time_out: Time,
+        stopped: oneshot::Receiver<Outcome>,
+    ) -> Result<Answer, Outcome> {
+        // Left the list after it was drawn: nothing was sent.
+        let Some(address) = address else { return Err(Outcome::Moot) };
+        let (verb, uri, headers) = request.encode(&address.to_string(), time_out);
+        let call = Call { verb, uri, headers, body: request.body.clone() };
+        let course = Rc::<Course>::default();
+        let result = {
+            let call = pin!(self.client.call(call, MOST_BODY, &course));
+            // Dropping the call at the end of this block closes its connection.
+            match select(call, stopped).await {
+                Either::Left((result, _)) => Ok(result),
+                Either::Right((why, _)) => Err(why.unwrap_or(Outcome::Cancelled)),
+            }
+        };
+        match result {
+            Ok(Ok((head, body))) => Ok(Answer::decode(&head, body, &self.gauges)),
+            Ok(Err(broken)) => {
+                log::debug!("RPC {} at {address}: {broken}", request.id);
+                Err(if broken.reached < Reached::Written { Outcome::ConnectFailed } else { Outcome::Reset })
+            }
+            // Given up before its last byte was out: the upstream can't have begun it.
+            Err(_) if course.reached() < Reached::Written => Err(Outcome::ConnectFailed),
+            Err(why) => Err(why),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -0,0 +1,171 @@
+//! What the stages share: the balancer, the open RPCs, the addresses, the timers.
+
+use super::clock::{self, Clock};
+use super::desk::{Act, Desk};
+use super::timers::{Due, Timers};
+use crate::protocol::answer::Final;
+use crate::protocol::list::{List, State};
+use crate::protocol::load::Gauges;
+use crate::protocol::request::Request;
+use crate::transport::client::Client;
+use fernroute::{Balancer, MissingTerm, Outcome, Terms, Time};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio_util::time::delay_queue::Key;
+
+/// One transmission that is out: how to end it, and the timer that will.
+pub struct Out {
+    pub stop: oneshot::Sender<Outcome>,
+    pub time_out: Key,
+}
+
+/// An RPC that waits for its final answer, or for the end of a transmission.
+pub struct Open {
+    pub request: Rc<Request>,
+    /// None once the final answer is given, or the caller has gone.
+    pub answer: Option<oneshot::Sender<Final>>,
+    /// How many transmissions were made; those that are out, by number.
+    pub made: usize,
+    pub out: BTreeMap<usize, Out>,
+}
+
+pub struct Switchboard {
+    pub clock: Clock,
+    balancer: RefCell<Balancer<Desk>>,
+    desk: Desk,
+    /// Emptied by the book: an answered RPC leaves with its last transmission.
+    pub open: RefCell<BTreeMap<Rc<str>, Open>>,
+    /// Where upstreams listen. Emptied by the list.
+    pub addresses: RefCell<BTreeMap<Rc<str>, SocketAddr>>,
+    pub timers: Timers,
+    pub client: Client,
+    pub methods: Vec<String>,
+    pub gauges: Gauges,
+    /// Told to stop: not ready any more.
+    pub leaving: Cell<bool>,
+    /// Answers end their connections.
+    pub last_answers: Cell<bool>,
+}
+
+impl Switchboard {
+    /// `connections` is the most that may be open to upstreams.
+    pub fn new(terms: &Terms, seed: u64, connections: usize) -> Result<Rc<Self>, MissingTerm> {
+        /// Where the terms do not tell.
+        const CONNECT: Duration = Duration::from_secs(1);
+        const KEEP: Duration = Duration::from_secs(10);
+        let clock = Clock::start();
+        let desk = Desk::default();
+        let balancer = Balancer::new(desk.clone(), clock.now(), seed, terms)?;
+        let count = terms.get("methods.count").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let method = |i: usize| terms.get(&format!("methods.{i}.name")).cloned();
+        let gauges = terms.get("load.names").map_or("", String::as_str);
+        let time = |name: &str| terms.get(name).and_then(|t| t.parse::<Time>().ok()).map(clock::duration);
+        let client = Client::new(
+            time("limits.connect_time_out").unwrap_or(CONNECT),
+            time("limits.keep_alive").unwrap_or(KEEP),
+            connections,
+        );
+        let board = Rc::new(Switchboard {
+            clock,
+            balancer: RefCell::new(balancer),
+            desk,
+            open: RefCell::default(),
+            addresses: RefCell::default(),
+            timers: Timers::default(),
+            client,
+            methods: (0..count).filter_map(method).collect(),
+            gauges: Gauges(gauges.split(',').map(str::to_owned).collect()),
+            leaving: Cell::new(false),
+            last_answers: Cell::new(false),
+        });
+        board.act();
+        Ok(board)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        !self.leaving.get() && !self.addresses.borrow().is_empty()
+    }
+
+    /// Calls the balancer, then does what it asked for. A panic in there stops at the RPC that met it.
+    pub fn decide(self: &Rc<Self>, rpc: Option<&str>, call: impl FnOnce(&mut Balancer<Desk>, Time)) {
+        let now = self.clock.now();
+        let decided = catch_unwind(AssertUnwindSafe(|| call(&mut self.balancer.borrow_mut(), now)));
+        self.act();
+        if decided.is_err() {
+            log::error!("the decisions failed{}", rpc.map_or(String::new(), |id| format!(" on RPC {id}")));
+            if let Some(id) = rpc {
+                self.give(id, Final::Errored);
+            }
+        }
+    }
+
+    fn act(self: &Rc<Self>) {
+        while let Some(act) = self.desk.next() {
+            match act {
+                Act::Transmit { rpc, upstream, time_out } => self.route(&rpc, &upstream, time_out),
+                Act::Cancel { rpc, tx } => self.stop(&rpc, tx, Outcome::Cancelled),
+                Act::Exhaust { rpc, stay_away } => {
+                    self.give(&rpc, Final::Exhausted(stay_away));
+                }
+                Act::Error { rpc } => {
+                    self.give(&rpc, Final::Errored);
+                }
+                Act::Timer { after, token } => {
+                    self.timers.set(after, Due::Token(token));
+                }
+            }
+        }
+    }
+
+    /// Tells the balancer of timers as they come due, for as long as the program runs.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            match self.timers.next().await {
+                Due::Token(token) => self.decide(None, |b, now| b.timer(now, &token)),
+                Due::Transmission { rpc, tx } => self.stop(&rpc, tx, Outcome::TimedOut),
+            }
+        }
+    }
+
+    /// Hands on what discovery told. `fresh` is false for the list that this balancer held before its start.
+    pub fn take_list(self: &Rc<Self>, list: &List, fresh: bool) {
+        {
+            let mut addresses = self.addresses.borrow_mut();
+            if list.full {
+                addresses.retain(|id, _| list.entries.iter().any(|e| e.id == **id));
+            }
+            for entry in &list.entries {
+                match (entry.state, entry.address) {
+                    (State::Ready, Some(address)) => {
+                        addresses.insert(Rc::from(entry.id.as_str()), address);
+                    }
+                    _ => {
+                        addresses.remove(entry.id.as_str());
+                    }
+                }
+            }
+        }
+        self.decide(None, |b, now| {
+            b.list_begins(now, list.full);
+            for entry in &list.entries {
+                match entry.state {
+                    State::Ready => {
+                        b.upstream_ready(&entry.id, &entry.zone, &entry.cell, entry.started_ms * 10);
+                    }
+                    State::Drains => b.upstream_drains(&entry.id),
+                    State::Gone => b.upstream_gone(&entry.id),
+                }
+            }
+            b.list_ends(fresh);
+        });
+    }
+
+    pub fn list_failed(self: &Rc<Self>) {
+        self.decide(None, |b, now| b.list_failed(now));
+    }
+}
--- /dev/null
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -0,0 +1,119 @@
+//! Calls on upstreams. Nothing here sends twice, follows a redirect or gives up by itself.
+
+use super::outbound::{Course, Reached, Seats, COURSE};
+use actix_http::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_http::{Method, ResponseHead, Uri};
+use actix_rt::net::TcpStream;
+use actix_service::fn_service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use bytes::Bytes;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A call that brought no whole answer, and how far it had come.
+#[derive(Debug)]
+pub struct Broken {
+    pub reached: Reached,
+    why: String,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({:?})", self.why, self.reached)
+    }
+}
+
+pub struct Client {
+    http: awc::Client,
+    seats: Rc<Seats>,
+    idle: Duration,
+}
+
+/// One call's parts.
+pub struct Call {
+    pub verb: Method,
+    pub uri: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Client {
+    /// `keep` is how long the other side leaves an idle connection open; it is used for less.
+    pub fn new(connect_time_out: Duration, keep: Duration, most: usize) -> Self {
+        // A call written as the other side closes ends as a reset that may have run: a fifth and a second
+        // are far more than a call takes to cross.
+        let idle = (keep * 4 / 5).min(keep.saturating_sub(Duration::from_secs(1)));
+        let seats = Rc::new(Seats::new(most));
+        let for_new = Rc::clone(&seats);
+        let connect = fn_service(move |info: ConnectInfo<Uri>| {
+            let seats = Rc::clone(&for_new);
+            async move {
+                let uri = info.request().clone();
+                let address = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
+                let stream = TcpStream::connect(address.ok_or(ConnectError::Unresolved)?).await;
+                let stream = stream.and_then(|s| s.set_nodelay(true).map(|()| s));
+                let stream = stream.and_then(|s| seats.seat(s)).map_err(ConnectError::Io)?;
+                Ok(Connection::new(uri, stream))
+            }
+        });
+        let connector = awc::Connector::new()
+            .connector(connect)
+            .timeout(connect_time_out)
+            .limit(0)
+            .conn_keep_alive(idle)
+            .conn_lifetime(Duration::from_secs(365 * 24 * 3600));
+        let http = awc::Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        Client { http, seats, idle }
+    }
+
+    pub fn sweep(&self) {
+        self.seats.sweep(self.idle);
+    }
+
+    /// The whole answer, its body no longer than `most_body`. Dropping the future closes the connection.
+    pub async fn call(
+        &self,
+        call: Call,
+        most_body: usize,
+        course: &Rc<Course>,
+    ) -> Result<(ResponseHead, Bytes), Broken> {
+        let result = COURSE.scope(Rc::clone(course), self.answer(call, most_body, course)).await;
+        course.over();
+        result.map_err(|why| Broken { reached: course.reached(), why })
+    }
+
+    async fn answer(
+        &self,
+        call: Call,
+        most_body: usize,
+        course: &Course,
+    ) -> Result<(ResponseHead, Bytes), String> {
+        let mut request = self.http.request(call.verb, call.uri).no_decompress();
+        *request.headers_mut() = call.headers;
+        let sent = if call.body.is_empty() { request.send() } else { request.send_body(call.body) };
+        let mut response = sent.await.map_err(|e| e.to_string())?;
+        let body = response.body().limit(most_body).await.map_err(|e| e.to_string())?;
+        let mut head = ResponseHead::new(response.status());
+        head.headers = response.headers().clone();
+        // The library takes a body that is cut short for a whole one. One of stated length must have it; one
+        // in chunks must not have met the end of the connection.
+        let length = head.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+        let whole = match length {
+            Some(length) => body.len() == length,
+            None => !course.cut() || !head.headers.contains_key(TRANSFER_ENCODING),
+        };
+        if whole {
+            Ok((head, body))
+        } else {
+            Err(io::Error::from(io::ErrorKind::UnexpectedEof).to_string())
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -0,0 +1,81 @@
+//! The watch on discovery: one call after another, each answer handed on.
+
+use super::client::{Call, Client};
+use super::outbound::Course;
+use crate::protocol::list::{self, List};
+use crate::protocol::names;
+use actix_http::header::HeaderMap;
+use actix_http::{Method, StatusCode};
+use bytes::Bytes;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// How long a call may wait for news. Short, since what a silent agent has to tell counts as told 2 s after.
+const WAIT: Duration = Duration::from_secs(2);
+
+/// An agent that is up answers at once after that: a little more is for a busy machine.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// After a call that brought nothing, well within the 200 ms in which a watch must go on.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// A list of some ten thousand upstreams.
+const MOST_LIST: usize = 4 << 20;
+
+pub struct Watch {
+    client: Client,
+    agent: SocketAddr,
+}
+
+impl Watch {
+    pub fn new(agent: SocketAddr) -> Self {
+        // Half a second is ages on the balancer's own machine; two connections, of which one is dying.
+        Watch { client: Client::new(Duration::from_millis(500), Duration::from_secs(10), 4), agent }
+    }
+
+    async fn ask(&self, version: Option<u64>) -> Result<List, String> {
+        let query = version.map_or(String::new(), |v| format!("?index={v}&wait={}", WAIT.as_millis()));
+        let call = Call {
+            verb: Method::GET,
+            uri: format!("http://{}{}{query}", self.agent, names::LIST_PATH),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        };
+        let course = Rc::<Course>::default();
+        let answer = timeout(WAIT + GRACE, self.client.call(call, MOST_LIST, &course)).await;
+        let (head, body) = answer.map_err(|_| "silent".to_owned())?.map_err(|broken| broken.to_string())?;
+        if head.status != StatusCode::OK {
+            return Err(format!("status {}", head.status.as_u16()));
+        }
+        let value = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
+        list::decode(&value).ok_or("not a list".to_owned())
+    }
+
+    /// Follows the list from this version on, for as long as the program runs.
+    pub async fn run(self, mut version: Option<u64>, news: impl Fn(Option<List>)) {
+        let mut failing = false;
+        loop {
+            match self.ask(version).await {
+                Ok(list) => {
+                    if failing {
+                        log::info!("discovery answers again, list {}", list.version);
+                    }
+                    failing = false;
+                    version = Some(list.version);
+                    news(Some(list));
+                }
+                Err(why) => {
+                    if !failing {
+                        log::warn!("discovery: {why}");
+                        news(None);
+                    }
+                    failing = true;
+                    actix_rt::time::sleep(PAUSE).await;
+                }
+            }
+            self.client.sweep();
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -0,0 +1,208 @@
+//! One connection to an upstream: how far a transmission on it has come, and whether it stands idle.
+
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use bytes::{Buf, BytesMut};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// How far a transmission has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reached {
+    #[default]
+    Nothing,
+    Connected,
+    /// The last byte is out: from here on it may have run.
+    Written,
+    AnswerBegun,
+}
+
+/// The course of one transmission, kept by the connection that carries it.
+#[derive(Debug, Default)]
+pub struct Course {
+    reached: Cell<Reached>,
+    /// The upstream ended the connection while it carried this transmission.
+    cut: Cell<bool>,
+    seat: RefCell<Option<Rc<Seat>>>,
+}
+
+tokio::task_local! {
+    /// The transmission that the running task makes: tells a pooled connection whom it serves.
+    pub static COURSE: Rc<Course>;
+}
+
+impl Course {
+    pub fn reached(&self) -> Reached {
+        self.reached.get()
+    }
+
+    pub fn cut(&self) -> bool {
+        self.cut.get()
+    }
+
+    /// The connection, if it is kept, stands idle from now on.
+    pub fn over(&self) {
+        if let Some(seat) = self.seat.take() {
+            seat.idle_since.set(Some(Instant::now()));
+        }
+    }
+
+    fn come_to(&self, reached: Reached) {
+        self.reached.set(self.reached.get().max(reached));
+    }
+}
+
+/// A connection's place in the table; it is closed by taking the stream out.
+#[derive(Debug)]
+struct Seat {
+    stream: RefCell<Option<TcpStream>>,
+    idle_since: Cell<Option<Instant>>,
+}
+
+/// All connections to upstreams. Emptied as they are closed.
+#[derive(Debug)]
+pub struct Seats {
+    all: RefCell<Vec<Weak<Seat>>>,
+    most: usize,
+}
+
+impl Seats {
+    pub fn new(most: usize) -> Self {
+        Seats { all: RefCell::default(), most }
+    }
+
+    /// A seat for a new connection; at the limit the longest idle one goes. None where all are busy.
+    fn make_room(&self) -> bool {
+        let mut all = self.all.borrow_mut();
+        all.retain(|seat| seat.upgrade().is_some_and(|s| s.stream.borrow().is_some()));
+        if all.len() < self.most {
+            return true;
+        }
+        let idle = all.iter().filter_map(Weak::upgrade).filter(|s| s.idle_since.get().is_some());
+        let oldest = idle.min_by_key(|s| s.idle_since.get());
+        oldest.is_some_and(|s| s.stream.take().is_some())
+    }
+
+    pub fn seat(&self, stream: TcpStream) -> io::Result<Outbound> {
+        if !self.make_room() {
+            return Err(io::Error::other("all connections are busy"));
+        }
+        let seat = Rc::new(Seat { stream: RefCell::new(Some(stream)), idle_since: Cell::new(None) });
+        self.all.borrow_mut().push(Rc::downgrade(&seat));
+        Ok(Outbound { seat, left: BytesMut::new() })
+    }
+
+    /// Closes what has stood idle for this long. The pool looks at a connection only when it wants one to
+    /// the same address: without this, what upstreams closed would hold descriptors for good.
+    pub fn sweep(&self, idle: Duration) {
+        self.all.borrow_mut().retain(|seat| {
+            let Some(seat) = seat.upgrade() else { return false };
+            if seat.idle_since.get().is_some_and(|since| since.elapsed() >= idle) {
+                seat.stream.take();
+            }
+            let held = seat.stream.borrow().is_some();
+            held
+        });
+    }
+
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.all.borrow().iter().filter(|s| s.strong_count() > 0).count()
+    }
+}
+
+/// The stream that the client library reads and writes.
+#[derive(Debug)]
+pub struct Outbound {
+    seat: Rc<Seat>,
+    /// What the socket has not taken yet. The library may stop flushing a long body before its end, so all
+    /// of it is taken here at once; flushing then writes it out.
+    left: BytesMut,
+}
+
+impl Outbound {
+    fn with<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        match self.seat.stream.borrow_mut().as_mut() {
+            Some(stream) => act(Pin::new(stream)),
+            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+        }
+    }
+
+    /// The transmission of the running task, once it has this connection.
+    fn note(&self, act: impl FnOnce(&Course)) {
+        let _ = COURSE.try_with(|course| {
+            if course.seat.borrow().as_ref().is_some_and(|seat| Rc::ptr_eq(seat, &self.seat)) {
+                act(course);
+            }
+        });
+    }
+
+    fn write_left(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.left.is_empty() {
+            let written = self.with(|stream| stream.poll_write(cx, &self.left));
+            match std::task::ready!(written)? {
+                0 => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
+                n => self.left.advance(n),
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncRead for Outbound {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = self.with(|stream| stream.poll_read(cx, buf));
+        if let Poll::Ready(result) = &read {
+            if result.is_ok() && buf.filled().len() > before {
+                self.note(|course| course.come_to(Reached::AnswerBegun));
+            } else {
+                self.note(|course| course.cut.set(true));
+            }
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Outbound {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let _ = COURSE.try_with(|course| {
+            self.seat.idle_since.set(None);
+            course.seat.replace(Some(Rc::clone(&self.seat)));
+            course.come_to(Reached::Connected);
+        });
+        if let Poll::Ready(result) = self.write_left(cx) {
+            result?;
+            let written = self.with(|stream| stream.poll_write(cx, buf));
+            let n = if let Poll::Ready(n) = written { n? } else { 0 };
+            self.left.extend_from_slice(&buf[n..]);
+        } else {
+            self.left.extend_from_slice(buf);
+        }
+        Poll::Ready(Ok(buf.len()))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(self.write_left(cx))?;
+        self.note(|course| course.come_to(Reached::Written));
+        self.with(|stream| stream.poll_flush(cx))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with(|stream| stream.poll_shutdown(cx))
+    }
+}
+
+impl ActixStream for Outbound {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        self.with(|stream| ActixStream::poll_read_ready(&*stream, cx))
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        self.with(|stream| ActixStream::poll_write_ready(&*stream, cx))
+    }
+}
--- /dev/null
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -0,0 +1,172 @@
+//! Callers' connections: accepts them, bounds them, ends them.
+
+use super::inbound::{Inbound, Visit};
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, KeepAlive, Request, Response};
+use actix_service::{fn_service, Service, ServiceFactory};
+use futures_util::future::{select, Either};
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// Connections that stand idle, or bring only part of an RPC, for this long are closed: far longer than callers
+/// pause between RPCs.
+const IDLE: Duration = Duration::from_secs(300);
+
+/// A caller that does not read its answer holds its connection this long after it was told to end.
+const LINGER: Duration = Duration::from_secs(2);
+
+pub struct Server {
+    listener: RefCell<Option<TcpListener>>,
+    /// Emptied as connections end.
+    visits: RefCell<Vec<Rc<Visit>>>,
+    most: usize,
+    left: Notify,
+    ending: Cell<bool>,
+}
+
+impl Server {
+    pub fn new(listener: TcpListener, most: usize) -> Rc<Self> {
+        Rc::new(Server {
+            listener: RefCell::new(Some(listener)),
+            visits: RefCell::default(),
+            most,
+            left: Notify::new(),
+            ending: Cell::new(false),
+        })
+    }
+
+    /// Accepts until the end; each connection is a task of its own, so that a panic ends there.
+    pub async fn run<H, F>(self: Rc<Self>, handle: H)
+    where
+        H: Fn(Request, Rc<Visit>) -> F + Clone + 'static,
+        F: Future<Output = Response<BoxBody>> + 'static,
+    {
+        let factory = HttpService::<Inbound, _, BoxBody>::build()
+            .keep_alive(KeepAlive::Os)
+            // No time-out of the library's ends an RPC or words an answer.
+            .client_request_timeout(Duration::ZERO)
+            .client_disconnect_timeout(LINGER)
+            // A caller that closes has gone away: its RPC is dropped, and with it told as abandoned.
+            .h1_allow_half_closed(false)
+            .on_connect_ext(|io: &Inbound, data| {
+                data.insert(Rc::clone(&io.visit));
+            })
+            .h1(fn_service(move |request: Request| {
+                let visit = request.conn_data::<Rc<Visit>>().map_or_else(Visit::new, Rc::clone);
+                let answer = handle(request, visit);
+                async move { Ok::<_, Infallible>(answer.await) }
+            }));
+        let Ok(service) = factory.new_service(()).await else {
+            log::error!("the server did not start");
+            return;
+        };
+        let service = Rc::new(service);
+        loop {
+            self.make_room().await;
+            let stream = std::future::poll_fn(|cx| match &*self.listener.borrow() {
+                Some(listener) => listener.poll_accept(cx).map(Some),
+                None => std::task::Poll::Ready(None),
+            });
+            match stream.await {
+                None => return,
+                Some(Ok((stream, _))) => {
+                    let (server, service) = (Rc::clone(&self), Rc::clone(&service));
+                    actix_rt::spawn(async move {
+                        let visit = server.enter();
+                        let stay = Leave { server: &server, visit: &visit };
+                        if let Some(inbound) = open(stream, &visit) {
+                            let peer = None;
+                            let mut connection = pin!(service.call((inbound, peer)));
+                            loop {
+                                let wake = pin!(visit.wake.notified());
+                                match select(connection, wake).await {
+                                    Either::Left((end, _)) => {
+                                        if let Err(why) = end {
+                                            log::debug!("connection ended: {why}");
+                                        }
+                                        break;
+                                    }
+                                    Either::Right((_, same)) => connection = same,
+                                }
+                            }
+                        }
+                        drop(stay);
+                    });
+                }
+                Some(Err(why)) => {
+                    log::warn!("accept: {why}");
+                    self.end_idlest();
+                    actix_rt::time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    }
+
+    fn enter(&self) -> Rc<Visit> {
+        let visit = Visit::new();
+        if self.ending.get() {
+            visit.end();
+        }
+        self.visits.borrow_mut().push(Rc::clone(&visit));
+        visit
+    }
+
+    /// Waits while the connections are at their most; the longest idle one goes.
+    async fn make_room(&self) {
+        while self.visits.borrow().len() >= self.most {
+            self.end_idlest();
+            self.left.notified().await;
+        }
+    }
+
+    fn end_idlest(&self) {
+        let visits = self.visits.borrow();
+        if let Some(visit) = visits.iter().filter(|v| v.is_idle()).min_by_key(|v| v.last.get()) {
+            visit.end();
+        }
+    }
+
+    pub fn sweep(&self) {
+        for visit in self.visits.borrow().iter().filter(|v| v.is_idle() && v.last.get().elapsed() > IDLE) {
+            visit.end();
+        }
+    }
+
+    /// Takes in what the machine has accepted already, then nothing new; idle connections are closed, and the
+    /// others after their answer. Returns once none is left.
+    pub async fn end(&self) {
+        self.ending.set(true);
+        // The accepting task has had its turn for all that was waiting once this one is woken again.
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        self.listener.replace(None);
+        self.visits.borrow().iter().for_each(|visit| visit.end());
+        while !self.visits.borrow().is_empty() {
+            self.left.notified().await;
+        }
+    }
+}
+
+fn open(stream: TcpStream, visit: &Rc<Visit>) -> Option<Inbound> {
+    let set: io::Result<()> = stream.set_nodelay(true);
+    set.ok().map(|()| Inbound::new(stream, Rc::clone(visit)))
+}
+
+/// Takes the connection off the table, whichever way it ends.
+struct Leave<'a> {
+    server: &'a Server,
+    visit: &'a Rc<Visit>,
+}
+
+impl Drop for Leave<'_> {
+    fn drop(&mut self) {
+        self.server.visits.borrow_mut().retain(|v| !Rc::ptr_eq(v, self.visit));
+        self.server.left.notify_one();
+    }
+}
