--- a/crates/fernroute-server/src/program/commands.rs
+++ b/crates/fernroute-server/src/program/commands.rs
@@ -61,7 +61,11 @@
         }
         Command::Check(Check { config }) => match read(config).and_then(|s| s.check().map(|()| s)) {
             Ok(station) => {
-                println!("{}: {} upstreams known", station.name, station.known.entries.len());
+                println!(
+                    "{}: {} upstreams known",
+                    station.name,
+                    station.known.map_or(0, |known| known.entries.len())
+                );
                 ExitCode::SUCCESS
             }
             Err(why) => refuse(&why),
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -17,7 +17,8 @@
     pub seed: u64,
     /// The most descriptors that the program may hold.
     pub descriptors: usize,
-    pub known: List,
+    /// The list as this balancer had it last, if it ever had one.
+    pub known: Option<List>,
     pub terms: Terms,
 }
 
@@ -63,8 +64,8 @@
             return Err(format!("limits.sockets is under {LEAST_DESCRIPTORS}"));
         }
         let known = match page.known {
-            Value::Null => List::default(),
-            known => list::decode(&known).ok_or("known is not a list of upstreams")?,
+            Value::Null => None,
+            known => Some(list::decode(&known).ok_or("known is not a list of upstreams")?),
         };
         Ok(Station {
             name: page.name,
--- a/crates/fernroute-server/src/routing/desk.rs
+++ b/crates/fernroute-server/src/routing/desk.rs
@@ -12,6 +12,7 @@
     Exhaust { rpc: Rc<str>, stay_away: Time },
     Error { rpc: Rc<str> },
     Timer { after: Time, token: String },
+    FollowList,
 }
 
 /// Emptied after each call on the balancer.
@@ -45,7 +46,7 @@
         self.note(Act::Timer { after, token: token.to_owned() });
     }
     fn follow_list(&mut self) {
-        // The watch on discovery never rests, so it is followed already.
+        self.note(Act::FollowList);
     }
     fn log(&mut self, line: &str) {
         log::info!("{line}");
--- a/crates/fernroute-server/src/routing/route.rs
+++ b/crates/fernroute-server/src/routing/route.rs
@@ -35,7 +35,10 @@
     pub(super) fn stop(&self, rpc: &str, tx: usize, why: Outcome) {
         let mut open = self.open.borrow_mut();
         if let Some(out) = open.get_mut(rpc).and_then(|entry| entry.out.remove(&tx)) {
-            self.timers.drop(&out.time_out);
+            // A timer that has come due is off the queue, and its place there may be another's by now.
+            if why != Outcome::TimedOut {
+                self.timers.drop(&out.time_out);
+            }
             // Its task may have ended this moment: then it was not stopped.
             let _ = out.stop.send(why);
         }
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -55,7 +55,12 @@
             Ok(Ok((head, body))) => Ok(Answer::decode(&head, body, &self.gauges)),
             Ok(Err(broken)) => {
                 log::debug!("RPC {} at {address}: {broken}", request.id);
-                Err(if broken.reached < Reached::Written { Outcome::ConnectFailed } else { Outcome::Reset })
+                Err(match broken.reached {
+                    // For want of connections here: that says nothing of the upstream.
+                    Reached::Nothing if course.held_back() => Outcome::Moot,
+                    Reached::Nothing | Reached::Connected => Outcome::ConnectFailed,
+                    Reached::Written | Reached::AnswerBegun => Outcome::Reset,
+                })
             }
             // Given up before its last byte was out: the upstream can't have begun it.
             Err(_) if course.reached() < Reached::Written => Err(Outcome::ConnectFailed),
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -15,7 +15,7 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
 use tokio_util::time::delay_queue::Key;
 
 /// One transmission that is out: how to end it, and the timer that will.
@@ -43,6 +43,8 @@
     /// Where upstreams listen. Emptied by the list.
     pub addresses: RefCell<BTreeMap<Rc<str>, SocketAddr>>,
     pub timers: Timers,
+    /// The decisions ask for a watch on the list.
+    pub follow: Rc<Notify>,
     pub client: Client,
     pub methods: Vec<String>,
     pub gauges: Gauges,
@@ -77,6 +79,7 @@
             open: RefCell::default(),
             addresses: RefCell::default(),
             timers: Timers::default(),
+            follow: Rc::default(),
             client,
             methods: (0..count).filter_map(method).collect(),
             gauges: Gauges(gauges.split(',').map(str::to_owned).collect()),
@@ -118,6 +121,7 @@
                 Act::Timer { after, token } => {
                     self.timers.set(after, Due::Token(token));
                 }
+                Act::FollowList => self.follow.notify_one(),
             }
         }
     }
--- a/crates/fernroute-server/src/routing/timers.rs
+++ b/crates/fernroute-server/src/routing/timers.rs
@@ -28,7 +28,7 @@
         self.0.borrow_mut().insert(due, clock::duration(after))
     }
 
-    /// One that has come due already is no longer there.
+    /// For one that has not come due.
     pub fn drop(&self, key: &Key) {
         self.0.borrow_mut().try_remove(key);
     }
--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -3,7 +3,6 @@
 use super::outbound::{Course, Reached, Seats, COURSE};
 use actix_http::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{Method, ResponseHead, Uri};
-use actix_rt::net::TcpStream;
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use bytes::Bytes;
@@ -53,10 +52,8 @@
             async move {
                 let uri = info.request().clone();
                 let address = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
-                let stream = TcpStream::connect(address.ok_or(ConnectError::Unresolved)?).await;
-                let stream = stream.and_then(|s| s.set_nodelay(true).map(|()| s));
-                let stream = stream.and_then(|s| seats.seat(s)).map_err(ConnectError::Io)?;
-                Ok(Connection::new(uri, stream))
+                let stream = seats.connect(address.ok_or(ConnectError::Unresolved)?).await;
+                Ok(Connection::new(uri, stream.map_err(ConnectError::Io)?))
             }
         });
         let connector = awc::Connector::new()
--- a/crates/fernroute-server/src/transport/discovery.rs
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -7,9 +7,11 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Method, StatusCode};
 use bytes::Bytes;
+use futures_util::FutureExt as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 /// How long a call may wait for news. Short, since what a silent agent has to tell counts as told 2 s after.
@@ -18,7 +20,8 @@
 /// An agent that is up answers at once after that: a little more is for a busy machine.
 const GRACE: Duration = Duration::from_secs(1);
 
-/// After a call that brought nothing, well within the 200 ms in which a watch must go on.
+/// After a call that brought nothing, where news come unasked: well within the 200 ms in which a watch must
+/// go on.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// A list of some ten thousand upstreams.
@@ -53,29 +56,41 @@
         list::decode(&value).ok_or("not a list".to_owned())
     }
 
-    /// Follows the list from this version on, for as long as the program runs.
-    pub async fn run(self, mut version: Option<u64>, news: impl Fn(Option<List>)) {
+    /// Follows the list from this version on, for as long as the program runs. Where discovery answers only
+    /// those who ask, each watch waits for `begin`: it is the decisions' to say when. Guards against a fleet
+    /// that all asks at once, is turned away, and asks again at once.
+    pub async fn run(self, mut version: Option<u64>, begin: Option<Rc<Notify>>, news: impl Fn(Option<List>)) {
         let mut failing = false;
         loop {
-            match self.ask(version).await {
-                Ok(list) => {
-                    if failing {
-                        log::info!("discovery answers again, list {}", list.version);
+            if let Some(begin) = &begin {
+                begin.notified().await;
+            }
+            loop {
+                match self.ask(version).await {
+                    Ok(list) => {
+                        if failing {
+                            log::info!("discovery answers again, list {}", list.version);
+                        }
+                        failing = false;
+                        version = Some(list.version);
+                        news(Some(list));
+                        self.client.sweep();
                     }
-                    failing = false;
-                    version = Some(list.version);
-                    news(Some(list));
-                }
-                Err(why) => {
-                    if !failing {
-                        log::warn!("discovery: {why}");
-                        news(None);
+                    Err(why) => {
+                        if !failing {
+                            log::warn!("discovery: {why}");
+                        }
+                        failing = true;
+                        break;
                     }
-                    failing = true;
-                    actix_rt::time::sleep(PAUSE).await;
                 }
             }
-            self.client.sweep();
+            match &begin {
+                // What was asked for while the watch was on has been had.
+                Some(begin) => drop(begin.notified().now_or_never()),
+                None => actix_rt::time::sleep(PAUSE).await,
+            }
+            news(None);
         }
     }
 }
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -4,6 +4,7 @@
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
@@ -27,6 +28,8 @@
     reached: Cell<Reached>,
     /// The upstream ended the connection while it carried this transmission.
     cut: Cell<bool>,
+    /// It never left, for want of connections here.
+    held_back: Cell<bool>,
     seat: RefCell<Option<Rc<Seat>>>,
 }
 
@@ -44,6 +47,10 @@
         self.cut.get()
     }
 
+    pub fn held_back(&self) -> bool {
+        self.held_back.get()
+    }
+
     /// The connection, if it is kept, stands idle from now on.
     pub fn over(&self) {
         if let Some(seat) = self.seat.take() {
@@ -67,19 +74,44 @@
 #[derive(Debug)]
 pub struct Seats {
     all: RefCell<Vec<Weak<Seat>>>,
+    /// How many are being made.
+    coming: Cell<usize>,
     most: usize,
 }
 
 impl Seats {
     pub fn new(most: usize) -> Self {
-        Seats { all: RefCell::default(), most }
+        Seats { all: RefCell::default(), coming: Cell::new(0), most }
+    }
+
+    /// Connects, if there is room; at the limit the longest idle connection goes.
+    pub async fn connect(&self, address: SocketAddr) -> io::Result<Outbound> {
+        /// No descriptors left in this process or on this machine, no local port left.
+        const OURS: [i32; 3] = [23, 24, 99];
+        let hold_back = || COURSE.try_with(|course| course.held_back.set(true));
+        if !self.make_room() {
+            let _ = hold_back();
+            return Err(io::Error::other("all connections are busy"));
+        }
+        self.coming.set(self.coming.get() + 1);
+        let coming = Coming(&self.coming);
+        let stream = TcpStream::connect(address).await;
+        drop(coming);
+        let stream = stream.inspect_err(|why| {
+            if why.raw_os_error().is_some_and(|code| OURS.contains(&code)) {
+                let _ = hold_back();
+            }
+        })?;
+        stream.set_nodelay(true)?;
+        let seat = Rc::new(Seat { stream: RefCell::new(Some(stream)), idle_since: Cell::new(None) });
+        self.all.borrow_mut().push(Rc::downgrade(&seat));
+        Ok(Outbound { seat, left: BytesMut::new() })
     }
 
-    /// A seat for a new connection; at the limit the longest idle one goes. None where all are busy.
     fn make_room(&self) -> bool {
         let mut all = self.all.borrow_mut();
         all.retain(|seat| seat.upgrade().is_some_and(|s| s.stream.borrow().is_some()));
-        if all.len() < self.most {
+        if all.len() + self.coming.get() < self.most {
             return true;
         }
         let idle = all.iter().filter_map(Weak::upgrade).filter(|s| s.idle_since.get().is_some());
@@ -87,15 +119,6 @@
         oldest.is_some_and(|s| s.stream.take().is_some())
     }
 
-    pub fn seat(&self, stream: TcpStream) -> io::Result<Outbound> {
-        if !self.make_room() {
-            return Err(io::Error::other("all connections are busy"));
-        }
-        let seat = Rc::new(Seat { stream: RefCell::new(Some(stream)), idle_since: Cell::new(None) });
-        self.all.borrow_mut().push(Rc::downgrade(&seat));
-        Ok(Outbound { seat, left: BytesMut::new() })
-    }
-
     /// Closes what has stood idle for this long. The pool looks at a connection only when it wants one to
     /// the same address: without this, what upstreams closed would hold descriptors for good.
     pub fn sweep(&self, idle: Duration) {
@@ -108,10 +131,14 @@
             held
         });
     }
+}
+
+/// Counts a connection that is being made, until it is made or given up.
+struct Coming<'a>(&'a Cell<usize>);
 
-    #[must_use]
-    pub fn count(&self) -> usize {
-        self.all.borrow().iter().filter(|s| s.strong_count() > 0).count()
+impl Drop for Coming<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
     }
 }
 
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -167,6 +167,6 @@
 impl Drop for Leave<'_> {
     fn drop(&mut self) {
         self.server.visits.borrow_mut().retain(|v| !Rc::ptr_eq(v, self.visit));
-        self.server.left.notify_one();
+        self.server.left.notify_waiters();
     }
 }
--- /dev/null
+++ b/crates/fernroute-server/tests/program.rs
@@ -0,0 +1,152 @@
+//! Starting, following the list, and ending.
+
+mod common;
+
+use common::{ask, balancer, connect, ok, read, rpc, run, stand_in, station, until, Deed};
+use fernroute_server::program::{serve, shutdown};
+use fernroute_server::protocol::load::{self, Gauges};
+use std::process::Command;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const READY: &str = "GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n";
+
+fn list(version: u64, full: bool, entries: &str) -> Deed {
+    ok(&format!(r#"{{"version":{version},"full":{full},"servers":[{entries}]}}"#))
+}
+
+#[test]
+fn follows_the_list_through_half_answers_and_bad_entries() {
+    run(async {
+        let up = stand_in(|_, _| ok("whole")).await;
+        let address = up.address;
+        let entry = move |id: &str, state: &str| {
+            format!(
+                r#"{{"id":"{id}","addr":"{address}","zone":"z","cell":1,"state":"{state}","started_ms":0}}"#
+            )
+        };
+        let discovery = stand_in(move |n, _| match n {
+            0 => Deed::SayAndClose(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"version\":8".to_vec()),
+            1 => ok("{}"),
+            2 => {
+                let bad = r#"{"id":"s-8","state":"SERVING","addr":"nowhere"},5,"#;
+                list(8, true, &format!("{bad}{}", entry("s-9", "SERVING")))
+            }
+            3 => list(9, false, ""),
+            4 => list(10, false, &entry("s-9", "DRAINING")),
+            _ => Deed::Silence,
+        })
+        .await;
+        let b = serve::start(station(&[], discovery.address, &[])).await.expect("it starts");
+        assert_eq!(ask(b.address, READY).await.status(), 503);
+        until(|| discovery.seen.borrow().len() == 6).await;
+        let first = |n: usize| discovery.seen.borrow()[n].head.lines().next().map(str::to_owned);
+        for (n, version) in [7, 7, 7, 8, 9, 10].iter().enumerate() {
+            let line = first(n).expect("a first line");
+            assert!(line.starts_with(&format!("GET /api/targets?index={version}&wait=")), "{line}");
+        }
+        // It drains: nothing is sent, and there is nothing to be ready with.
+        assert_eq!(ask(b.address, READY).await.status(), 503);
+        let bytes = rpc("POST", "/pay", "Content-Length: 0\r\n").replace("4000", "300");
+        assert_eq!(ask(b.address, bytes).await.status(), 503);
+        assert!(up.seen.borrow().is_empty());
+    });
+}
+
+/// Guards against a fleet whose balancers, turned away by discovery, ask on and on.
+#[test]
+fn asks_when_the_decisions_say_so() {
+    run(async {
+        let discovery = stand_in(|n, _| match n {
+            0 => common::say("503 No"),
+            1 => list(8, true, ""),
+            _ => Deed::Silence,
+        })
+        .await;
+        let ask = [
+            ("\"membership-mode\":\"automatic\"", "\"membership-mode\":\"subscribe\""),
+            ("\"cold-from\"", "\"must-ask-in-s\":4,\"cold-from\""),
+        ];
+        // The decisions wait for up to a twentieth of the four seconds at the start, a tenth after a failure.
+        let from = Instant::now();
+        let b = serve::start(station(&[], discovery.address, &ask)).await.expect("it starts");
+        until(|| discovery.seen.borrow().len() == 3).await;
+        assert!(from.elapsed() >= Duration::from_millis(300), "{:?}", from.elapsed());
+        drop(b);
+    });
+}
+
+#[test]
+fn starts_from_the_list_it_knew() {
+    run(async {
+        let up = stand_in(|_, _| ok("whole")).await;
+        let b = balancer(&[&up], &[]).await;
+        assert_eq!(ask(b.address, READY).await.status(), 200);
+        assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.status(), 200);
+    });
+}
+
+/// Told to stop: still answers who comes, ends what is idle, and loses nothing that it has taken.
+#[test]
+fn ends_when_all_is_answered() {
+    run(async {
+        let up = stand_in(|n, _| if n == 0 { Deed::Silence } else { ok("whole") }).await;
+        let b = balancer(&[&up], &[]).await;
+        let (mut idle, mut busy) = (connect(b.address).await, connect(b.address).await);
+        busy.write_all(rpc("GET", "/look", "").replace("4000", "1500").as_bytes()).await.expect("it reads");
+        until(|| up.seen.borrow().len() == 1).await;
+        let (board, server) = (b.board.clone(), b.server.clone());
+        let end = actix_rt::spawn(async move { shutdown::leave(&board, &server).await });
+        until(|| b.board.leaving.get()).await;
+        assert_eq!(ask(b.address, READY).await.status(), 503);
+        let late = ask(b.address, rpc("GET", "/look", "")).await;
+        assert!(late.status() == 200 && late.header("connection").is_none(), "{}", late.head);
+        assert_eq!(idle.read(&mut [0; 1]).await.expect("an orderly end"), 0);
+        let last = read(&mut busy).await.expect("an answer");
+        assert_eq!((last.status(), last.header("connection")), (503, Some("close")));
+        end.await.expect("it ends");
+        assert!(TcpStream::connect(b.address).await.is_err());
+    });
+}
+
+#[test]
+fn load_reports_are_read_by_name() {
+    let gauges = Gauges(vec!["service_time".to_owned(), "errors".to_owned(), "utilisation".to_owned()]);
+    let loads = load::decode("inflight=7, util=0.61,latency_ms=much,queue,eps=2", &gauges);
+    assert!(loads[0].is_nan());
+    assert_eq!(&loads[1..], [2.0, 0.61]);
+}
+
+#[test]
+fn bad_use_is_one_line_and_exit_code_2() {
+    let run = |words: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fernroute"));
+        command.args(words).env_remove("NODE_CONFIG").output().expect("it runs")
+    };
+    let folder = std::env::temp_dir().join(format!("fernroute-test-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = |name: &str, text: &str| {
+        let path = folder.join(name);
+        std::fs::write(&path, text).expect("a file");
+        path.to_str().expect("a path").to_owned()
+    };
+    let start = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":"#;
+    let (empty, words) = (file("empty", ""), file("words", "not\nJSON"));
+    let bare = file("bare", &format!("{start}{{}}}}"));
+    let missing = folder.join("missing").to_str().expect("a path").to_owned();
+    for path in [&empty, &words, &bare, &missing] {
+        for command in ["serve", "check"] {
+            let out = run(&[command, "--config", path]);
+            let text = String::from_utf8_lossy(&out.stderr).into_owned();
+            assert_eq!((out.status.code(), text.lines().count()), (Some(2), 1), "{command} {path}: {text}");
+        }
+    }
+    for words in [&["serve"][..], &["fly"][..], &[][..]] {
+        let out = run(words);
+        assert_eq!((out.status.code(), out.stderr.iter().filter(|b| **b == b'\n').count()), (Some(2), 1));
+    }
+    let out = run(&["version"]);
+    assert!(out.status.success() && out.stdout.starts_with(b"fernroute "));
+    std::fs::remove_dir_all(folder).expect("it was there");
+}
--- /dev/null
+++ b/crates/fernroute-server/tests/relay.rs
@@ -0,0 +1,299 @@
+//! An RPC's way through the balancer, between stand-ins on loopback.
+
+mod common;
+
+use common::{ask, balancer, connect, ok, read, rpc, run, say, stand_in, until, Deed};
+use fernroute_server::protocol::answer::Final;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket};
+
+#[test]
+fn passes_on_what_belongs_to_both_ends_and_nothing_else() {
+    run(async {
+        let up = stand_in(|_, _| {
+            let text = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-Answer: kept\r\nSrv-Load: util=0.5\r\n\
+                Connection: x-hop\r\nX-Hop: 1\r\n\r\n\0\u{7f}\n";
+            Deed::Say(text.as_bytes().to_vec())
+        });
+        let up = up.await;
+        let b = balancer(&[&up], &[]).await;
+        let more = "Idempotency-Key: k1\r\nX-Call: kept\r\nConnection: x-drop, keep-alive\r\nX-Drop: 1\r\n\
+            Content-Length: 4\r\n";
+        let mut bytes = rpc("POST", "/put/a%20b?c=d&e", more).into_bytes();
+        bytes.extend_from_slice(b"\0\r\n\xff");
+        let answer = ask(b.address, bytes).await;
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"\0\x7f\n".as_slice()));
+        assert_eq!(answer.header("x-answer"), Some("kept"));
+        assert!(answer.header("x-hop").is_none() && answer.header("srv-load").is_none(), "{}", answer.head);
+        let seen = up.seen.borrow();
+        assert!(seen[0].head.starts_with("POST /put/a%20b?c=d&e HTTP/1.1\r\n"), "{}", seen[0].head);
+        assert_eq!(seen[0].body, b"\0\r\n\xff");
+        for (name, value) in [("idempotency-key", "k1"), ("x-call", "kept"), ("req-kind", "put")] {
+            assert_eq!(seen[0].header(name), Some(value));
+        }
+        assert!(seen[0].header("x-drop").is_none(), "{}", seen[0].head);
+        let left: u64 = seen[0].header("req-deadline-ms").and_then(|v| v.parse().ok()).expect("a deadline");
+        assert!((3000..=4000).contains(&left), "{left}");
+    });
+}
+
+/// Guards against a long body that the client library stops writing before its end, and against a limit that
+/// is a byte off: chunked in, sized out, to an upstream that reads late.
+#[test]
+fn the_longest_body_goes_both_ways() {
+    run(async {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("a small buffer");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let listener = socket.listen(8).expect("it listens");
+        let address = listener.local_addr().expect("an address");
+        actix_rt::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                actix_rt::time::sleep(Duration::from_millis(100)).await;
+                let message = read(&mut stream).await.expect("a whole message");
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", message.body.len());
+                let _ = stream.write_all(&[head.as_bytes(), &message.body].concat()).await;
+            }
+        });
+        let discovery = stand_in(|_, _| Deed::Silence).await;
+        let station = common::station(&[address], discovery.address, &[]);
+        let b = fernroute_server::program::serve::start(station).await.expect("it starts");
+        let body: Vec<u8> = (0..64 * 1024).map(|i| (i % 251) as u8).collect();
+        let mut bytes = rpc("POST", "/pay", "Transfer-Encoding: chunked\r\n").into_bytes();
+        for part in body.chunks(10_000) {
+            bytes.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+            bytes.extend_from_slice(part);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"0\r\n\r\n");
+        let answer = ask(b.address, bytes).await;
+        assert_eq!(answer.status(), 200);
+        assert!(answer.body == body, "{} bytes came back", answer.body.len());
+    });
+}
+
+#[test]
+fn what_is_no_rpc_is_told_so_and_reaches_no_upstream() {
+    run(async {
+        let up = stand_in(|_, _| ok("never")).await;
+        let b = balancer(&[&up], &[]).await;
+        let good = rpc("GET", "/look", "");
+        let cases = [
+            (rpc("GET", "/nowhere", ""), 404),
+            (rpc("GET", "/-/healthy", ""), 404),
+            (good.replace("Req-Id", "Other"), 400),
+            (good.replace("Req-Id: r", "Req-Id: r r"), 400),
+            (good.replace("Req-Kind: look", "Req-Kind: pay"), 400),
+            (good.replace("Req-Kind", "Other"), 400),
+            (good.replace("Req-Deadline-Ms", "Other"), 400),
+            (good.replace("Ms: 4000", "Ms: soon"), 400),
+            (good.replace("Ms: 4000", "Ms: -1"), 400),
+            (rpc("DELETE", "/look", ""), 405),
+            (rpc("POST", "/pay", "Content-Length: 65537\r\n"), 413),
+        ];
+        for (bytes, status) in cases {
+            assert_eq!(ask(b.address, &bytes).await.status(), status, "{bytes}");
+        }
+        let chunks = format!("{:x}\r\n{}\r\n0\r\n\r\n", 65537, "x".repeat(65537));
+        let bytes = rpc("POST", "/pay", "Transfer-Encoding: chunked\r\n") + &chunks;
+        assert_eq!(ask(b.address, &bytes).await.status(), 413);
+        assert!(up.seen.borrow().is_empty() && b.board.open.borrow().is_empty());
+    });
+}
+
+type ToDeed = fn(Vec<u8>) -> Deed;
+
+/// What may have run is not sent again, and is no exhaustion; what never ran is sent again.
+#[test]
+fn outcomes_of_a_non_retriable_rpc() {
+    run(async {
+        let raw = |text: &str| text.as_bytes().to_vec();
+        let declined =
+            |status: &str| raw(&format!("HTTP/1.1 {status}\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"));
+        let cases: Vec<(ToDeed, Vec<u8>, u16, usize)> = vec![
+            (Deed::Say, declined("503 No"), 200, 2),
+            (Deed::Say, declined("504 No"), 200, 2),
+            (Deed::Say, raw("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), 502, 1),
+            (Deed::Say, raw("HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n"), 502, 1),
+            (Deed::Say, raw("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), 502, 1),
+            (Deed::Say, raw("HTTP/1.1 307 No\r\nLocation: /look\r\nContent-Length: 0\r\n\r\n"), 502, 1),
+            (Deed::Say, raw("no HTTP at all\r\n\r\n"), 502, 1),
+            (Deed::SayAndClose, raw(""), 502, 1),
+            (Deed::SayAndClose, raw("HTTP/1.1 200 OK\r\nContent-Le"), 502, 1),
+            (Deed::SayAndClose, raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), 502, 1),
+            (
+                Deed::SayAndClose,
+                raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+                502,
+                1,
+            ),
+        ];
+        for (deed, bytes, status, sent) in cases {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            let turn = Rc::new(Cell::new(0));
+            let script = move || {
+                let (turn, bytes) = (Rc::clone(&turn), bytes.clone());
+                move |_: usize, _: &common::Message| {
+                    turn.set(turn.get() + 1);
+                    if turn.get() == 1 {
+                        deed(bytes.clone())
+                    } else {
+                        ok("whole")
+                    }
+                }
+            };
+            let (one, two) = (stand_in(script()).await, stand_in(script()).await);
+            let b = balancer(&[&one, &two], &[]).await;
+            let answer = ask(b.address, rpc("POST", "/pay", "Content-Length: 0\r\n")).await;
+            assert_eq!(answer.status(), status, "{text}");
+            assert_eq!(one.seen.borrow().len() + two.seen.borrow().len(), sent, "{text}");
+        }
+    });
+}
+
+#[test]
+fn a_refused_connection_never_ran() {
+    run(async {
+        let up = stand_in(|_, _| ok("whole")).await;
+        let shut = TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("an address");
+        let discovery = stand_in(|_, _| Deed::Silence).await;
+        let station = common::station(&[shut, up.address], discovery.address, &[]);
+        let b = fernroute_server::program::serve::start(station).await.expect("it starts");
+        for _ in 0..8 {
+            assert_eq!(ask(b.address, rpc("POST", "/pay", "Content-Length: 0\r\n")).await.status(), 200);
+        }
+    });
+}
+
+#[test]
+fn a_silent_upstream_costs_the_deadline_and_its_connection() {
+    run(async {
+        let up = stand_in(|_, _| Deed::Silence).await;
+        let b = balancer(&[&up], &[]).await;
+        let from = Instant::now();
+        let bytes = rpc("POST", "/pay", "Content-Length: 0\r\n").replace("4000", "300");
+        assert_eq!(ask(b.address, bytes).await.status(), 502);
+        assert!(from.elapsed() >= Duration::from_millis(295), "{:?}", from.elapsed());
+        until(|| up.left.get() == 1).await;
+        assert!(b.board.open.borrow().is_empty());
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_ends_its_transmission() {
+    run(async {
+        let up = stand_in(|_, _| Deed::Silence).await;
+        let b = balancer(&[&up], &[]).await;
+        let mut stream = connect(b.address).await;
+        stream.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
+        until(|| up.seen.borrow().len() == 1).await;
+        drop(stream);
+        until(|| up.left.get() == 1).await;
+        until(|| b.board.open.borrow().is_empty()).await;
+    });
+}
+
+/// Guards against RPCs that end as a reset because the upstream closes as they are written.
+#[test]
+fn connections_are_kept_but_not_until_the_other_side_closes_them() {
+    run(async {
+        let up = stand_in(|_, _| ok("whole")).await;
+        let b = balancer(&[&up], &[("\"keepalive-s\":30.0", "\"keepalive-s\":1.2")]).await;
+        for _ in 0..2 {
+            ask(b.address, rpc("GET", "/look", "")).await;
+        }
+        assert_eq!(up.connections.get(), 1);
+        // Swept, or passed over by the next call: either way it is not used again.
+        actix_rt::time::sleep(Duration::from_millis(250)).await;
+        ask(b.address, rpc("GET", "/look", "")).await;
+        assert_eq!(up.connections.get(), 2);
+        until(|| up.left.get() >= 1).await;
+    });
+}
+
+#[test]
+fn idle_callers_make_room_for_new_ones() {
+    run(async {
+        let up = stand_in(|_, _| ok("whole")).await;
+        let b = balancer(&[&up], &[("\"sockets\":1024", "\"sockets\":64")]).await;
+        let mut idle = Vec::new();
+        for _ in 0..30 {
+            let mut stream = connect(b.address).await;
+            stream.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
+            assert_eq!(read(&mut stream).await.expect("an answer").status(), 200);
+            idle.push(stream);
+        }
+        // The first to come stood idle for the longest.
+        assert_eq!(idle[0].read(&mut [0; 1]).await.expect("an orderly end"), 0);
+    });
+}
+
+/// All connections busy is no fault of the upstream: the RPC never left.
+#[test]
+fn too_few_connections_exhaust_and_open_no_breaker() {
+    run(async {
+        let up = stand_in(|n, _| if n < 12 { Deed::Silence } else { ok("whole") }).await;
+        let b = balancer(&[&up], &[("\"sockets\":1024", "\"sockets\":64")]).await;
+        let mut waiting = Vec::new();
+        for n in 0..12 {
+            let mut stream = connect(b.address).await;
+            stream.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
+            until(|| up.seen.borrow().len() > n).await;
+            waiting.push(stream);
+        }
+        for _ in 0..4 {
+            let answer = ask(b.address, rpc("POST", "/pay", "Content-Length: 0\r\n")).await;
+            assert_eq!(answer.status(), 503);
+        }
+        waiting.clear();
+        until(|| up.left.get() == 12).await;
+        assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.status(), 200);
+    });
+}
+
+#[test]
+fn a_panic_in_the_decisions_costs_one_rpc() {
+    run(async {
+        let up = stand_in(|n, _| if n == 0 { Deed::Silence } else { ok("whole") }).await;
+        let b = balancer(&[&up], &[]).await;
+        let mut stream = connect(b.address).await;
+        stream.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
+        until(|| up.seen.borrow().len() == 1).await;
+        let id = b.board.open.borrow().keys().next().cloned().expect("it is open");
+        b.board.decide(Some(&id), |_, _| panic!("on purpose"));
+        assert_eq!(read(&mut stream).await.expect("an answer").status(), 502);
+        assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.status(), 200);
+    });
+}
+
+#[test]
+fn an_id_in_use_is_no_new_rpc() {
+    run(async {
+        let up = stand_in(|_, _| Deed::Silence).await;
+        let b = balancer(&[&up], &[]).await;
+        let bytes = rpc("GET", "/look", "");
+        let mut first = connect(b.address).await;
+        first.write_all(bytes.as_bytes()).await.expect("it reads");
+        until(|| up.seen.borrow().len() == 1).await;
+        assert_eq!(ask(b.address, &bytes).await.status(), 400);
+        assert_eq!(b.board.open.borrow().len(), 1);
+    });
+}
+
+#[test]
+fn exhaustion_says_when_to_come_back() {
+    let answer = Final::Exhausted(12_345).encode();
+    assert_eq!(answer.status().as_u16(), 503);
+    assert_eq!(answer.headers().get("retry-after").and_then(|v| v.to_str().ok()), Some("1.2345"));
+    run(async {
+        let up = stand_in(|_, _| say("500 No")).await;
+        let b = balancer(&[&up], &[("\"max-transmissions\":3", "\"max-transmissions\":1")]).await;
+        let answer = ask(b.address, rpc("GET", "/look", "")).await;
+        assert_eq!(answer.status(), 503);
+        let wait: f64 = answer.header("retry-after").and_then(|v| v.parse().ok()).expect("a wait");
+        assert!(wait > 0.0 && wait <= 2.0, "{wait}");
+    });
+}
