A transmission given up closes its connection whoever still knows of it

Reread: the course of a transmission holds the connection's seat, and with it the socket, until it is dropped itself. It was dropped right after the call, so nothing was seen to go wrong; now the stream's own end closes the socket. An empty POST says so by its length.

--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -93,9 +93,11 @@
         most_body: usize,
         course: &Course,
     ) -> Result<(ResponseHead, Bytes), String> {
-        let mut request = self.http.request(call.verb, call.uri).no_decompress();
+        let mut request = self.http.request(call.verb.clone(), call.uri).no_decompress();
+        // No body at all, or one of stated length, be it none.
+        let bare = call.verb == Method::GET && call.body.is_empty();
         *request.headers_mut() = call.headers;
-        let sent = if call.body.is_empty() { request.send() } else { request.send_body(call.body) };
+        let sent = if bare { request.send() } else { request.send_body(call.body) };
         let mut response = sent.await.map_err(|e| e.to_string())?;
         let body = response.body().limit(most_body).await.map_err(|e| e.to_string())?;
         let mut head = ResponseHead::new(response.status());
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -180,6 +180,13 @@
     }
 }
 
+/// Whoever else still knows of the connection, it is closed: a transmission that is given up must end there.
+impl Drop for Outbound {
+    fn drop(&mut self) {
+        self.seat.stream.take();
+    }
+}
+
 impl AsyncRead for Outbound {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
--- a/crates/fernroute-terms/src/lib.rs
+++ b/crates/fernroute-terms/src/lib.rs
@@ -28,7 +28,6 @@
     ("ceilings.max-transmissions", "limits.max_transmissions", Form::Plain),
     ("ceilings.cancel", "limits.cancel", Form::Plain),
     ("ceilings.retry-after", "limits.stay_away", Form::Plain),
-    ("ceilings.max-open", "limits.max_open", Form::Plain),
     ("ceilings.connect-timeout-s", "limits.connect_time_out", Form::Seconds),
     ("ceilings.keepalive-s", "limits.keep_alive", Form::Seconds),
     ("ceilings.max-retry-after-s", "limits.max_stay_away", Form::Seconds),
