--- a/crates/fernroute-server/tests/common/mod.rs
+++ b/crates/fernroute-server/tests/common/mod.rs
@@ -108,7 +108,7 @@
 }
 
 /// A deployment of the tests' own: a method of each kind, and whatever `changes` puts in place of a text.
-pub fn station(upstreams: &[SocketAddr], discovery: SocketAddr, changes: &[(&str, &str)]) -> Station {
+pub fn page(upstreams: &[SocketAddr], discovery: SocketAddr, changes: &[(&str, &str)]) -> String {
     let entry = |(n, a): (usize, &SocketAddr)| {
         format!(r#"{{"id":"s-{n}","addr":"{a}","zone":"z","cell":0,"state":"SERVING","started_ms":0}}"#)
     };
@@ -138,7 +138,11 @@
         assert!(text.contains(old), "{old}");
         text = text.replace(old, new);
     }
-    Station::decode(&text).expect("the file is whole")
+    text
+}
+
+pub fn station(upstreams: &[SocketAddr], discovery: SocketAddr, changes: &[(&str, &str)]) -> Station {
+    Station::decode(&page(upstreams, discovery, changes)).expect("the file is whole")
 }
 
 /// A balancer before these upstreams, with discovery silent.
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -5,7 +5,8 @@
 use common::{ask, balancer, connect, ok, read, rpc, run, stand_in, station, until, Deed};
 use fernroute_server::program::{serve, shutdown};
 use fernroute_server::protocol::load::{self, Gauges};
-use std::process::Command;
+use std::io::{BufRead as _, BufReader};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -110,6 +111,42 @@
     });
 }
 
+/// The program itself: its address from its log, its end by a signal.
+#[test]
+fn a_signal_ends_it_with_code_0() {
+    run(async {
+        let up = stand_in(|_, _| ok("whole")).await;
+        let path = std::env::temp_dir().join(format!("fernroute-signal-{}.json", std::process::id()));
+        std::fs::write(&path, common::page(&[up.address], up.address, &[])).expect("a file");
+        let mut program = Command::new(env!("CARGO_BIN_EXE_fernroute"))
+            .args(["serve", "--config"])
+            .arg(&path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let mut lines = BufReader::new(program.stderr.take().expect("its log")).lines();
+        let serving = lines.find_map(|line| Some(line.ok()?.split_once("serving on ")?.1.to_owned()));
+        let address = serving.and_then(|l| l.split_once(',')?.0.parse().ok()).expect("its address");
+        let mut kept = connect(address).await;
+        for n in 0..2 {
+            kept.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
+            assert_eq!(read(&mut kept).await.expect("an answer").status(), 200);
+            if n == 0 {
+                let id = program.id().to_string();
+                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("a signal").success());
+            }
+        }
+        let mut code = None;
+        until(|| {
+            code = program.try_wait().expect("its state");
+            code.is_some()
+        })
+        .await;
+        assert!(code.is_some_and(|code| code.success()), "{code:?}");
+        std::fs::remove_file(path).expect("it was there");
+    });
+}
+
 #[test]
 fn load_reports_are_read_by_name() {
     let gauges = Gauges(vec!["service_time".to_owned(), "errors".to_owned(), "utilisation".to_owned()]);
