--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -7,6 +7,7 @@
 use fernroute_server::protocol::load::{self, Gauges};
 use std::io::{BufRead as _, BufReader};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -147,6 +148,47 @@
     });
 }
 
+/// Counts the breakers that open; no other test in this file opens any.
+struct Openings(AtomicUsize);
+
+static OPENINGS: Openings = Openings(AtomicUsize::new(0));
+
+impl log::Log for Openings {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+    fn log(&self, record: &log::Record<'_>) {
+        self.0.fetch_add(usize::from(record.args().to_string().contains("-> Open")), Ordering::Relaxed);
+    }
+    fn flush(&self) {}
+}
+
+/// All connections busy is no fault of the upstream: the RPC never left.
+#[test]
+fn too_few_connections_exhaust_and_open_no_breaker() {
+    log::set_logger(&OPENINGS).expect("the only logger");
+    log::set_max_level(log::LevelFilter::Info);
+    run(async {
+        let up = stand_in(|n, _| if n < 12 { Deed::Silence } else { ok("whole") }).await;
+        let b = balancer(&[&up, &up, &up, &up], &[("\"sockets\":1024", "\"sockets\":64")]).await;
+        let mut waiting = Vec::new();
+        for n in 0..12 {
+            let mut stream = connect(b.address).await;
+            stream.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
+            until(|| up.seen.borrow().len() > n).await;
+            waiting.push(stream);
+        }
+        for _ in 0..12 {
+            let answer = ask(b.address, rpc("POST", "/pay", "Content-Length: 0\r\n")).await;
+            assert_eq!(answer.status(), 503);
+        }
+        assert_eq!(OPENINGS.0.load(Ordering::Relaxed), 0);
+        waiting.clear();
+        until(|| up.left.get() == 12).await;
+        assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.status(), 200);
+    });
+}
+
 #[test]
 fn load_reports_are_read_by_name() {
     let gauges = Gauges(vec!["service_time".to_owned(), "errors".to_owned(), "utilisation".to_owned()]);
--- a/crates/fernroute-server/tests/relay.rs
+++ b/crates/fernroute-server/tests/relay.rs
@@ -4,6 +4,7 @@
 
 use common::{ask, balancer, connect, ok, read, rpc, run, say, stand_in, until, Deed};
 use fernroute_server::protocol::answer::Final;
+use fernroute_server::transport::outbound::{Course, Reached, Seats, COURSE};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -188,7 +189,9 @@
         let up = stand_in(|_, _| Deed::Silence).await;
         let b = balancer(&[&up], &[]).await;
         let mut stream = connect(b.address).await;
-        stream.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
+        // The deadline lies past the end of the test.
+        let bytes = rpc("GET", "/look", "").replace("4000", "90000");
+        stream.write_all(bytes.as_bytes()).await.expect("it reads");
         until(|| up.seen.borrow().len() == 1).await;
         drop(stream);
         until(|| up.left.get() == 1).await;
@@ -206,11 +209,37 @@
             ask(b.address, rpc("GET", "/look", "")).await;
         }
         assert_eq!(up.connections.get(), 1);
-        // Swept, or passed over by the next call: either way it is not used again.
+        // Passed over by the next call.
         actix_rt::time::sleep(Duration::from_millis(250)).await;
         ask(b.address, rpc("GET", "/look", "")).await;
         assert_eq!(up.connections.get(), 2);
-        until(|| up.left.get() >= 1).await;
+        until(|| up.left.get() == 1).await;
+        // And closed where there is no next call.
+        until(|| up.left.get() == 2).await;
+    });
+}
+
+/// Guards against a body that the client library stops writing before its end where the socket takes it in
+/// pieces: the connection takes all of it at once, and it counts as written when its last byte is out.
+#[test]
+fn a_body_counts_as_written_with_its_last_byte() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let course = Rc::<Course>::default();
+        let body = vec![b'x'; 32 << 20];
+        let write = async {
+            let mut out =
+                Seats::new(1).connect(listener.local_addr().expect("an address")).await.expect("room");
+            assert_eq!(out.write(&body).await.expect("it takes bytes"), body.len());
+            let early = tokio::time::timeout(Duration::from_millis(50), out.flush()).await;
+            assert!(early.is_err() && course.reached() == Reached::Connected);
+            let (mut reader, _) = listener.accept().await.expect("a connection");
+            let read = actix_rt::spawn(async move { reader.read_exact(&mut vec![0; 32 << 20]).await });
+            out.flush().await.expect("it is read");
+            assert_eq!(course.reached(), Reached::Written);
+            read.await.expect("it reads").expect("all of it");
+        };
+        COURSE.scope(Rc::clone(&course), write).await;
     });
 }
 
@@ -231,29 +260,6 @@
     });
 }
 
-/// All connections busy is no fault of the upstream: the RPC never left.
-#[test]
-fn too_few_connections_exhaust_and_open_no_breaker() {
-    run(async {
-        let up = stand_in(|n, _| if n < 12 { Deed::Silence } else { ok("whole") }).await;
-        let b = balancer(&[&up], &[("\"sockets\":1024", "\"sockets\":64")]).await;
-        let mut waiting = Vec::new();
-        for n in 0..12 {
-            let mut stream = connect(b.address).await;
-            stream.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
-            until(|| up.seen.borrow().len() > n).await;
-            waiting.push(stream);
-        }
-        for _ in 0..4 {
-            let answer = ask(b.address, rpc("POST", "/pay", "Content-Length: 0\r\n")).await;
-            assert_eq!(answer.status(), 503);
-        }
-        waiting.clear();
-        until(|| up.left.get() == 12).await;
-        assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.status(), 200);
-    });
-}
-
 #[test]
 fn a_panic_in_the_decisions_costs_one_rpc() {
     run(async {
