Reread: one text for seconds, one way to forget an RPC, one task for a connection

No change of what is done. The seconds of Retry-After were written out beside the adapter's own: one function beside the one that reads them. A final answer removed the RPC by a copy of what the book does: it calls that. Connections that are closed left the table by two copies of one line. A whole answer's headers were copied twice on their way, an address was made text to be made text again. The task of a connection stood six levels deep in the accept loop and has a name now. Unreadable load reports were logged in two places.

--- a/crates/fernroute-benchlink/src/wire.rs
+++ b/crates/fernroute-benchlink/src/wire.rs
@@ -2,7 +2,7 @@
 
 use fernroute::host::{Host, Outcome, Terms, Time};
 use fernroute::Balancer;
-use fernroute_terms::{path, term, time};
+use fernroute_terms::{path, seconds, term, time};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -72,10 +72,6 @@
 struct Desk(Rc<RefCell<String>>);
 
 impl Desk {
-    fn seconds(t: Time) -> String {
-        format!("{}.{:04}", t / 10_000, t % 10_000)
-    }
-
     fn put(&self, act: std::fmt::Arguments<'_>) {
         let mut text = self.0.borrow_mut();
         let _ = text.write_fmt(act);
@@ -85,20 +81,20 @@
 
 impl Host for Desk {
     fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time) {
-        let cap = Self::seconds(time_out);
+        let cap = seconds(time_out);
         self.put(format_args!("hand_off\tcall={rpc}\tupstream={upstream}\tcap-s={cap}"));
     }
     fn cancel(&mut self, rpc: &str, tx: usize) {
         self.put(format_args!("abort_attempt\tcall={rpc}\thop={tx}"));
     }
     fn exhaust(&mut self, rpc: &str, stay_away: Time) {
-        self.put(format_args!("bounce\tcall={rpc}\tpause-s={}", Self::seconds(stay_away)));
+        self.put(format_args!("bounce\tcall={rpc}\tpause-s={}", seconds(stay_away)));
     }
     fn error(&mut self, rpc: &str) {
         self.put(format_args!("surrender\tcall={rpc}"));
     }
     fn set_timer(&mut self, after: Time, token: &str) {
-        self.put(format_args!("sleep\twait-s={}\tkey-back={token}", Self::seconds(after)));
+        self.put(format_args!("sleep\twait-s={}\tkey-back={token}", seconds(after)));
     }
     fn follow_list(&mut self) {
         self.put(format_args!("keep_informed\twant=1"));
--- a/crates/fernroute-server/src/protocol/answer.rs
+++ b/crates/fernroute-server/src/protocol/answer.rs
@@ -20,7 +20,7 @@
 }
 
 impl Answer {
-    pub fn decode(head: &ResponseHead, body: Bytes, gauges: &Gauges) -> Self {
+    pub fn decode(head: ResponseHead, body: Bytes, gauges: &Gauges) -> Self {
         let declined = head.headers.get(names::DECLINED).is_some_and(|v| v.as_bytes() == b"1");
         let outcome = match head.status {
             StatusCode::OK => Outcome::Completed,
@@ -30,7 +30,7 @@
         };
         let report = head.headers.get(names::LOAD).and_then(|v| v.to_str().ok());
         let loads = report.map(|text| load::decode(text, gauges)).unwrap_or_default();
-        let mut headers = head.headers.clone();
+        let mut headers = head.headers;
         names::keep_end_to_end(&mut headers, &[names::LOAD, names::DECLINED]);
         Answer { outcome, loads, headers, body }
     }
@@ -60,8 +60,7 @@
             Final::Exhausted(stay_away) => {
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "exhausted\n");
                 if stay_away > 0 {
-                    let text = format!("{}.{:04}", stay_away / 10_000, stay_away % 10_000);
-                    if let Ok(value) = HeaderValue::from_str(&text) {
+                    if let Ok(value) = HeaderValue::from_str(&fernroute_terms::seconds(stay_away)) {
                         response.headers_mut().insert(RETRY_AFTER, value);
                     }
                 }
--- a/crates/fernroute-server/src/protocol/list.rs
+++ b/crates/fernroute-server/src/protocol/list.rs
@@ -14,7 +14,7 @@
 pub struct Entry {
     pub id: String,
     pub state: State,
-    /// None only for one that is gone.
+    /// There is one wherever it is ready.
     pub address: Option<SocketAddr>,
     pub zone: String,
     pub cell: String,
--- a/crates/fernroute-server/src/protocol/load.rs
+++ b/crates/fernroute-server/src/protocol/load.rs
@@ -23,11 +23,8 @@
 pub fn decode(text: &str, gauges: &Gauges) -> Vec<f64> {
     let mut loads = vec![f64::NAN; gauges.0.len()];
     for part in text.split(',') {
-        let Some((name, value)) = part.split_once('=') else {
-            log::debug!("load report: '{part}' is not readable, skipped");
-            continue;
-        };
-        let Ok(value) = value.trim().parse::<f64>() else {
+        let pair = part.split_once('=').and_then(|(name, value)| Some((name, value.trim().parse().ok()?)));
+        let Some((name, value)) = pair else {
             log::debug!("load report: '{part}' is not readable, skipped");
             continue;
         };
--- a/crates/fernroute-server/src/protocol/request.rs
+++ b/crates/fernroute-server/src/protocol/request.rs
@@ -5,6 +5,7 @@
 use actix_http::{Method, RequestHead, StatusCode, Uri};
 use bytes::Bytes;
 use fernroute::Time;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// The most bytes that a body holds.
@@ -64,7 +65,7 @@
     }
 
     /// What goes to an upstream at this address that is given this long: the verb, the address, the headers.
-    pub fn encode(&self, address: &str, time_left: Time) -> (Method, String, HeaderMap) {
+    pub fn encode(&self, address: SocketAddr, time_left: Time) -> (Method, String, HeaderMap) {
         let path = self.uri.path_and_query().map_or("/", |p| p.as_str());
         let mut headers = self.headers.clone();
         headers.insert(HeaderName::from_static(names::DEADLINE), HeaderValue::from(time_left / 10));
--- a/crates/fernroute-server/src/routing/book.rs
+++ b/crates/fernroute-server/src/routing/book.rs
@@ -37,7 +37,7 @@
     }
 
     /// An answered RPC leaves with its last transmission.
-    fn forget(&self, rpc: &str) {
+    pub(super) fn forget(&self, rpc: &str) {
         let mut open = self.open.borrow_mut();
         if open.get(rpc).is_some_and(|entry| entry.answer.is_none() && entry.out.is_empty()) {
             open.remove(rpc);
--- a/crates/fernroute-server/src/routing/relay.rs
+++ b/crates/fernroute-server/src/routing/relay.rs
@@ -9,12 +9,9 @@
 impl Switchboard {
     /// Gives an RPC its final answer, unless it has one; tells whether it did.
     pub(super) fn give(&self, rpc: &str, last: Final) -> bool {
-        let mut open = self.open.borrow_mut();
-        let Some(entry) = open.get_mut(rpc) else { return false };
-        let given = entry.answer.take().is_some_and(|answer| answer.send(last).is_ok());
-        if entry.out.is_empty() {
-            open.remove(rpc);
-        }
+        let answer = self.open.borrow_mut().get_mut(rpc).and_then(|entry| entry.answer.take());
+        let given = answer.is_some_and(|answer| answer.send(last).is_ok());
+        self.forget(rpc);
         given
     }
 }
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -40,7 +40,7 @@
     ) -> Result<Answer, Outcome> {
         // Left the list after it was drawn: nothing was sent.
         let Some(address) = address else { return Err(Outcome::Moot) };
-        let (verb, uri, headers) = request.encode(&address.to_string(), time_out);
+        let (verb, uri, headers) = request.encode(address, time_out);
         let call = Call { verb, uri, headers, body: request.body.clone() };
         let course = Rc::<Course>::default();
         let result = {
@@ -52,7 +52,7 @@
             }
         };
         match result {
-            Ok(Ok((head, body))) => Ok(Answer::decode(&head, body, &self.gauges)),
+            Ok(Ok((head, body))) => Ok(Answer::decode(head, body, &self.gauges)),
             Ok(Err(broken)) => {
                 log::debug!("RPC {} at {address}: {broken}", request.id);
                 Err(match broken.reached {
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -109,8 +109,8 @@
     }
 
     fn make_room(&self) -> bool {
-        let mut all = self.all.borrow_mut();
-        all.retain(|seat| seat.upgrade().is_some_and(|s| s.stream.borrow().is_some()));
+        self.clear();
+        let all = self.all.borrow();
         if all.len() + self.coming.get() < self.most {
             return true;
         }
@@ -122,14 +122,16 @@
     /// Closes what has stood idle for this long. The pool looks at a connection only when it wants one to
     /// the same address: without this, what upstreams closed would hold descriptors for good.
     pub fn sweep(&self, idle: Duration) {
-        self.all.borrow_mut().retain(|seat| {
-            let Some(seat) = seat.upgrade() else { return false };
+        for seat in self.all.borrow().iter().filter_map(Weak::upgrade) {
             if seat.idle_since.get().is_some_and(|since| since.elapsed() >= idle) {
                 seat.stream.take();
             }
-            let held = seat.stream.borrow().is_some();
-            held
-        });
+        }
+        self.clear();
+    }
+
+    fn clear(&self) {
+        self.all.borrow_mut().retain(|seat| seat.upgrade().is_some_and(|s| s.stream.borrow().is_some()));
     }
 }
 
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -7,8 +7,9 @@
 use futures_util::future::{select, Either};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::fmt::Display;
 use std::future::Future;
-use std::io;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -77,28 +78,7 @@
             match stream.await {
                 None => return,
                 Some(Ok((stream, _))) => {
-                    let (server, service) = (Rc::clone(&self), Rc::clone(&service));
-                    actix_rt::spawn(async move {
-                        let visit = server.enter();
-                        let stay = Leave { server: &server, visit: &visit };
-                        if let Some(inbound) = open(stream, &visit) {
-                            let peer = None;
-                            let mut connection = pin!(service.call((inbound, peer)));
-                            loop {
-                                let wake = pin!(visit.wake.notified());
-                                match select(connection, wake).await {
-                                    Either::Left((end, _)) => {
-                                        if let Err(why) = end {
-                                            log::debug!("connection ended: {why}");
-                                        }
-                                        break;
-                                    }
-                                    Either::Right((_, same)) => connection = same,
-                                }
-                            }
-                        }
-                        drop(stay);
-                    });
+                    actix_rt::spawn(Rc::clone(&self).host(Rc::clone(&service), stream));
                 }
                 Some(Err(why)) => {
                     log::warn!("accept: {why}");
@@ -109,6 +89,28 @@
         }
     }
 
+    /// One connection, from its start to its end.
+    async fn host<S>(self: Rc<Self>, service: Rc<S>, stream: TcpStream)
+    where
+        S: Service<(Inbound, Option<SocketAddr>)>,
+        S::Error: Display,
+    {
+        let visit = self.enter();
+        let _leave = Leave { server: &self, visit: &visit };
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let mut connection = pin!(service.call((Inbound::new(stream, Rc::clone(&visit)), None)));
+        loop {
+            match select(connection, pin!(visit.wake.notified())).await {
+                Either::Left((end, _)) => {
+                    return end.map_or_else(|why| log::debug!("connection ended: {why}"), drop)
+                }
+                Either::Right((_, same)) => connection = same,
+            }
+        }
+    }
+
     fn enter(&self) -> Rc<Visit> {
         let visit = Visit::new();
         if self.ending.get() {
@@ -153,11 +155,6 @@
     }
 }
 
-fn open(stream: TcpStream, visit: &Rc<Visit>) -> Option<Inbound> {
-    let set: io::Result<()> = stream.set_nodelay(true);
-    set.ok().map(|()| Inbound::new(stream, Rc::clone(visit)))
-}
-
 /// Takes the connection off the table, whichever way it ends.
 struct Leave<'a> {
     server: &'a Server,
--- a/crates/fernroute-server/tests/common/mod.rs
+++ b/crates/fernroute-server/tests/common/mod.rs
@@ -147,9 +147,12 @@
 
 /// A balancer before these upstreams, with discovery silent.
 pub async fn balancer(upstreams: &[&StandIn], changes: &[(&str, &str)]) -> Running {
+    balancer_at(&upstreams.iter().map(|u| u.address).collect::<Vec<_>>(), changes).await
+}
+
+pub async fn balancer_at(upstreams: &[SocketAddr], changes: &[(&str, &str)]) -> Running {
     let discovery = stand_in(|_, _| Deed::Silence).await;
-    let upstreams: Vec<SocketAddr> = upstreams.iter().map(|u| u.address).collect();
-    serve::start(station(&upstreams, discovery.address, changes)).await.expect("it starts")
+    serve::start(station(upstreams, discovery.address, changes)).await.expect("it starts")
 }
 
 /// The head of an RPC with a new id.
@@ -168,9 +171,14 @@
     TcpStream::connect(address).await.expect("it accepts")
 }
 
-/// Sends bytes on a connection of their own and reads the answer.
-pub async fn ask(address: SocketAddr, bytes: impl AsRef<[u8]>) -> Message {
+/// Sends bytes on a connection of their own.
+pub async fn send(address: SocketAddr, bytes: impl AsRef<[u8]>) -> TcpStream {
     let mut stream = connect(address).await;
     stream.write_all(bytes.as_ref()).await.expect("it reads");
-    read(&mut stream).await.expect("an answer")
+    stream
+}
+
+/// The same, and reads the answer.
+pub async fn ask(address: SocketAddr, bytes: impl AsRef<[u8]>) -> Message {
+    read(&mut send(address, bytes).await).await.expect("an answer")
 }
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{ask, balancer, connect, ok, read, rpc, run, stand_in, station, until, Deed};
+use common::{ask, balancer, connect, ok, read, rpc, run, send, stand_in, station, until, Deed};
 use fernroute_server::program::{serve, shutdown};
 use fernroute_server::protocol::load::{self, Gauges};
 use std::io::{BufRead as _, BufReader};
@@ -95,8 +95,8 @@
     run(async {
         let up = stand_in(|n, _| if n == 0 { Deed::Silence } else { ok("whole") }).await;
         let b = balancer(&[&up], &[]).await;
-        let (mut idle, mut busy) = (connect(b.address).await, connect(b.address).await);
-        busy.write_all(rpc("GET", "/look", "").replace("4000", "1500").as_bytes()).await.expect("it reads");
+        let mut idle = connect(b.address).await;
+        let mut busy = send(b.address, rpc("GET", "/look", "").replace("4000", "1500")).await;
         until(|| up.seen.borrow().len() == 1).await;
         let (board, server) = (b.board.clone(), b.server.clone());
         let end = actix_rt::spawn(async move { shutdown::leave(&board, &server).await });
@@ -173,10 +173,8 @@
         let b = balancer(&[&up, &up, &up, &up], &[("\"sockets\":1024", "\"sockets\":64")]).await;
         let mut waiting = Vec::new();
         for n in 0..12 {
-            let mut stream = connect(b.address).await;
-            stream.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
+            waiting.push(send(b.address, rpc("GET", "/look", "")).await);
             until(|| up.seen.borrow().len() > n).await;
-            waiting.push(stream);
         }
         for _ in 0..12 {
             let answer = ask(b.address, rpc("POST", "/pay", "Content-Length: 0\r\n")).await;
--- a/crates/fernroute-server/tests/relay.rs
+++ b/crates/fernroute-server/tests/relay.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{ask, balancer, connect, ok, read, rpc, run, say, stand_in, until, Deed};
+use common::{ask, balancer, balancer_at, ok, read, rpc, run, say, send, stand_in, until, Deed};
 use fernroute_server::protocol::answer::Final;
 use fernroute_server::transport::outbound::{Course, Reached, Seats, COURSE};
 use std::cell::Cell;
@@ -59,9 +59,7 @@
                 let _ = stream.write_all(&[head.as_bytes(), &message.body].concat()).await;
             }
         });
-        let discovery = stand_in(|_, _| Deed::Silence).await;
-        let station = common::station(&[address], discovery.address, &[]);
-        let b = fernroute_server::program::serve::start(station).await.expect("it starts");
+        let b = balancer_at(&[address], &[]).await;
         let body: Vec<u8> = (0..64 * 1024).map(|i| (i % 251) as u8).collect();
         let mut bytes = rpc("POST", "/pay", "Transfer-Encoding: chunked\r\n").into_bytes();
         for part in body.chunks(10_000) {
@@ -160,9 +158,7 @@
     run(async {
         let up = stand_in(|_, _| ok("whole")).await;
         let shut = TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("an address");
-        let discovery = stand_in(|_, _| Deed::Silence).await;
-        let station = common::station(&[shut, up.address], discovery.address, &[]);
-        let b = fernroute_server::program::serve::start(station).await.expect("it starts");
+        let b = balancer_at(&[shut, up.address], &[]).await;
         for _ in 0..8 {
             assert_eq!(ask(b.address, rpc("POST", "/pay", "Content-Length: 0\r\n")).await.status(), 200);
         }
@@ -188,10 +184,8 @@
     run(async {
         let up = stand_in(|_, _| Deed::Silence).await;
         let b = balancer(&[&up], &[]).await;
-        let mut stream = connect(b.address).await;
         // The deadline lies past the end of the test.
-        let bytes = rpc("GET", "/look", "").replace("4000", "90000");
-        stream.write_all(bytes.as_bytes()).await.expect("it reads");
+        let stream = send(b.address, rpc("GET", "/look", "").replace("4000", "90000")).await;
         until(|| up.seen.borrow().len() == 1).await;
         drop(stream);
         until(|| up.left.get() == 1).await;
@@ -250,8 +244,7 @@
         let b = balancer(&[&up], &[("\"sockets\":1024", "\"sockets\":64")]).await;
         let mut idle = Vec::new();
         for _ in 0..30 {
-            let mut stream = connect(b.address).await;
-            stream.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
+            let mut stream = send(b.address, rpc("GET", "/look", "")).await;
             assert_eq!(read(&mut stream).await.expect("an answer").status(), 200);
             idle.push(stream);
         }
@@ -265,8 +258,7 @@
     run(async {
         let up = stand_in(|n, _| if n == 0 { Deed::Silence } else { ok("whole") }).await;
         let b = balancer(&[&up], &[]).await;
-        let mut stream = connect(b.address).await;
-        stream.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
+        let mut stream = send(b.address, rpc("GET", "/look", "")).await;
         until(|| up.seen.borrow().len() == 1).await;
         let id = b.board.open.borrow().keys().next().cloned().expect("it is open");
         b.board.decide(Some(&id), |_, _| panic!("on purpose"));
@@ -281,8 +273,7 @@
         let up = stand_in(|_, _| Deed::Silence).await;
         let b = balancer(&[&up], &[]).await;
         let bytes = rpc("GET", "/look", "");
-        let mut first = connect(b.address).await;
-        first.write_all(bytes.as_bytes()).await.expect("it reads");
+        let _first = send(b.address, &bytes).await;
         until(|| up.seen.borrow().len() == 1).await;
         assert_eq!(ask(b.address, &bytes).await.status(), 400);
         assert_eq!(b.board.open.borrow().len(), 1);
--- a/crates/fernroute-terms/src/lib.rs
+++ b/crates/fernroute-terms/src/lib.rs
@@ -69,6 +69,11 @@
     Some((seconds.max(0.0) * 1e6).round() as Time / 100)
 }
 
+/// The same the other way, for the wire.
+pub fn seconds(t: Time) -> String {
+    format!("{}.{:04}", t / 10_000, t % 10_000)
+}
+
 /// The place in a list that a term's name holds, or the sign for any.
 fn list_place(name: &str) -> &str {
     name.split('.').find(|s| s.bytes().all(|b| b.is_ascii_digit())).unwrap_or("#")
