SIGHUP has the file read again and the list followed at the new discovery

Now a handler stands before all else; the new discovery is asked for its whole list at once, the old watch ends, a bad file is logged and passed over, other changes are logged. Ruled out: asking the new discovery from the old version on, since versions are each discovery's own. A test of the program itself covers it.

--- a/crates/fernroute-server/src/program/commands.rs
+++ b/crates/fernroute-server/src/program/commands.rs
@@ -20,7 +20,7 @@
     Version(Version),
 }
 
-/// Serve until told to stop (SIGTERM or SIGINT).
+/// Serve until told to stop (SIGTERM or SIGINT); SIGHUP has the file read again.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
@@ -59,7 +59,7 @@
             println!("fernroute {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        Command::Check(Check { config }) => match read(config).and_then(|s| s.check().map(|()| s)) {
+        Command::Check(Check { config }) => match read(config).and_then(|(s, _)| s.check().map(|()| s)) {
             Ok(station) => {
                 println!(
                     "{}: {} upstreams known",
@@ -71,18 +71,19 @@
             Err(why) => refuse(&why),
         },
         Command::Serve(Serve { config }) => match read(config) {
-            Ok(station) => {
+            Ok((station, path)) => {
                 log::start(&station.name);
-                serve::serve(station).map_or_else(|why| refuse(&why), |()| ExitCode::SUCCESS)
+                serve::serve(station, &path).map_or_else(|why| refuse(&why), |()| ExitCode::SUCCESS)
             }
             Err(why) => refuse(&why),
         },
     }
 }
 
-fn read(config: Option<PathBuf>) -> Result<Station, String> {
+fn read(config: Option<PathBuf>) -> Result<(Station, PathBuf), String> {
     let path = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
-    Station::read(&path.ok_or("neither --config nor $NODE_CONFIG names a file")?)
+    let path = path.ok_or("neither --config nor $NODE_CONFIG names a file")?;
+    Ok((Station::read(&path)?, path))
 }
 
 fn refuse(why: &str) -> ExitCode {
--- a/crates/fernroute-server/src/program/mod.rs
+++ b/crates/fernroute-server/src/program/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod commands;
 pub mod log;
+pub mod reload;
 pub mod serve;
 pub mod shutdown;
 pub mod station;
--- /dev/null
+++ b/crates/fernroute-server/src/program/reload.rs
@@ -0,0 +1,32 @@
+//! A new configuration while the program runs: the file is read again on SIGHUP.
+
+use super::serve::Running;
+use super::station::Station;
+use std::path::Path;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+
+/// From here on SIGHUP no longer ends the program.
+pub fn signals() -> Result<Signal, String> {
+    signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))
+}
+
+/// Reads the file again at each SIGHUP, for as long as the program runs.
+pub async fn follow(mut signals: Signal, path: &Path, running: &Running, mut station: Station) {
+    while signals.recv().await.is_some() {
+        match Station::read(path).and_then(|new| new.check().map(|()| new)) {
+            Ok(new) => {
+                for what in station.differs(&new) {
+                    log::warn!("{what} has changed: that needs a restart");
+                }
+                if new.discovery == station.discovery {
+                    log::info!("read again, discovery is still at {}", new.discovery);
+                } else {
+                    log::info!("read again, discovery is at {} from now on", new.discovery);
+                    running.turn_to(new.discovery);
+                }
+                station.discovery = new.discovery;
+            }
+            Err(why) => log::error!("not taken over, all stays as it was: {why}"),
+        }
+    }
+}
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -1,12 +1,17 @@
 //! Puts the layers together and runs them on one thread.
 
-use super::shutdown;
 use super::station::Station;
+use super::{reload, shutdown};
 use crate::routing::switchboard::Switchboard;
 use crate::routing::take_in;
 use crate::transport::discovery::Watch;
 use crate::transport::server::Server;
+use actix_rt::task::JoinHandle;
+use futures_util::future::{select, Either};
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -17,12 +22,18 @@
 /// How often connections are looked over.
 const SWEEP: Duration = Duration::from_secs(1);
 
-pub fn serve(station: Station) -> Result<(), String> {
+/// Serves until told to stop; `path` is the file that the station was read from.
+pub fn serve(station: Station, path: &Path) -> Result<(), String> {
     let runtime = actix_rt::Runtime::new().map_err(|e| format!("runtime: {e}"))?;
     runtime.block_on(async {
-        let stop = shutdown::signals()?;
-        let running = start(station).await?;
-        stop.await;
+        // Both before all else: a signal that comes early is kept, and ends nothing.
+        let (again, stop) = (reload::signals()?, shutdown::signals()?);
+        let running = start(station.clone()).await?;
+        // What is read again while the program stops would change nothing any more.
+        match select(pin!(reload::follow(again, path, &running, station)), pin!(stop)).await {
+            Either::Left(((), stop)) => stop.await,
+            Either::Right(_) => {}
+        }
         shutdown::leave(&running.board, &running.server).await;
         log::info!("all is answered, ending");
         Ok(())
@@ -34,6 +45,32 @@
     pub board: Rc<Switchboard>,
     pub server: Rc<Server>,
     pub address: SocketAddr,
+    /// Where each watch waits for the decisions to ask.
+    asks: bool,
+    watch: RefCell<Option<JoinHandle<()>>>,
+}
+
+impl Running {
+    /// Watches the list here from now on, and nowhere else. The balancer serves on what it has until then.
+    pub fn turn_to(&self, discovery: SocketAddr) {
+        // Its versions are its own, so it is asked for all there is, and at once.
+        self.watch(discovery, None, true);
+    }
+
+    fn watch(&self, discovery: SocketAddr, version: Option<u64>, at_once: bool) {
+        let told = Rc::clone(&self.board);
+        let begin = self.asks.then(|| Rc::clone(&self.board.follow));
+        if at_once {
+            self.board.follow.notify_one();
+        }
+        let watch = Watch::new(discovery).run(version, begin, move |news| match news {
+            Some(list) => told.take_list(&list, true),
+            None => told.list_failed(),
+        });
+        if let Some(old) = self.watch.replace(Some(actix_rt::spawn(watch))) {
+            old.abort();
+        }
+    }
 }
 
 /// Starts a balancer on the running thread.
@@ -53,13 +90,6 @@
     let address = listener.local_addr().map_err(trouble)?;
     let server = Server::new(listener, callers);
     actix_rt::spawn(Rc::clone(&board).keep_time());
-    let told = Rc::clone(&board);
-    let asks = station.terms.get("list_mode").is_some_and(|mode| mode == "ask");
-    let begin = asks.then(|| Rc::clone(&board.follow));
-    actix_rt::spawn(Watch::new(station.discovery).run(version, begin, move |news| match news {
-        Some(list) => told.take_list(&list, true),
-        None => told.list_failed(),
-    }));
     let (swept, visited) = (Rc::clone(&board), Rc::clone(&server));
     actix_rt::spawn(async move {
         loop {
@@ -72,5 +102,8 @@
     let handle = move |message, visit| take_in::handle(Rc::clone(&handled), message, visit);
     actix_rt::spawn(Rc::clone(&server).run(handle));
     log::info!("serving on {address}, {} upstreams known", board.addresses.borrow().len());
-    Ok(Running { board, server, address })
+    let asks = station.terms.get("list_mode").is_some_and(|mode| mode == "ask");
+    let running = Running { board, server, address, asks, watch: RefCell::default() };
+    running.watch(station.discovery, version, false);
+    Ok(running)
 }
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Station {
     pub name: String,
     pub listen: SocketAddr,
@@ -78,6 +78,21 @@
         })
     }
 
+    /// What `new` says otherwise that a running balancer can't take over. The seed is for starts alone, and the
+    /// list that was known is older than the one that this balancer has.
+    pub fn differs(&self, new: &Station) -> Vec<String> {
+        let mut what = Vec::new();
+        let mut note = |differs: bool, name: &str| what.extend(differs.then(|| name.to_owned()));
+        note(self.name != new.name, "name");
+        note(self.listen != new.listen, "listen");
+        note(self.descriptors != new.descriptors, "limits.sockets");
+        for name in self.terms.keys().chain(new.terms.keys().filter(|n| !self.terms.contains_key(*n))) {
+            let path = format!("settings.{}", fernroute_terms::path(name));
+            note(self.terms.get(name) != new.terms.get(name), &path);
+        }
+        what
+    }
+
     /// Whether a balancer can start with these terms.
     pub fn check(&self) -> Result<(), String> {
         let balancer = Balancer::new(Desk::default(), 0, self.seed, &self.terms);
--- a/crates/fernroute-server/src/transport/discovery.rs
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -47,7 +47,9 @@
             body: Bytes::new(),
         };
         let course = Rc::<Course>::default();
-        let answer = timeout(WAIT + GRACE, self.client.call(call, MOST_LIST, &course)).await;
+        // The whole list is there at once.
+        let wait = if version.is_some() { WAIT } else { Duration::ZERO };
+        let answer = timeout(wait + GRACE, self.client.call(call, MOST_LIST, &course)).await;
         let (head, body) = answer.map_err(|_| "silent".to_owned())?.map_err(|broken| broken.to_string())?;
         if head.status != StatusCode::OK {
             return Err(format!("status {}", head.status.as_u16()));
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -6,7 +6,9 @@
 use fernroute_server::program::{serve, shutdown};
 use fernroute_server::protocol::load::{self, Gauges};
 use std::io::{BufRead as _, BufReader};
-use std::process::{Command, Stdio};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -112,39 +114,103 @@
     });
 }
 
-/// The program itself: its address from its log, its end by a signal.
-#[test]
-fn a_signal_ends_it_with_code_0() {
-    run(async {
-        let up = stand_in(|_, _| ok("whole")).await;
-        let path = std::env::temp_dir().join(format!("fernroute-signal-{}.json", std::process::id()));
-        std::fs::write(&path, common::page(&[up.address], up.address, &[])).expect("a file");
-        let mut program = Command::new(env!("CARGO_BIN_EXE_fernroute"))
+/// The program itself, started with a file of its own; its address stands in its log.
+struct Program {
+    child: Child,
+    path: PathBuf,
+    address: SocketAddr,
+}
+
+impl Program {
+    fn start(name: &str, page: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("fernroute-{name}-{}.json", std::process::id()));
+        std::fs::write(&path, page).expect("a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_fernroute"))
             .args(["serve", "--config"])
             .arg(&path)
             .stderr(Stdio::piped())
             .spawn()
             .expect("it starts");
-        let mut lines = BufReader::new(program.stderr.take().expect("its log")).lines();
+        let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
         let serving = lines.find_map(|line| Some(line.ok()?.split_once("serving on ")?.1.to_owned()));
         let address = serving.and_then(|l| l.split_once(',')?.0.parse().ok()).expect("its address");
-        let mut kept = connect(address).await;
-        for n in 0..2 {
-            kept.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
-            assert_eq!(read(&mut kept).await.expect("an answer").status(), 200);
-            if n == 0 {
-                let id = program.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("a signal").success());
-            }
-        }
+        std::thread::spawn(move || lines.for_each(drop));
+        Program { child, path, address }
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("a signal").success());
+    }
+
+    /// Has it read this instead of its file.
+    fn reload(&self, page: &str) {
+        std::fs::write(&self.path, page).expect("a file");
+        self.signal("-HUP");
+    }
+
+    async fn ends_well(mut self) {
         let mut code = None;
         until(|| {
-            code = program.try_wait().expect("its state");
+            code = self.child.try_wait().expect("its state");
             code.is_some()
         })
         .await;
         assert!(code.is_some_and(|code| code.success()), "{code:?}");
-        std::fs::remove_file(path).expect("it was there");
+        std::fs::remove_file(self.path).expect("it was there");
+    }
+}
+
+#[test]
+fn a_signal_ends_it_with_code_0() {
+    run(async {
+        let up = stand_in(|_, _| ok("whole")).await;
+        let program = Program::start("signal", &common::page(&[up.address], up.address, &[]));
+        let mut kept = connect(program.address).await;
+        for n in 0..2 {
+            kept.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
+            assert_eq!(read(&mut kept).await.expect("an answer").status(), 200);
+            if n == 0 {
+                program.signal("-TERM");
+                // Read again or not, it goes on ending.
+                program.signal("-HUP");
+            }
+        }
+        program.ends_well().await;
+    });
+}
+
+/// Guards against a program that ends on SIGHUP, that forgets its upstreams over a new discovery, or that asks
+/// the new one for what is newer than a version of the old one's.
+#[test]
+fn turns_to_another_discovery_when_its_file_names_one() {
+    run(async {
+        let (one, two) = (stand_in(|_, _| ok("one")).await, stand_in(|_, _| ok("two")).await);
+        let old = stand_in(|_, _| Deed::Silence).await;
+        let entry = format!(r#"{{"id":"s-2","addr":"{}","state":"SERVING"}}"#, two.address);
+        let new = stand_in(move |n, _| if n == 1 { list(3, true, &entry) } else { Deed::Silence }).await;
+        let page = |discovery| common::page(&[one.address], discovery, &[]);
+        let program = Program::start("reload", &page(old.address));
+        let body = || async { ask(program.address, rpc("GET", "/look", "")).await.body };
+        until(|| old.seen.borrow().len() == 1).await;
+        program.reload("no page at all");
+        program.reload(&page(old.address));
+        assert_eq!(body().await, b"one");
+        program.reload(&page(new.address));
+        until(|| old.left.get() == 1).await;
+        until(|| new.seen.borrow().len() == 1).await;
+        // Silent so far: what it has stands.
+        assert_eq!(body().await, b"one");
+        until(|| new.seen.borrow().len() == 3).await;
+        for (n, line) in ["GET /api/targets HTTP", "GET /api/targets HTTP", "GET /api/targets?index=3&wait="]
+            .iter()
+            .enumerate()
+        {
+            assert!(new.seen.borrow()[n].head.starts_with(line), "{}", new.seen.borrow()[n].head);
+        }
+        assert_eq!((body().await, old.connections.get()), (b"two".to_vec(), 1));
+        program.signal("-TERM");
+        program.ends_well().await;
     });
 }
 
