--- a/crates/fernroute-server/src/protocol/load.rs
+++ b/crates/fernroute-server/src/protocol/load.rs
@@ -19,18 +19,15 @@
     ours.unwrap_or_else(|| fernroute_terms::word(name))
 }
 
-/// The values in the order of the terms; what is missing or unreadable is no number, and is passed over.
+/// The values in the order of the terms; what is missing, unreadable, said twice or less than nothing is no
+/// number, and is passed over. Guards against an upstream that passes for idle by a report that is noise.
 pub fn decode(text: &str, gauges: &Gauges) -> Vec<f64> {
-    let mut loads = vec![f64::NAN; gauges.0.len()];
-    for part in text.split(',') {
-        let pair = part.split_once('=').and_then(|(name, value)| Some((name, value.trim().parse().ok()?)));
-        let Some((name, value)) = pair else {
-            log::debug!("load report: '{part}' is not readable, skipped");
-            continue;
-        };
-        if let Some(at) = gauges.0.iter().position(|g| g == word(name.trim())) {
-            loads[at] = value;
-        }
-    }
-    loads
+    let parts = text.split(',').filter_map(|part| part.split_once('='));
+    let parts: Vec<_> = parts.map(|(name, value)| (word(name.trim()), value.trim())).collect();
+    let value = |gauge: &String| {
+        let mut said = parts.iter().filter(|(name, _)| name == gauge).map(|(_, value)| value);
+        let value = said.next().and_then(|v| v.parse::<f64>().ok()).filter(|v| v.is_finite() && *v >= 0.0);
+        value.filter(|_| said.next().is_none()).unwrap_or(f64::NAN)
+    };
+    gauges.0.iter().map(value).collect()
 }
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -2,7 +2,7 @@
 
 use super::switchboard::Switchboard;
 use crate::protocol::answer::Answer;
-use crate::protocol::request::{Request, MOST_BODY};
+use crate::protocol::request::Request;
 use crate::transport::client::Call;
 use crate::transport::outbound::{Course, Reached};
 use fernroute::{Outcome, Time};
@@ -44,7 +44,7 @@
         let call = Call { verb, uri, headers, body: request.body.clone() };
         let course = Rc::<Course>::default();
         let result = {
-            let call = pin!(self.client.call(call, MOST_BODY, &course));
+            let call = pin!(self.client.call(call, &course));
             // Dropping the call at the end of this block closes its connection.
             match select(call, stopped).await {
                 Either::Left((result, _)) => Ok(result),
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -6,7 +6,7 @@
 use crate::protocol::answer::Final;
 use crate::protocol::list::{List, State};
 use crate::protocol::load::Gauges;
-use crate::protocol::request::Request;
+use crate::protocol::request::{Request, MOST_BODY};
 use crate::transport::client::Client;
 use fernroute::{Balancer, MissingTerm, Outcome, Terms, Time};
 use std::cell::{Cell, RefCell};
@@ -71,6 +71,7 @@
             time("limits.connect_time_out").unwrap_or(CONNECT),
             time("limits.keep_alive").unwrap_or(KEEP),
             connections,
+            MOST_BODY,
         );
         let board = Rc::new(Switchboard {
             clock,
--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -1,7 +1,7 @@
 //! Calls on upstreams. Nothing here sends twice, follows a redirect or gives up by itself.
 
 use super::outbound::{Course, Reached, Seats, COURSE};
-use actix_http::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_http::header::HeaderMap;
 use actix_http::{Method, ResponseHead, Uri};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
@@ -29,6 +29,7 @@
     http: awc::Client,
     seats: Rc<Seats>,
     idle: Duration,
+    most_body: usize,
 }
 
 /// One call's parts.
@@ -40,12 +41,13 @@
 }
 
 impl Client {
-    /// `keep` is how long the other side leaves an idle connection open; it is used for less.
-    pub fn new(connect_time_out: Duration, keep: Duration, most: usize) -> Self {
+    /// `keep` is how long the other side leaves an idle connection open; it is used for less. At `most` so many
+    /// connections are open, and answers have bodies of `most_body`.
+    pub fn new(connect_time_out: Duration, keep: Duration, most: usize, most_body: usize) -> Self {
         // A call written as the other side closes ends as a reset that may have run: a fifth and a second
         // are far more than a call takes to cross.
         let idle = (keep * 4 / 5).min(keep.saturating_sub(Duration::from_secs(1)));
-        let seats = Rc::new(Seats::new(most));
+        let seats = Rc::new(Seats::new(most, most_body));
         let for_new = Rc::clone(&seats);
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
             let seats = Rc::clone(&for_new);
@@ -68,51 +70,33 @@
             .disable_redirects()
             .no_default_headers()
             .finish();
-        Client { http, seats, idle }
+        Client { http, seats, idle, most_body }
     }
 
     pub fn sweep(&self) {
         self.seats.sweep(self.idle);
     }
 
-    /// The whole answer, its body no longer than `most_body`. Dropping the future closes the connection.
-    pub async fn call(
-        &self,
-        call: Call,
-        most_body: usize,
-        course: &Rc<Course>,
-    ) -> Result<(ResponseHead, Bytes), Broken> {
-        let result = COURSE.scope(Rc::clone(course), self.answer(call, most_body, course)).await;
+    /// The whole answer. Dropping the future closes the connection.
+    pub async fn call(&self, call: Call, course: &Rc<Course>) -> Result<(ResponseHead, Bytes), Broken> {
+        let result = COURSE.scope(Rc::clone(course), self.answer(call, course)).await;
         course.over();
         result.map_err(|why| Broken { reached: course.reached(), why })
     }
 
-    async fn answer(
-        &self,
-        call: Call,
-        most_body: usize,
-        course: &Course,
-    ) -> Result<(ResponseHead, Bytes), String> {
+    async fn answer(&self, call: Call, course: &Course) -> Result<(ResponseHead, Bytes), String> {
         let mut request = self.http.request(call.verb.clone(), call.uri).no_decompress();
         // No body at all, or one of stated length, be it none.
         let bare = call.verb == Method::GET && call.body.is_empty();
         *request.headers_mut() = call.headers;
         let sent = if bare { request.send() } else { request.send_body(call.body) };
         let mut response = sent.await.map_err(|e| e.to_string())?;
-        let body = response.body().limit(most_body).await.map_err(|e| e.to_string())?;
+        let body = response.body().limit(self.most_body).await.map_err(|e| e.to_string())?;
         let mut head = ResponseHead::new(response.status());
         head.headers = response.headers().clone();
-        // The library takes a body that is cut short for a whole one. One of stated length must have it; one
-        // in chunks must not have met the end of the connection.
-        let length = head.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
-        let whole = match length {
-            Some(length) => body.len() == length,
-            None => !course.cut() || !head.headers.contains_key(TRANSFER_ENCODING),
-        };
-        if whole {
-            Ok((head, body))
-        } else {
-            Err(io::Error::from(io::ErrorKind::UnexpectedEof).to_string())
+        if course.cut() {
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).to_string());
         }
+        Ok((head, body))
     }
 }
--- a/crates/fernroute-server/src/transport/discovery.rs
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -35,7 +35,10 @@
 impl Watch {
     pub fn new(agent: SocketAddr) -> Self {
         // Half a second is ages on the balancer's own machine; two connections, of which one is dying.
-        Watch { client: Client::new(Duration::from_millis(500), Duration::from_secs(10), 4), agent }
+        Watch {
+            client: Client::new(Duration::from_millis(500), Duration::from_secs(10), 4, MOST_LIST),
+            agent,
+        }
     }
 
     async fn ask(&self, version: Option<u64>) -> Result<List, String> {
@@ -49,7 +52,7 @@
         let course = Rc::<Course>::default();
         // The whole list is there at once.
         let wait = if version.is_some() { WAIT } else { Duration::ZERO };
-        let answer = timeout(wait + GRACE, self.client.call(call, MOST_LIST, &course)).await;
+        let answer = timeout(wait + GRACE, self.client.call(call, &course)).await;
         let (head, body) = answer.map_err(|_| "silent".to_owned())?.map_err(|broken| broken.to_string())?;
         if head.status != StatusCode::OK {
             return Err(format!("status {}", head.status.as_u16()));
--- a/crates/fernroute-server/src/transport/mod.rs
+++ b/crates/fernroute-server/src/transport/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod discovery;
+mod framing;
 pub mod inbound;
 pub mod outbound;
 pub mod server;
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -1,5 +1,7 @@
-//! One connection to an upstream: how far a transmission on it has come, and whether it stands idle.
+//! One connection to an upstream: how far a transmission on it has come, where its answer ends, and whether the
+//! connection stands idle.
 
+use super::framing::Framing;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
@@ -10,6 +12,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio_util::io::poll_read_buf;
 
 /// How far a transmission has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,9 +54,13 @@
         self.held_back.get()
     }
 
-    /// The connection, if it is kept, stands idle from now on.
+    /// The connection, if it is kept, stands idle from now on; one that may still bring something of this
+    /// answer is closed. Guards against a second copy or noise that the next RPC would take for its answer.
     pub fn over(&self) {
         if let Some(seat) = self.seat.take() {
+            if seat.spent.get() {
+                seat.stream.take();
+            }
             seat.idle_since.set(Some(Instant::now()));
         }
     }
@@ -68,6 +75,9 @@
 struct Seat {
     stream: RefCell<Option<TcpStream>>,
     idle_since: Cell<Option<Instant>>,
+    /// Of no further use after the answer that is on it.
+    spent: Cell<bool>,
+    most_body: u64,
 }
 
 /// All connections to upstreams. Emptied as they are closed.
@@ -77,11 +87,13 @@
     /// How many are being made.
     coming: Cell<usize>,
     most: usize,
+    /// The longest body of an answer.
+    most_body: u64,
 }
 
 impl Seats {
-    pub fn new(most: usize) -> Self {
-        Seats { all: RefCell::default(), coming: Cell::new(0), most }
+    pub fn new(most: usize, most_body: usize) -> Self {
+        Seats { all: RefCell::default(), coming: Cell::new(0), most, most_body: most_body as u64 }
     }
 
     /// Connects, if there is room; at the limit the longest idle connection goes.
@@ -103,9 +115,16 @@
             }
         })?;
         stream.set_nodelay(true)?;
-        let seat = Rc::new(Seat { stream: RefCell::new(Some(stream)), idle_since: Cell::new(None) });
+        let (stream, spent) = (RefCell::new(Some(stream)), Cell::new(false));
+        let seat = Rc::new(Seat { stream, idle_since: Cell::new(None), spent, most_body: self.most_body });
         self.all.borrow_mut().push(Rc::downgrade(&seat));
-        Ok(Outbound { seat, left: BytesMut::new() })
+        Ok(Outbound {
+            seat,
+            left: BytesMut::new(),
+            framing: Framing::default(),
+            heard: BytesMut::new(),
+            ready: 0,
+        })
     }
 
     fn make_room(&self) -> bool {
@@ -151,9 +170,50 @@
     /// What the socket has not taken yet. The library may stop flushing a long body before its end, so all
     /// of it is taken here at once; flushing then writes it out.
     left: BytesMut,
+    framing: Framing,
+    /// What has come and is not handed on yet; the first `ready` bytes are the answer's.
+    heard: BytesMut,
+    ready: usize,
 }
 
+/// As much as the library reads at once.
+const HEAR: usize = 8 * 1024;
+
 impl Outbound {
+    /// Takes in what has come; 0 bytes at the end of the connection.
+    fn hear(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        self.heard.reserve(HEAR);
+        let (seat, heard) = (Rc::clone(&self.seat), &mut self.heard);
+        let mut stream = seat.stream.borrow_mut();
+        match stream.as_mut() {
+            Some(stream) => poll_read_buf(Pin::new(stream), cx, heard),
+            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+        }
+    }
+
+    /// Waits for more of the answer, and finds its end.
+    fn listen(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while self.ready == 0 {
+            if std::task::ready!(self.hear(cx))? == 0 {
+                // The library takes an answer in chunks that is cut short for a whole one.
+                self.note(|course| course.cut.set(true));
+                let end =
+                    if self.framing.is_open_ended() { Ok(()) } else { Err(io::ErrorKind::UnexpectedEof) };
+                return Poll::Ready(end.map_err(io::Error::from));
+            }
+            self.note(|course| course.come_to(Reached::AnswerBegun));
+            self.ready = self.framing.count(&mut self.heard, self.seat.most_body)?;
+        }
+        // Whatever is behind a whole answer belongs to no other; nor does what is behind one whose end the
+        // library finds.
+        let more = self.framing.is_whole()
+            && (self.heard.len() > self.ready || matches!(self.hear(cx), Poll::Ready(Ok(_) | Err(_))));
+        if more || self.framing.is_open_ended() {
+            self.seat.spent.set(true);
+        }
+        Poll::Ready(Ok(()))
+    }
+
     fn with<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         match self.seat.stream.borrow_mut().as_mut() {
             Some(stream) => act(Pin::new(stream)),
@@ -190,22 +250,34 @@
 }
 
 impl AsyncRead for Outbound {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = self.with(|stream| stream.poll_read(cx, buf));
-        if let Poll::Ready(result) = &read {
-            if result.is_ok() && buf.filled().len() > before {
-                self.note(|course| course.come_to(Reached::AnswerBegun));
-            } else {
-                self.note(|course| course.cut.set(true));
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.ready == 0 {
+            if self.framing.is_whole() {
+                // The pool asks whether it is still good: it is, if nothing comes.
+                return self.with(|stream| stream.poll_read(cx, buf));
             }
+            std::task::ready!(self.listen(cx))?;
+        }
+        let n = self.ready.min(buf.remaining());
+        buf.put_slice(&self.heard.split_to(n));
+        self.ready -= n;
+        if self.ready == 0 && self.framing.is_whole() {
+            // An idle connection keeps no memory for it.
+            self.heard = BytesMut::new();
         }
-        read
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Outbound {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.framing.is_whole() {
+            self.framing = Framing::default();
+        }
         let _ = COURSE.try_with(|course| {
             self.seat.idle_since.set(None);
             course.seat.replace(Some(Rc::clone(&self.seat)));
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -259,6 +259,11 @@
     let loads = load::decode("inflight=7, util=0.61,latency_ms=much,queue,eps=2", &gauges);
     assert!(loads[0].is_nan());
     assert_eq!(&loads[1..], [2.0, 0.61]);
+    for noise in
+        ["", "{\"", "=", "util", "util=NaN", "util=-inf", "util=1e999", "util=-0.2", "util=0.1,util=0.9"]
+    {
+        assert!(load::decode(noise, &gauges).iter().all(|v| v.is_nan()), "{noise}");
+    }
 }
 
 #[test]
--- a/crates/fernroute-server/tests/relay.rs
+++ b/crates/fernroute-server/tests/relay.rs
@@ -129,6 +129,24 @@
                 502,
                 1,
             ),
+            // An answer of 3 GB, one that has several lengths or none, one that is only announced on and on.
+            (Deed::Say, raw("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nand on"), 502, 1),
+            (Deed::Say, raw("HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nwhole"), 502, 1),
+            (
+                Deed::Say,
+                raw("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nwhole"),
+                502,
+                1,
+            ),
+            (
+                Deed::Say,
+                raw("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nwhole"),
+                502,
+                1,
+            ),
+            (Deed::Say, raw("HTTP/1.1 200 OK\r\n\r\nwhole"), 502, 1),
+            (Deed::Say, raw(&"HTTP/1.1 103 Early\r\n\r\n".repeat(50)), 502, 1),
+            (Deed::Say, raw(&format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(17_000))), 502, 1),
         ];
         for (deed, bytes, status, sent) in cases {
             let text = String::from_utf8_lossy(&bytes).into_owned();
@@ -153,6 +171,34 @@
     });
 }
 
+/// Guards against an announcement that passes for the answer, and against what follows an answer, with it or
+/// while its connection stands idle, passing for that of the next RPC.
+#[test]
+fn an_answer_is_its_own_rpcs_whatever_comes_round_it() {
+    run(async {
+        let up = stand_in(|n, _| {
+            let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{n:02}");
+            let text = match n {
+                0 => format!("HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 100 Go\r\n\r\n{whole}"),
+                2 => format!("{whole}{whole}"),
+                4 => format!("{whole}noise"),
+                6 => "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n06\r\n0\r\n\r\nHT".to_owned(),
+                _ => whole,
+            };
+            Deed::Say(text.into_bytes())
+        });
+        let up = up.await;
+        let b = balancer(&[&up], &[]).await;
+        for n in 0..8 {
+            let answer = ask(b.address, rpc("POST", "/pay", "Content-Length: 0\r\n")).await;
+            assert_eq!((answer.status(), answer.body), (200, format!("{n:02}").into_bytes()));
+        }
+        // A connection with more on it than its answer is of no further use.
+        assert_eq!(up.connections.get(), 4);
+        until(|| up.left.get() == 3).await;
+    });
+}
+
 #[test]
 fn a_refused_connection_never_ran() {
     run(async {
@@ -223,7 +269,7 @@
         let body = vec![b'x'; 32 << 20];
         let write = async {
             let mut out =
-                Seats::new(1).connect(listener.local_addr().expect("an address")).await.expect("room");
+                Seats::new(1, 0).connect(listener.local_addr().expect("an address")).await.expect("room");
             assert_eq!(out.write(&body).await.expect("it takes bytes"), body.len());
             let early = tokio::time::timeout(Duration::from_millis(50), out.flush()).await;
             assert!(early.is_err() && course.reached() == Reached::Connected);
