A balancer told to stop keeps its callers as long as their RPCs have room

The log shows why: the second balancer of two closed its connections 0.5 s after SIGTERM, a second before the first one was back. At fault: NOTICE in program/shutdown.rs, the same for all. Ruled out: RPCs lost at the end (the log has none), upstreams (no error, reset or time-out in that time). It may be killed the longest deadline, three seconds at most, and 0.7 s after SIGTERM; it now keeps its callers until 1.8 s before that, and errors what is open half a second after that deadline.

--- a/crates/fernroute-server/src/routing/book.rs
+++ b/crates/fernroute-server/src/routing/book.rs
@@ -36,6 +36,17 @@
         }
     }
 
+    /// The program ends: what is open is errored, which promises nothing, and called off.
+    pub fn error_all(self: &Rc<Self>) {
+        let open: Vec<Rc<str>> = self.open.borrow().keys().cloned().collect();
+        for rpc in open {
+            if self.give(&rpc, Final::Errored) {
+                log::warn!("RPC {rpc} errored, the program ends");
+                self.decide(None, |b, now| b.rpc_abandoned(now, &rpc));
+            }
+        }
+    }
+
     /// An answered RPC leaves with its last transmission.
     pub(super) fn forget(&self, rpc: &str) {
         let mut open = self.open.borrow_mut();
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -48,6 +48,8 @@
     pub client: Client,
     pub methods: Vec<String>,
     pub gauges: Gauges,
+    /// The longest that the terms give any RPC; without end where they do not tell.
+    pub longest_deadline: Duration,
     /// Told to stop: not ready any more.
     pub leaving: Cell<bool>,
     /// Answers end their connections.
@@ -73,6 +75,7 @@
             connections,
             MOST_BODY,
         );
+        let deadline = |i: usize| time(&format!("methods.{i}.hard_deadline")).unwrap_or(Duration::MAX);
         let board = Rc::new(Switchboard {
             clock,
             balancer: RefCell::new(balancer),
@@ -84,6 +87,7 @@
             client,
             methods: (0..count).filter_map(method).collect(),
             gauges: Gauges(gauges.split(',').map(str::to_owned).collect()),
+            longest_deadline: (0..count).map(deadline).max().unwrap_or(Duration::MAX),
             leaving: Cell::new(false),
             last_answers: Cell::new(false),
         });
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -91,16 +91,19 @@
     });
 }
 
-/// Told to stop: still answers who comes, ends what is idle, and loses nothing that it has taken.
+/// Told to stop: still answers who comes and who is here, ends what is idle, and loses nothing that it has taken.
 #[test]
 fn ends_when_all_is_answered() {
     run(async {
-        let up = stand_in(|n, _| if n == 0 { Deed::Silence } else { ok("whole") }).await;
-        let b = balancer(&[&up], &[]).await;
+        let up = stand_in(|n, _| if n < 2 { Deed::Silence } else { ok("whole") }).await;
+        // Killed a second and 0.7 after it is told.
+        let b = balancer(&[&up], &[("\"hard-deadline-s\":6.0", "\"hard-deadline-s\":1.0")]).await;
         let mut idle = connect(b.address).await;
-        let mut busy = send(b.address, rpc("GET", "/look", "").replace("4000", "1500")).await;
+        let mut busy = send(b.address, rpc("GET", "/look", "").replace("4000", "1100")).await;
         until(|| up.seen.borrow().len() == 1).await;
-        let (board, server) = (b.board.clone(), b.server.clone());
+        let mut open = send(b.address, rpc("GET", "/look", "").replace("4000", "90000")).await;
+        until(|| up.seen.borrow().len() == 2).await;
+        let (board, server, from) = (b.board.clone(), b.server.clone(), Instant::now());
         let end = actix_rt::spawn(async move { shutdown::leave(&board, &server).await });
         until(|| b.board.leaving.get()).await;
         assert_eq!(ask(b.address, READY).await.status(), 503);
@@ -109,11 +112,37 @@
         assert_eq!(idle.read(&mut [0; 1]).await.expect("an orderly end"), 0);
         let last = read(&mut busy).await.expect("an answer");
         assert_eq!((last.status(), last.header("connection")), (503, Some("close")));
+        let last = read(&mut open).await.expect("an answer");
+        assert_eq!((last.status(), last.header("connection")), (502, Some("close")));
+        assert!(from.elapsed() < Duration::from_millis(1700), "{:?}", from.elapsed());
         end.await.expect("it ends");
         assert!(TcpStream::connect(b.address).await.is_err());
     });
 }
 
+/// Guards against callers that are sent away while another balancer is not back yet.
+#[test]
+fn callers_are_kept_as_long_as_they_may_be_served() {
+    run(async {
+        let up = stand_in(|_, _| ok("whole")).await;
+        let b = balancer(&[&up], &[]).await;
+        let mut kept = connect(b.address).await;
+        let (board, server, from) = (b.board.clone(), b.server.clone(), Instant::now());
+        let end = actix_rt::spawn(async move { shutdown::leave(&board, &server).await });
+        let mut served = from.elapsed();
+        // Until it ends the connection.
+        while kept.write_all(rpc("GET", "/look", "").as_bytes()).await.is_ok() {
+            let Some(answer) = read(&mut kept).await else { break };
+            assert_eq!(answer.status(), 200);
+            served = from.elapsed();
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert!(served > Duration::from_millis(1500), "{served:?}");
+        end.await.expect("it ends");
+        assert!(from.elapsed() < Duration::from_millis(3700), "{:?}", from.elapsed());
+    });
+}
+
 /// The program itself, started with a file of its own; its address stands in its log.
 struct Program {
     child: Child,
