Callers bounded, RPCs that fit their method, connections of each upstream's own, fresh ones for once-only

Seen by reading: a new id at an old address got the old one's pooled connection, and awc kept a key for each address for good (Client had one pool); each upstream has its own now, which goes with it. A chunked body turned away at 64 KiB was read to its end and what followed it served (actix-http drains it); an answer to what is no RPC is now the last on its connection, which is ended without a reset. Half an RPC held its connection for good and make_room waited for it: 408 after 2.5 s, silent callers go after 2 s, idle ones after 5 s. Verb, key and body must fit the method's effect, and nothing may be said twice.

--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -19,8 +19,8 @@
 /// Descriptors for everything but callers and upstreams: standard streams, the listener, discovery, signals.
 const OWN_DESCRIPTORS: usize = 32;
 
-/// How often connections are looked over.
-const SWEEP: Duration = Duration::from_secs(1);
+/// How often connections are looked over: their times are to a tenth.
+const SWEEP: Duration = Duration::from_millis(200);
 
 /// Serves until told to stop; `path` is the file that the station was read from.
 pub fn serve(station: Station, path: &Path) -> Result<(), String> {
@@ -101,7 +101,7 @@
     let handled = Rc::clone(&board);
     let handle = move |message, visit| take_in::handle(Rc::clone(&handled), message, visit);
     actix_rt::spawn(Rc::clone(&server).run(handle));
-    log::info!("serving on {address}, {} upstreams known", board.addresses.borrow().len());
+    log::info!("serving on {address}, {} upstreams known", board.lines.borrow().len());
     let asks = station.terms.get("list_mode").is_some_and(|mode| mode == "ask");
     let running = Running { board, server, address, asks, watch: RefCell::default() };
     running.watch(station.discovery, version, false);
--- a/crates/fernroute-server/src/protocol/answer.rs
+++ b/crates/fernroute-server/src/protocol/answer.rs
@@ -5,7 +5,7 @@
 use super::request::Unfit;
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
-use actix_http::{Response, ResponseHead, StatusCode};
+use actix_http::{ConnectionType, Response, ResponseHead, StatusCode};
 use bytes::Bytes;
 use fernroute::{Outcome, Time};
 
@@ -50,6 +50,15 @@
 }
 
 impl Final {
+    /// For the log.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Final::Completed(_) => "completed",
+            Final::Exhausted(_) => "exhausted",
+            Final::Errored => "errored",
+        }
+    }
+
     pub fn encode(self) -> Response<BoxBody> {
         match self {
             Final::Completed(answer) => {
@@ -71,9 +80,10 @@
     }
 }
 
-/// The answer to a message that is no RPC.
+/// The answer to a message that is no RPC; the last one on its connection.
 pub fn unfit(unfit: &Unfit) -> Response<BoxBody> {
     let mut response = plain(unfit.0, unfit.1);
+    response.head_mut().set_connection_type(ConnectionType::Close);
     if unfit.0 == StatusCode::METHOD_NOT_ALLOWED {
         response.headers_mut().insert(actix_http::header::ALLOW, HeaderValue::from_static("GET, POST"));
     }
--- a/crates/fernroute-server/src/protocol/names.rs
+++ b/crates/fernroute-server/src/protocol/names.rs
@@ -6,6 +6,7 @@
 pub const METHOD: &str = "req-kind";
 pub const TENANT: &str = "req-owner";
 pub const DEADLINE: &str = "req-deadline-ms";
+pub const KEY: &str = "idempotency-key";
 pub const LOAD: &str = "srv-load";
 pub const DECLINED: &str = "srv-declined";
 
--- a/crates/fernroute-server/src/protocol/request.rs
+++ b/crates/fernroute-server/src/protocol/request.rs
@@ -1,7 +1,7 @@
 //! An RPC as a caller sends it.
 
 use super::names;
-use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{Method, RequestHead, StatusCode, Uri};
 use bytes::Bytes;
 use fernroute::Time;
@@ -15,6 +15,24 @@
 const MOST_ID: usize = 128;
 const MOST_MS: u64 = 24 * 3600 * 1000;
 
+/// A method as the terms name it, and how an RPC of it is sent.
+#[derive(Debug)]
+pub struct Shape {
+    pub name: String,
+    verb: Method,
+    keyed: bool,
+    once: bool,
+}
+
+impl Shape {
+    /// `effect` is the terms' word for what repeats do.
+    pub fn new(name: String, effect: &str) -> Self {
+        let verb = if effect == "retriable" { Method::GET } else { Method::POST };
+        let keyed = effect == "deduped";
+        Shape { name, once: verb == Method::POST && !keyed, verb, keyed }
+    }
+}
+
 #[derive(Debug)]
 pub struct Request {
     pub id: Rc<str>,
@@ -22,6 +40,8 @@
     pub method: String,
     pub tenant: String,
     pub time_left: Time,
+    /// It must never run twice.
+    pub once: bool,
     verb: Method,
     uri: Uri,
     /// End-to-end headers, the deadline left out: each transmission has one of its own.
@@ -34,22 +54,38 @@
 pub struct Unfit(pub StatusCode, pub &'static str);
 
 impl Request {
-    /// Reads the head of a message; `methods` are the names that the terms know.
-    pub fn decode(head: &RequestHead, methods: &[String]) -> Result<Self, Unfit> {
+    /// Reads the head of a message. What says anything twice, or differs from the shape of its method, is no RPC:
+    /// upstreams could read it in another way.
+    pub fn decode(head: &RequestHead, shapes: &[Shape]) -> Result<Self, Unfit> {
         let bad = |why| Unfit(StatusCode::BAD_REQUEST, why);
-        let first = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or("");
-        if !methods.iter().any(|m| m == first) {
-            return Err(Unfit(StatusCode::NOT_FOUND, "no such path"));
-        }
+        let path = head.uri.path();
+        let first = path.strip_prefix('/').and_then(|path| path.split('/').next()).unwrap_or("");
+        let shape = shapes.iter().find(|s| s.name == first);
+        let shape = shape.ok_or(Unfit(StatusCode::NOT_FOUND, "no such path"))?;
         if head.method != Method::GET && head.method != Method::POST {
             return Err(Unfit(StatusCode::METHOD_NOT_ALLOWED, "GET or POST"));
         }
-        let one = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
-        let id = one(names::ID).filter(|id| !id.is_empty() && id.len() <= MOST_ID);
+        let one = |name: &str| {
+            let mut all = head.headers.get_all(name);
+            let one = all.next().and_then(|v| v.to_str().ok()).map(str::trim);
+            one.filter(|one| !one.is_empty() && all.next().is_none())
+        };
+        let id = one(names::ID).filter(|id| id.len() <= MOST_ID);
         let id = id.filter(|id| id.bytes().all(|b| b.is_ascii_graphic())).ok_or(bad("bad or missing id"))?;
         let method = one(names::METHOD).filter(|m| *m == first).ok_or(bad("bad or missing method"))?;
-        let ms = one(names::DEADLINE).and_then(|text| text.parse::<u64>().ok()).filter(|ms| *ms <= MOST_MS);
+        let ms = one(names::DEADLINE).filter(|ms| ms.bytes().all(|b| b.is_ascii_digit()));
+        let ms = ms.and_then(|text| text.parse::<u64>().ok()).filter(|ms| *ms <= MOST_MS);
         let ms = ms.ok_or(bad("bad or missing deadline"))?;
+        if head.method != shape.verb {
+            return Err(bad("not the method's verb"));
+        }
+        if head.headers.contains_key(names::KEY) != shape.keyed || shape.keyed && one(names::KEY).is_none() {
+            return Err(bad("a key that the method has not, or the other way round"));
+        }
+        let bodied = head.headers.get(CONTENT_LENGTH).is_some_and(|n| n.as_bytes() != b"0");
+        if shape.verb == Method::GET && (bodied || head.headers.contains_key(TRANSFER_ENCODING)) {
+            return Err(bad("a body where there is none"));
+        }
         let mut headers = head.headers.clone();
         names::keep_end_to_end(&mut headers, &[names::DEADLINE]);
         Ok(Request {
@@ -57,6 +93,7 @@
             method: method.to_owned(),
             tenant: one(names::TENANT).unwrap_or("").to_owned(),
             time_left: ms * 10,
+            once: shape.once,
             verb: head.method.clone(),
             uri: head.uri.clone(),
             headers,
--- a/crates/fernroute-server/src/routing/relay.rs
+++ b/crates/fernroute-server/src/routing/relay.rs
@@ -1,25 +1,23 @@
 //! The final answer, on its way to the caller.
 
 use super::switchboard::Switchboard;
-use crate::protocol::answer::{self, Final};
-use crate::protocol::request::Unfit;
+use crate::protocol::answer::Final;
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, Response};
 
 impl Switchboard {
     /// Gives an RPC its final answer, unless it has one; tells whether it did.
     pub(super) fn give(&self, rpc: &str, last: Final) -> bool {
-        let answer = self.open.borrow_mut().get_mut(rpc).and_then(|entry| entry.answer.take());
+        let answer = self.open.borrow_mut().get_mut(rpc).and_then(|entry| {
+            log::debug!("RPC {rpc}: {} after {} transmissions", last.word(), entry.made);
+            entry.answer.take()
+        });
         let given = answer.is_some_and(|answer| answer.send(last).is_ok());
         self.forget(rpc);
         given
     }
 }
 
-pub fn encode(last: Result<Final, Unfit>) -> Response<BoxBody> {
-    last.map_or_else(|unfit| answer::unfit(&unfit), Final::encode)
-}
-
 /// When the program ends, each answer is the last on its connection.
 pub fn close_if_last(board: &Switchboard, mut response: Response<BoxBody>) -> Response<BoxBody> {
     if board.last_answers.get() {
--- a/crates/fernroute-server/src/routing/route.rs
+++ b/crates/fernroute-server/src/routing/route.rs
@@ -18,17 +18,10 @@
         let (stop, stopped) = oneshot::channel();
         let due = Due::Transmission { rpc: Rc::clone(rpc), tx };
         entry.out.insert(tx, Out { stop, time_out: self.timers.set(time_out, due) });
-        let address = self.addresses.borrow().get(upstream).copied();
+        let line = self.lines.borrow().get(upstream).map(|(_, line)| Rc::clone(line));
         let request = Rc::clone(&entry.request);
         log::debug!("RPC {rpc} transmission {tx} to {upstream}");
-        actix_rt::spawn(Rc::clone(self).transmission(
-            Rc::clone(rpc),
-            tx,
-            request,
-            address,
-            time_out,
-            stopped,
-        ));
+        actix_rt::spawn(Rc::clone(self).transmission(Rc::clone(rpc), tx, request, line, time_out, stopped));
     }
 
     /// Ends a transmission that is out; how it ended is booked by its own task.
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -3,12 +3,11 @@
 use super::switchboard::Switchboard;
 use crate::protocol::answer::Answer;
 use crate::protocol::request::Request;
-use crate::transport::client::Call;
+use crate::transport::client::{Call, Line};
 use crate::transport::outbound::{Course, Reached};
 use fernroute::{Outcome, Time};
 use futures_util::future::{select, Either};
 use futures_util::FutureExt as _;
-use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::rc::Rc;
@@ -20,12 +19,12 @@
         rpc: Rc<str>,
         tx: usize,
         request: Rc<Request>,
-        address: Option<SocketAddr>,
+        line: Option<Rc<Line>>,
         time_out: Time,
         stopped: oneshot::Receiver<Outcome>,
     ) {
         let sent = self.clock.now();
-        let made = self.make(&request, address, time_out, stopped);
+        let made = self.make(&request, line, time_out, stopped);
         let result = AssertUnwindSafe(made).catch_unwind().await.unwrap_or(Err(Outcome::Unknown));
         self.book(&rpc, tx, result, self.clock.now() - sent);
     }
@@ -34,17 +33,17 @@
     async fn make(
         &self,
         request: &Request,
-        address: Option<SocketAddr>,
+        line: Option<Rc<Line>>,
         time_out: Time,
         stopped: oneshot::Receiver<Outcome>,
     ) -> Result<Answer, Outcome> {
         // Left the list after it was drawn: nothing was sent.
-        let Some(address) = address else { return Err(Outcome::Moot) };
-        let (verb, uri, headers) = request.encode(address, time_out);
-        let call = Call { verb, uri, headers, body: request.body.clone() };
+        let Some(line) = line else { return Err(Outcome::Moot) };
+        let (verb, uri, headers) = request.encode(line.address, time_out);
+        let call = Call { verb, uri, headers, body: request.body.clone(), fresh: request.once };
         let course = Rc::<Course>::default();
         let result = {
-            let call = pin!(self.client.call(call, &course));
+            let call = pin!(line.call(call, &course));
             // Dropping the call at the end of this block closes its connection.
             match select(call, stopped).await {
                 Either::Left((result, _)) => Ok(result),
@@ -54,7 +53,7 @@
         match result {
             Ok(Ok((head, body))) => Ok(Answer::decode(head, body, &self.gauges)),
             Ok(Err(broken)) => {
-                log::debug!("RPC {} at {address}: {broken}", request.id);
+                log::debug!("RPC {} at {}: {broken}", request.id, line.address);
                 Err(match broken.reached {
                     // For want of connections here: that says nothing of the upstream.
                     Reached::Nothing if course.held_back() => Outcome::Moot,
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -6,12 +6,11 @@
 use crate::protocol::answer::Final;
 use crate::protocol::list::{List, State};
 use crate::protocol::load::Gauges;
-use crate::protocol::request::{Request, MOST_BODY};
-use crate::transport::client::Client;
+use crate::protocol::request::{Request, Shape, MOST_BODY};
+use crate::transport::client::{Client, Line};
 use fernroute::{Balancer, MissingTerm, Outcome, Terms, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,19 +33,22 @@
     pub out: BTreeMap<usize, Out>,
 }
 
+/// By id: when an upstream had last started, and the way to it.
+type Lines = BTreeMap<Rc<str>, (u64, Rc<Line>)>;
+
 pub struct Switchboard {
     pub clock: Clock,
     balancer: RefCell<Balancer<Desk>>,
     desk: Desk,
     /// Emptied by the book: an answered RPC leaves with its last transmission.
     pub open: RefCell<BTreeMap<Rc<str>, Open>>,
-    /// Where upstreams listen. Emptied by the list.
-    pub addresses: RefCell<BTreeMap<Rc<str>, SocketAddr>>,
+    /// Emptied by the list.
+    pub lines: RefCell<Lines>,
     pub timers: Timers,
     /// The decisions ask for a watch on the list.
     pub follow: Rc<Notify>,
     pub client: Client,
-    pub methods: Vec<String>,
+    pub methods: Vec<Shape>,
     pub gauges: Gauges,
     /// The longest that the terms give any RPC; without end where they do not tell.
     pub longest_deadline: Duration,
@@ -66,7 +68,10 @@
         let desk = Desk::default();
         let balancer = Balancer::new(desk.clone(), clock.now(), seed, terms)?;
         let count = terms.get("methods.count").and_then(|n| n.parse().ok()).unwrap_or(0);
-        let method = |i: usize| terms.get(&format!("methods.{i}.name")).cloned();
+        let method = |i: usize| {
+            let term = |what: &str| terms.get(&format!("methods.{i}.{what}"));
+            Some(Shape::new(term("name")?.clone(), term("effect")?))
+        };
         let gauges = terms.get("load.names").map_or("", String::as_str);
         let time = |name: &str| terms.get(name).and_then(|t| t.parse::<Time>().ok()).map(clock::duration);
         let client = Client::new(
@@ -81,7 +86,7 @@
             balancer: RefCell::new(balancer),
             desk,
             open: RefCell::default(),
-            addresses: RefCell::default(),
+            lines: RefCell::default(),
             timers: Timers::default(),
             follow: Rc::default(),
             client,
@@ -96,7 +101,7 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        !self.leaving.get() && !self.addresses.borrow().is_empty()
+        !self.leaving.get() && !self.lines.borrow().is_empty()
     }
 
     /// Calls the balancer, then does what it asked for. A panic in there stops at the RPC that met it.
@@ -144,18 +149,22 @@
     /// Hands on what discovery told. `fresh` is false for the list that this balancer held before its start.
     pub fn take_list(self: &Rc<Self>, list: &List, fresh: bool) {
         {
-            let mut addresses = self.addresses.borrow_mut();
+            let mut lines = self.lines.borrow_mut();
             if list.full {
-                addresses.retain(|id, _| list.entries.iter().any(|e| e.id == **id));
+                lines.retain(|id, _| list.entries.iter().any(|e| e.id == **id));
             }
             for entry in &list.entries {
-                match (entry.state, entry.address) {
-                    (State::Ready, Some(address)) => {
-                        addresses.insert(Rc::from(entry.id.as_str()), address);
-                    }
-                    _ => {
-                        addresses.remove(entry.id.as_str());
-                    }
+                let id = entry.id.as_str();
+                let Some(address) = entry.address.filter(|_| entry.state == State::Ready) else {
+                    lines.remove(id);
+                    continue;
+                };
+                // One that started again, or elsewhere, gets no connection of before.
+                let same = |(started, line): &(u64, Rc<Line>)| {
+                    *started == entry.started_ms && line.address == address
+                };
+                if !lines.get(id).is_some_and(same) {
+                    lines.insert(Rc::from(id), (entry.started_ms, Rc::new(self.client.line(address))));
                 }
             }
         }
--- a/crates/fernroute-server/src/routing/take_in.rs
+++ b/crates/fernroute-server/src/routing/take_in.rs
@@ -10,11 +10,16 @@
 use actix_http::{Method, Payload, Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt as _, StreamExt as _};
+use std::future::pending;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
 /// Answers one message of a connection. A panic on the way costs this message alone.
 pub async fn handle(board: Rc<Switchboard>, message: Request, visit: Rc<Visit>) -> Response<BoxBody> {
+    if visit.is_last() {
+        // What came behind a message that was turned away is no message; the connection closes.
+        return pending().await;
+    }
     let answered = AssertUnwindSafe(answer(&board, message, &visit)).catch_unwind().await;
     let response = answered.unwrap_or_else(|_| answer::broken());
     relay::close_if_last(&board, response)
@@ -25,7 +30,7 @@
         let _stay = visit.taken();
         return match *message.method() {
             Method::GET => answer::readiness(board.is_ready()),
-            _ => answer::unfit(&Unfit(StatusCode::METHOD_NOT_ALLOWED, "GET")),
+            _ => turn_away(&Unfit(StatusCode::METHOD_NOT_ALLOWED, "GET"), visit),
         };
     }
     let decoded = request::Request::decode(message.head(), &board.methods);
@@ -37,15 +42,22 @@
     match (decoded, body) {
         (Ok(mut request), Ok(body)) => {
             request.body = body;
-            relay::encode(board.admit(request).await)
-        }
-        (Err(unfit), _) | (_, Err(unfit)) => {
-            log::debug!("not an RPC: {}", unfit.1);
-            answer::unfit(&unfit)
+            match board.admit(request).await {
+                Ok(last) => last.encode(),
+                Err(unfit) => turn_away(&unfit, visit),
+            }
         }
+        (Err(unfit), _) | (_, Err(unfit)) => turn_away(&unfit, visit),
     }
 }
 
+/// Answers what is no RPC, and reads no further: who sent it may mean something else by the rest.
+fn turn_away(unfit: &Unfit, visit: &Visit) -> Response<BoxBody> {
+    log::debug!("not an RPC: {}", unfit.1);
+    visit.last_answer();
+    answer::unfit(unfit)
+}
+
 async fn whole_body(message: &mut Request) -> Result<Bytes, Unfit> {
     let too_large = Unfit(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
     let length = message.head().headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -25,19 +25,32 @@
     }
 }
 
+/// What all calls share: the bounds on connections and answers.
 pub struct Client {
-    http: awc::Client,
     seats: Rc<Seats>,
+    connect_time_out: Duration,
     idle: Duration,
     most_body: usize,
 }
 
+/// The way to one upstream, with connections of its own. Those that stand idle are closed with it: an upstream that
+/// comes to the address of another gets none that was made for the other.
+pub struct Line {
+    pub address: SocketAddr,
+    kept: awc::Client,
+    fresh: awc::Client,
+    most_body: usize,
+}
+
 /// One call's parts.
 pub struct Call {
     pub verb: Method,
     pub uri: String,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// On a connection of its own, closed after the answer. A kept one may end as the call is written, and then
+    /// nobody knows whether it has run.
+    pub fresh: bool,
 }
 
 impl Client {
@@ -47,36 +60,43 @@
         // A call written as the other side closes ends as a reset that may have run: a fifth and a second
         // are far more than a call takes to cross.
         let idle = (keep * 4 / 5).min(keep.saturating_sub(Duration::from_secs(1)));
-        let seats = Rc::new(Seats::new(most, most_body));
-        let for_new = Rc::clone(&seats);
+        Client { seats: Rc::new(Seats::new(most, most_body)), connect_time_out, idle, most_body }
+    }
+
+    pub fn line(&self, address: SocketAddr) -> Line {
+        let (kept, fresh) = (self.pool(address), self.pool(address));
+        Line { address, kept, fresh, most_body: self.most_body }
+    }
+
+    fn pool(&self, address: SocketAddr) -> awc::Client {
+        let for_new = Rc::clone(&self.seats);
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
             let seats = Rc::clone(&for_new);
             async move {
-                let uri = info.request().clone();
-                let address = uri.authority().and_then(|a| a.as_str().parse::<SocketAddr>().ok());
-                let stream = seats.connect(address.ok_or(ConnectError::Unresolved)?).await;
-                Ok(Connection::new(uri, stream.map_err(ConnectError::Io)?))
+                let stream = seats.connect(address).await.map_err(ConnectError::Io)?;
+                Ok(Connection::new(info.request().clone(), stream))
             }
         });
         let connector = awc::Connector::new()
             .connector(connect)
-            .timeout(connect_time_out)
+            .timeout(self.connect_time_out)
             .limit(0)
-            .conn_keep_alive(idle)
+            .conn_keep_alive(self.idle)
             .conn_lifetime(Duration::from_secs(365 * 24 * 3600));
-        let http = awc::Client::builder()
+        awc::Client::builder()
             .connector(connector)
             .disable_timeout()
             .disable_redirects()
             .no_default_headers()
-            .finish();
-        Client { http, seats, idle, most_body }
+            .finish()
     }
 
     pub fn sweep(&self) {
         self.seats.sweep(self.idle);
     }
+}
 
+impl Line {
     /// The whole answer. Dropping the future closes the connection.
     pub async fn call(&self, call: Call, course: &Rc<Course>) -> Result<(ResponseHead, Bytes), Broken> {
         let result = COURSE.scope(Rc::clone(course), self.answer(call, course)).await;
@@ -85,7 +105,12 @@
     }
 
     async fn answer(&self, call: Call, course: &Course) -> Result<(ResponseHead, Bytes), String> {
-        let mut request = self.http.request(call.verb.clone(), call.uri).no_decompress();
+        let request = if call.fresh {
+            self.fresh.request(call.verb.clone(), call.uri).force_close()
+        } else {
+            self.kept.request(call.verb.clone(), call.uri)
+        };
+        let mut request = request.no_decompress();
         // No body at all, or one of stated length, be it none.
         let bare = call.verb == Method::GET && call.body.is_empty();
         *request.headers_mut() = call.headers;
--- a/crates/fernroute-server/src/transport/discovery.rs
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -1,6 +1,6 @@
 //! The watch on discovery: one call after another, each answer handed on.
 
-use super::client::{Call, Client};
+use super::client::{Call, Client, Line};
 use super::outbound::Course;
 use crate::protocol::list::{self, List};
 use crate::protocol::names;
@@ -29,30 +29,29 @@
 
 pub struct Watch {
     client: Client,
-    agent: SocketAddr,
+    line: Line,
 }
 
 impl Watch {
     pub fn new(agent: SocketAddr) -> Self {
         // Half a second is ages on the balancer's own machine; two connections, of which one is dying.
-        Watch {
-            client: Client::new(Duration::from_millis(500), Duration::from_secs(10), 4, MOST_LIST),
-            agent,
-        }
+        let client = Client::new(Duration::from_millis(500), Duration::from_secs(10), 4, MOST_LIST);
+        Watch { line: client.line(agent), client }
     }
 
     async fn ask(&self, version: Option<u64>) -> Result<List, String> {
         let query = version.map_or(String::new(), |v| format!("?index={v}&wait={}", WAIT.as_millis()));
         let call = Call {
             verb: Method::GET,
-            uri: format!("http://{}{}{query}", self.agent, names::LIST_PATH),
+            uri: format!("http://{}{}{query}", self.line.address, names::LIST_PATH),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            fresh: false,
         };
         let course = Rc::<Course>::default();
         // The whole list is there at once.
         let wait = if version.is_some() { WAIT } else { Duration::ZERO };
-        let answer = timeout(wait + GRACE, self.client.call(call, &course)).await;
+        let answer = timeout(wait + GRACE, self.line.call(call, &course)).await;
         let (head, body) = answer.map_err(|_| "silent".to_owned())?.map_err(|broken| broken.to_string())?;
         if head.status != StatusCode::OK {
             return Err(format!("status {}", head.status.as_u16()));
--- a/crates/fernroute-server/src/transport/inbound.rs
+++ b/crates/fernroute-server/src/transport/inbound.rs
@@ -1,7 +1,7 @@
 //! One connection of a caller: whether it is between RPCs, and its end when it may be closed.
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -13,42 +13,108 @@
 /// What the server knows of a connection.
 #[derive(Debug)]
 pub struct Visit {
+    /// None once it is closed, or the server alone has it.
+    pub(super) stream: RefCell<Option<TcpStream>>,
     /// RPCs whose answer is not made yet.
     open: Cell<u32>,
     /// Bytes have come of an RPC that is not whole yet.
     partial: Cell<bool>,
-    pub last: Cell<Instant>,
+    /// It has brought an RPC, or what passes for one.
+    asked: Cell<bool>,
+    /// Since when it has been idle, or an RPC has been coming.
+    since: Cell<Instant>,
     ending: Cell<bool>,
+    /// The last answer is made: nothing that comes is read as an RPC any more.
+    last: Cell<bool>,
+    /// The library is done with it, whatever it thinks.
+    done: Cell<bool>,
     pub wake: Notify,
+    /// Its room is wanted: it need not wait for the caller to read the last answer.
+    pub hurry: Notify,
 }
 
-impl Visit {
-    pub fn new() -> Rc<Self> {
-        Rc::new(Visit {
+impl Default for Visit {
+    fn default() -> Self {
+        Visit {
+            stream: RefCell::default(),
             open: Cell::new(0),
             partial: Cell::new(false),
-            last: Cell::new(Instant::now()),
+            asked: Cell::new(false),
+            since: Cell::new(Instant::now()),
             ending: Cell::new(false),
+            last: Cell::new(false),
+            done: Cell::new(false),
             wake: Notify::new(),
-        })
+            hurry: Notify::new(),
+        }
+    }
+}
+
+impl Visit {
+    pub fn new(stream: TcpStream) -> Rc<Self> {
+        Rc::new(Visit { stream: RefCell::new(Some(stream)), ..Visit::default() })
     }
 
     pub fn is_idle(&self) -> bool {
         self.open.get() == 0 && !self.partial.get()
     }
 
+    pub fn is_partial(&self) -> bool {
+        self.open.get() == 0 && self.partial.get()
+    }
+
+    pub fn is_ending(&self) -> bool {
+        self.ending.get() && self.is_idle()
+    }
+
+    pub fn has_asked(&self) -> bool {
+        self.asked.get()
+    }
+
+    pub fn since(&self) -> Instant {
+        self.since.get()
+    }
+
+    pub fn is_last(&self) -> bool {
+        self.last.get()
+    }
+
+    pub fn is_done(&self) -> bool {
+        self.done.get()
+    }
+
     /// Closes the connection as soon as nothing is open on it and nothing more has come.
     pub fn end(&self) {
         self.ending.set(true);
         self.wake.notify_one();
     }
 
+    /// Closes it now, whatever the library waits for.
+    pub fn cut(&self) {
+        self.done.set(true);
+        self.wake.notify_one();
+    }
+
+    /// The answer that is made now is the last; what follows the message is not read. Guards against the rest
+    /// of a message that was turned away being read as an RPC.
+    pub fn last_answer(&self) {
+        self.last.set(true);
+    }
+
     /// A message has come whole; what is returned is held until its answer is made.
     pub fn taken(self: &Rc<Self>) -> Stay {
         self.partial.set(false);
+        self.asked.set(true);
         self.open.set(self.open.get() + 1);
         Stay(Rc::clone(self))
     }
+
+    fn with<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        match self.stream.borrow_mut().as_mut() {
+            Some(stream) => act(Pin::new(stream)),
+            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+        }
+    }
 }
 
 /// Held while the answer to a message is made.
@@ -57,35 +123,30 @@
 impl Drop for Stay {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
-        self.0.last.set(Instant::now());
+        self.0.since.set(Instant::now());
     }
 }
 
+/// The stream that the server library reads and writes.
 #[derive(Debug)]
 pub struct Inbound {
-    stream: TcpStream,
     pub visit: Rc<Visit>,
 }
 
-impl Inbound {
-    pub fn new(stream: TcpStream, visit: Rc<Visit>) -> Self {
-        Inbound { stream, visit }
-    }
-}
-
 impl AsyncRead for Inbound {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let visit = &self.visit;
+        if visit.is_last() {
+            return Poll::Pending;
+        }
+        let before = buf.filled().len();
+        let read = visit.with(|stream| stream.poll_read(cx, buf));
         match &read {
             Poll::Ready(Ok(())) if buf.filled().len() > before => {
+                if visit.is_idle() {
+                    visit.since.set(Instant::now());
+                }
                 visit.partial.set(true);
-                visit.last.set(Instant::now());
             }
             // Nothing is waiting in the socket, so nothing is lost by ending here.
             Poll::Pending if visit.ending.get() && visit.is_idle() => return Poll::Ready(Ok(())),
@@ -96,25 +157,30 @@
 }
 
 impl AsyncWrite for Inbound {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.visit.with(|stream| stream.poll_write(cx, buf))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    /// The library flushes once it has written all that it has.
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = self.visit.with(|stream| stream.poll_flush(cx));
+        if self.visit.is_last() && flushed.is_ready() {
+            self.visit.cut();
+        }
+        flushed
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.visit.with(|stream| stream.poll_shutdown(cx))
     }
 }
 
 impl ActixStream for Inbound {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.stream, cx)
+        self.visit.with(|stream| ActixStream::poll_read_ready(&*stream, cx))
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.stream, cx)
+        self.visit.with(|stream| ActixStream::poll_write_ready(&*stream, cx))
     }
 }
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -13,15 +13,26 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
-/// Connections that stand idle, or bring only part of an RPC, for this long are closed: far longer than callers
-/// pause between RPCs.
-const IDLE: Duration = Duration::from_secs(300);
+/// Connections that have stood idle for this long are closed: longer than most callers pause between RPCs.
+const IDLE: Duration = Duration::from_secs(5);
 
-/// A caller that does not read its answer holds its connection this long after it was told to end.
-const LINGER: Duration = Duration::from_secs(2);
+/// Those that have not asked for anything yet: callers connect when they have something to ask.
+const SILENT: Duration = Duration::from_secs(2);
+
+/// From its first byte on an RPC has this long to come whole, and an answer to be taken. Guards against callers that
+/// hold connections with half an RPC, which are never between RPCs and so would never make room.
+const COMING: Duration = Duration::from_millis(2500);
+
+/// After the last answer what still comes is read and dropped for this long: closing on unread bytes would reset
+/// the connection, and the caller might never see the answer.
+const LINGER: Duration = Duration::from_secs(1);
+
+const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 pub struct Server {
     listener: RefCell<Option<TcpListener>>,
@@ -60,7 +71,7 @@
                 data.insert(Rc::clone(&io.visit));
             })
             .h1(fn_service(move |request: Request| {
-                let visit = request.conn_data::<Rc<Visit>>().map_or_else(Visit::new, Rc::clone);
+                let visit = request.conn_data::<Rc<Visit>>().map_or_else(Rc::default, Rc::clone);
                 let answer = handle(request, visit);
                 async move { Ok::<_, Infallible>(answer.await) }
             }));
@@ -95,24 +106,42 @@
         S: Service<(Inbound, Option<SocketAddr>)>,
         S::Error: Display,
     {
-        let visit = self.enter();
-        let _leave = Leave { server: &self, visit: &visit };
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let mut connection = pin!(service.call((Inbound::new(stream, Rc::clone(&visit)), None)));
-        loop {
-            match select(connection, pin!(visit.wake.notified())).await {
-                Either::Left((end, _)) => {
-                    return end.map_or_else(|why| log::debug!("connection ended: {why}"), drop)
+        let visit = self.enter(stream);
+        let _leave = Leave { server: &self, visit: &visit };
+        let unread = {
+            let mut connection = pin!(service.call((Inbound { visit: Rc::clone(&visit) }, None)));
+            loop {
+                match select(connection, pin!(visit.wake.notified())).await {
+                    Either::Left((Ok(_), _)) => break visit.is_last(),
+                    Either::Left((Err(why), _)) => {
+                        log::debug!("connection ended: {why}");
+                        break true;
+                    }
+                    Either::Right(_) if visit.is_done() => break true,
+                    Either::Right((_, same)) => connection = same,
                 }
-                Either::Right((_, same)) => connection = same,
             }
+        };
+        let Some(mut stream) = visit.stream.take().filter(|_| unread) else { return };
+        if visit.is_done() && !visit.is_last() {
+            // So short that the socket takes it at once.
+            let _ = stream.try_write(TOO_SLOW);
         }
+        visit.cut();
+        let part = pin!(async {
+            let _ = stream.shutdown().await;
+            let mut rest = [0; 4096];
+            while stream.read(&mut rest).await.is_ok_and(|n| n > 0) {}
+        });
+        // Or until its room is wanted.
+        let _ = select(part, pin!(timeout(LINGER, visit.hurry.notified()))).await;
     }
 
-    fn enter(&self) -> Rc<Visit> {
-        let visit = Visit::new();
+    fn enter(&self, stream: TcpStream) -> Rc<Visit> {
+        let visit = Visit::new(stream);
         if self.ending.get() {
             visit.end();
         }
@@ -128,16 +157,24 @@
         }
     }
 
+    /// One that is about to be closed goes first.
     fn end_idlest(&self) {
         let visits = self.visits.borrow();
-        if let Some(visit) = visits.iter().filter(|v| v.is_idle()).min_by_key(|v| v.last.get()) {
+        let idle = visits.iter().filter(|v| v.is_done() || v.is_idle());
+        if let Some(visit) = idle.min_by_key(|v| (!v.is_done(), v.since())) {
             visit.end();
+            visit.hurry.notify_one();
         }
     }
 
     pub fn sweep(&self) {
-        for visit in self.visits.borrow().iter().filter(|v| v.is_idle() && v.last.get().elapsed() > IDLE) {
-            visit.end();
+        for visit in self.visits.borrow().iter() {
+            let for_long = |time| visit.since().elapsed() >= time;
+            if visit.is_partial() && for_long(COMING) || visit.is_ending() && for_long(IDLE + COMING) {
+                visit.cut();
+            } else if visit.is_idle() && for_long(if visit.has_asked() { IDLE } else { SILENT }) {
+                visit.end();
+            }
         }
     }
 
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -58,6 +58,32 @@
     });
 }
 
+/// Guards against an upstream that gets a connection which was made for the one that stood at its address before,
+/// and against connections to upstreams that are gone, kept open until they are in the way.
+#[test]
+fn a_new_upstream_at_an_old_address_gets_connections_of_its_own() {
+    run(async {
+        let up = stand_in(|_, _| ok("whole")).await;
+        let address = up.address;
+        let entry = move |id: &str| format!(r#"{{"id":"{id}","addr":"{address}","state":"SERVING"}}"#);
+        // The first call waits until an RPC has been served.
+        let discovery = stand_in(move |n, _| match n {
+            0 => Deed::Silence,
+            1 => list(8, true, &entry("s-9")),
+            _ => Deed::Silence,
+        });
+        let discovery = discovery.await;
+        let b = serve::start(station(&[up.address], discovery.address, &[])).await.expect("it starts");
+        assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.status(), 200);
+        assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.status(), 200);
+        assert_eq!((up.connections.get(), up.left.get()), (1, 0));
+        b.turn_to(discovery.address);
+        until(|| up.left.get() == 1).await;
+        assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.status(), 200);
+        assert_eq!(up.connections.get(), 2);
+    });
+}
+
 /// Guards against a fleet whose balancers, turned away by discovery, ask on and on.
 #[test]
 fn asks_when_the_decisions_say_so() {
