--- a/crates/fernroute-server/src/protocol/answer.rs
+++ b/crates/fernroute-server/src/protocol/answer.rs
@@ -9,6 +9,10 @@
 use bytes::Bytes;
 use fernroute::{Outcome, Time};
 
+/// The most bytes that the body of an answer holds. Some upstreams answer with more than the 64 KiB that are agreed;
+/// a few score such answers at once still fit into the least memory that a balancer has.
+pub const MOST_ANSWER: usize = 1 << 20;
+
 /// A whole answer of an upstream.
 #[derive(Debug)]
 pub struct Answer {
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -3,10 +3,10 @@
 use super::clock::{self, Clock};
 use super::desk::{Act, Desk};
 use super::timers::{Due, Timers};
-use crate::protocol::answer::Final;
+use crate::protocol::answer::{Final, MOST_ANSWER};
 use crate::protocol::list::{List, State};
 use crate::protocol::load::Gauges;
-use crate::protocol::request::{Request, Shape, MOST_BODY};
+use crate::protocol::request::{Request, Shape};
 use crate::transport::client::{Client, Line};
 use fernroute::{Balancer, MissingTerm, Outcome, Terms, Time};
 use std::cell::{Cell, RefCell};
@@ -78,7 +78,7 @@
             time("limits.connect_time_out").unwrap_or(CONNECT),
             time("limits.keep_alive").unwrap_or(KEEP),
             connections,
-            MOST_BODY,
+            MOST_ANSWER,
         );
         let deadline = |i: usize| time(&format!("methods.{i}.hard_deadline")).unwrap_or(Duration::MAX);
         let board = Rc::new(Switchboard {
--- a/crates/fernroute-server/src/transport/framing.rs
+++ b/crates/fernroute-server/src/transport/framing.rs
@@ -82,7 +82,7 @@
             if !(100..200).contains(&status) {
                 self.rest = rest(status, answer.headers)?;
                 return match self.rest {
-                    Rest::Length(body) if body > most_body => Err(spoilt("a body too large")),
+                    Rest::Length(body) if body > most_body => Err(spoilt(&format!("a body of {body} bytes"))),
                     _ => Ok(Some(length)),
                 };
             }
