--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -376,9 +376,9 @@
                 whole_try: 0,
                 late_gain: term(terms, &at("late_gain")).unwrap_or(0.0),
                 gain: term::<f64>(terms, &at("gain")).unwrap_or(1.0),
-                // Before anything completed: a fifth and a half of the soft deadline.
+                // Before anything completed: one and two fifths of the soft deadline.
                 mean: expected * 0.2,
-                late: expected * 0.5,
+                late: expected * 0.4,
             });
         }
         let most = methods.iter().map(|m| m.gain).fold(f64::MIN_POSITIVE, f64::max);
@@ -702,13 +702,14 @@
     /// The article's time-out of one transmission, where another may follow it in time; else what is left.
     /// Guards against upstreams that serve most RPCs and never answer some: no breaker opens on those.
     fn time_out(&self, rpc: &Rpc) -> Time {
-        /// Times what few exceed: of a thousand calm answers five take as long.
-        const HEADROOM: f64 = 2.0;
+        /// Times what few exceed: of a thousand calm answers five take as long; and where that leaves no room.
+        const MOST: f64 = 2.0;
+        const LEAST: f64 = 1.5;
         let m = &self.methods[rpc.method];
-        let cut = (HEADROOM * m.late) as Time;
+        let cut = (rpc.until as f64 - self.now as f64 - 1.5 * m.mean).min(MOST * m.late);
         let follows = m.repeat != Repeat::Never && rpc.txs.len() + 1 < self.max_tx && self.spare >= 2.0;
-        let in_time = self.now + cut + (m.mean as Time) < rpc.until;
-        rpc.hard.min(if follows && in_time { self.now + cut } else { rpc.hard }) - self.now
+        let time = if follows && cut >= LEAST * m.late { cut as Time } else { Time::MAX };
+        time.min(rpc.hard - self.now)
     }
 
     // ----------------------------------------------------------------------------- further transmissions
--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -48,6 +48,9 @@
         for (method, now) in [("m0", START + i * 1200), ("m2", START + i * 1200 + 600)] {
             let id = format!("{method}-{i}");
             offer(&mut b, &notes, now, &id, method);
+            if method == "m0" && i == 0 {
+                assert_eq!(last(&notes).2, SECOND * 7 / 10, "from the first on, with room for the other");
+            }
             b.tx_ended(now + 500, &id, 0, Outcome::Completed, 500, true, &[0.5]);
         }
     }
