--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -1,8 +1,8 @@
 //! All decisions of a balancer; the interface that it acts through, `Host`, is defined in `host.rs`.
 //!
 //! How it is called: `Balancer::new` with a host, the clock, a seed and the terms; then one method for each
-//! thing that happens (`rpc_arrived`, `tx_ended`, `timer`, `list_begins` …), each with the clock. It acts at once,
-//! by calling the host. The same calls in the same order lead to the same acts.
+//! thing that happens (`rpc_arrived`, `tx_ended`, `timer`, `list_begins` …), each with the clock. It acts at
+//! once, by calling the host. The same calls in the same order lead to the same acts.
 //!
 //! The design: a breaker for each upstream, fed by this balancer's own outcomes, and a random draw among
 //! closed upstreams weighted by reported headroom. Mechanisms beside it, six at most (`docs/design.md`):
@@ -376,9 +376,9 @@
                 whole_try: 0,
                 late_gain: term(terms, &at("late_gain")).unwrap_or(0.0),
                 gain: term::<f64>(terms, &at("gain")).unwrap_or(1.0),
-                // Before anything completed: one and two fifths of the soft deadline.
+                // Before anything completed: a fifth and a half of the soft deadline.
                 mean: expected * 0.2,
-                late: expected * 0.4,
+                late: expected * 0.5,
             });
         }
         let most = methods.iter().map(|m| m.gain).fold(f64::MIN_POSITIVE, f64::max);
@@ -702,14 +702,18 @@
     /// The article's time-out of one transmission, where another may follow it in time; else what is left.
     /// Guards against upstreams that serve most RPCs and never answer some: no breaker opens on those.
     fn time_out(&self, rpc: &Rpc) -> Time {
-        /// Times what few exceed: of a thousand calm answers five take as long; and where that leaves no room.
-        const MOST: f64 = 2.0;
+        /// Times what few exceed: of a thousand calm answers five take so long; and where that leaves no room.
+        const MOST: f64 = 2.5;
         const LEAST: f64 = 1.5;
+        /// Busier upstreams are slow because they are: giving up on them wastes what they have done.
+        const CALM: f64 = 0.6;
         let m = &self.methods[rpc.method];
-        let cut = (rpc.until as f64 - self.now as f64 - 1.5 * m.mean).min(MOST * m.late);
+        // The start value of the mark takes some hundred answers to wear off, that of the mean some thirty.
+        let late = m.late.min(2.2 * m.mean);
+        let cut = (rpc.until as f64 - self.now as f64 - 1.5 * m.mean).min(MOST * late);
+        let calm = self.busy.is_none_or(|busy| busy < CALM) && cut >= LEAST * late;
         let follows = m.repeat != Repeat::Never && rpc.txs.len() + 1 < self.max_tx && self.spare >= 2.0;
-        let time = if follows && cut >= LEAST * m.late { cut as Time } else { Time::MAX };
-        time.min(rpc.hard - self.now)
+        (if follows && calm { cut as Time } else { Time::MAX }).min(rpc.hard - self.now)
     }
 
     // ----------------------------------------------------------------------------- further transmissions
@@ -743,8 +747,7 @@
         }
         let step = if took > m.late { QUANTILE } else { QUANTILE - 1.0 };
         m.late *= if completed || took > m.late { 1.0 + STEP * step } else { 1.0 };
-        // By chance few exceed three means: more is a start value, which takes some hundred answers to wear off.
-        m.late = m.late.clamp(m.mean, 4.0 * m.mean);
+        m.late = m.late.max(m.mean);
     }
 
     // ------------------------------------------------------------------------------------------- admission
@@ -901,10 +904,8 @@
     fn send_or_hold(&mut self, id: &Id) {
         /// Short against any deadline here, long against a tick.
         const LOOK: Time = SECOND / 40;
-        if self.send(id) {
-            return;
-        }
-        let Some(rpc) = self.rpcs.get_mut(id) else { return };
+        let sent = self.send(id);
+        let Some(rpc) = self.rpcs.get_mut(id).filter(|_| !sent) else { return };
         let mean = self.methods[rpc.method].mean as Time;
         if self.now + LOOK + mean < rpc.soft {
             rpc.waiting = true;
@@ -936,11 +937,8 @@
     /// After the final answer: calls off what is out, and forgets the RPC once nothing is.
     fn close(&mut self, id: &Id) {
         let Some(rpc) = self.rpcs.get_mut(id) else { return };
-        if !rpc.done {
-            rpc.done = true;
-            if rpc.is_out() && self.cancel {
-                self.host.cancel(id, rpc.txs.len() - 1);
-            }
+        if !std::mem::replace(&mut rpc.done, true) && rpc.is_out() && self.cancel {
+            self.host.cancel(id, rpc.txs.len() - 1);
         }
         if !rpc.is_out() {
             self.rpcs.remove(id);
