--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -18,8 +18,9 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-/// Connections that have stood idle for this long are closed: longer than most callers pause between RPCs.
-const IDLE: Duration = Duration::from_secs(5);
+/// Connections that have stood idle for this long are closed. Long: callers go on using those that they have while
+/// this balancer ends, when no new ones come to it, and the idlest go anyway when room is needed.
+const IDLE: Duration = Duration::from_secs(60);
 
 /// Those that have not asked for anything yet: callers connect when they have something to ask.
 const SILENT: Duration = Duration::from_secs(2);
