--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -702,7 +702,7 @@
     /// The article's time-out of one transmission, where another may follow it in time; else what is left.
     /// Guards against upstreams that serve most RPCs and never answer some: no breaker opens on those.
     fn time_out(&self, rpc: &Rpc) -> Time {
-        /// Times what few exceed: of a thousand calm answers five take so long; and where that leaves no room.
+        /// Times what few exceed: of a thousand calm answers five take so long; the least that leaves room.
         const MOST: f64 = 2.5;
         const LEAST: f64 = 1.5;
         /// Busier upstreams are slow because they are: giving up on them wastes what they have done.
@@ -832,8 +832,8 @@
         const DOZEN: f64 = 12.0;
         /// Longer would sleep through a burst.
         const MOST: f64 = 6.0 * SECOND as f64;
-        // Guards against a busy balancer that takes itself for a small one in its first seconds: the time before
-        // its first send counts for nothing, and half a second at the least tells a rate.
+        // Guards against a busy balancer that takes itself for a small one in its first seconds: the time
+        // before its first send counts for nothing, and half a second at the least tells a rate.
         let seen = 1.0 - fade(self.now - self.rate_from.unwrap_or(self.now), RATE_MEMORY);
         (DOZEN * SECOND as f64 / (self.rate / seen.max(0.05)).max(0.1)).clamp(ANSWERS_FOR, MOST)
     }
