--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -54,15 +54,13 @@
     /// Watches the list here from now on, and nowhere else. The balancer serves on what it has until then.
     pub fn turn_to(&self, discovery: SocketAddr) {
         // Its versions are its own, so it is asked for all there is, and at once.
-        self.watch(discovery, None, true);
+        self.board.follow.notify_one();
+        self.watch(discovery, None);
     }
 
-    fn watch(&self, discovery: SocketAddr, version: Option<u64>, at_once: bool) {
+    fn watch(&self, discovery: SocketAddr, version: Option<u64>) {
         let told = Rc::clone(&self.board);
         let begin = self.asks.then(|| Rc::clone(&self.board.follow));
-        if at_once {
-            self.board.follow.notify_one();
-        }
         let watch = Watch::new(discovery).run(version, begin, move |news| match news {
             Some(list) => told.take_list(&list, true),
             None => told.list_failed(),
@@ -104,6 +102,6 @@
     log::info!("serving on {address}, {} upstreams known", board.lines.borrow().len());
     let asks = station.terms.get("list_mode").is_some_and(|mode| mode == "ask");
     let running = Running { board, server, address, asks, watch: RefCell::default() };
-    running.watch(station.discovery, version, false);
+    running.watch(station.discovery, version);
     Ok(running)
 }
--- a/crates/fernroute-server/src/protocol/request.rs
+++ b/crates/fernroute-server/src/protocol/request.rs
@@ -21,15 +21,13 @@
     pub name: String,
     verb: Method,
     keyed: bool,
-    once: bool,
 }
 
 impl Shape {
     /// `effect` is the terms' word for what repeats do.
     pub fn new(name: String, effect: &str) -> Self {
         let verb = if effect == "retriable" { Method::GET } else { Method::POST };
-        let keyed = effect == "deduped";
-        Shape { name, once: verb == Method::POST && !keyed, verb, keyed }
+        Shape { name, verb, keyed: effect == "deduped" }
     }
 }
 
@@ -93,7 +91,7 @@
             method: method.to_owned(),
             tenant: one(names::TENANT).unwrap_or("").to_owned(),
             time_left: ms * 10,
-            once: shape.once,
+            once: shape.verb == Method::POST && !shape.keyed,
             verb: head.method.clone(),
             uri: head.uri.clone(),
             headers,
