A connection whose socket refuses an option is served all the same

A log line before the early return of Server::host showed the rest: set_nodelay ended with EBADF, and the connection was closed unserved. Called in the accept loop itself it failed 0 times in 1,239, and getpeername on the same descriptor goes well at either time, so the descriptor is good; why the option is refused is a question to the operators. Ruled out: the 2 s limit on silent callers, room for connections, discovery, upstreams turning away. At fault: the return in transport/server.rs, and the same in transport/outbound.rs, which would fail a transmission.

Change: the option is asked for and its refusal passed over, on both sides.

--- a/crates/fernroute-server/src/transport/mod.rs
+++ b/crates/fernroute-server/src/transport/mod.rs
@@ -6,3 +6,11 @@
 pub mod inbound;
 pub mod outbound;
 pub mod server;
+
+/// Small messages leave at once, where the machine grants it. A refusal costs some milliseconds, and is no reason to
+/// end a connection that may carry an RPC already.
+pub(crate) fn without_delay(stream: &actix_rt::net::TcpStream) {
+    if let Err(why) = stream.set_nodelay(true) {
+        log::debug!("no delay: {why}");
+    }
+}
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -2,6 +2,7 @@
 //! connection stands idle.
 
 use super::framing::Framing;
+use super::without_delay;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
@@ -114,7 +115,7 @@
                 let _ = hold_back();
             }
         })?;
-        stream.set_nodelay(true)?;
+        without_delay(&stream);
         let (stream, spent) = (RefCell::new(Some(stream)), Cell::new(false));
         let seat = Rc::new(Seat { stream, idle_since: Cell::new(None), spent, most_body: self.most_body });
         self.all.borrow_mut().push(Rc::downgrade(&seat));
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -1,13 +1,14 @@
 //! Callers' connections: accepts them, bounds them, ends them.
 
 use super::inbound::{Inbound, Visit};
+use super::without_delay;
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, KeepAlive, Request, Response};
 use actix_service::{fn_service, Service, ServiceFactory};
 use futures_util::future::{select, Either};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::fmt::Display;
+use std::fmt::{Debug, Display};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -35,6 +36,31 @@
 
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
+/// How the bytes of a connection become messages and answers.
+fn protocol<H, F>(
+    handle: H,
+) -> impl ServiceFactory<(Inbound, Option<SocketAddr>), Config = (), Error: Display, InitError: Debug>
+where
+    H: Fn(Request, Rc<Visit>) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    HttpService::<Inbound, _, BoxBody>::build()
+        .keep_alive(KeepAlive::Os)
+        // No time-out of the library's ends an RPC or words an answer.
+        .client_request_timeout(Duration::ZERO)
+        .client_disconnect_timeout(LINGER)
+        // A caller that closes has gone away: its RPC is dropped, and with it told as abandoned.
+        .h1_allow_half_closed(false)
+        .on_connect_ext(|io: &Inbound, data| {
+            data.insert(Rc::clone(&io.visit));
+        })
+        .h1(fn_service(move |request: Request| {
+            let visit = request.conn_data::<Rc<Visit>>().map_or_else(Rc::default, Rc::clone);
+            let answer = handle(request, visit);
+            async move { Ok::<_, Infallible>(answer.await) }
+        }))
+}
+
 pub struct Server {
     listener: RefCell<Option<TcpListener>>,
     /// Emptied as connections end.
@@ -61,22 +87,7 @@
         H: Fn(Request, Rc<Visit>) -> F + Clone + 'static,
         F: Future<Output = Response<BoxBody>> + 'static,
     {
-        let factory = HttpService::<Inbound, _, BoxBody>::build()
-            .keep_alive(KeepAlive::Os)
-            // No time-out of the library's ends an RPC or words an answer.
-            .client_request_timeout(Duration::ZERO)
-            .client_disconnect_timeout(LINGER)
-            // A caller that closes has gone away: its RPC is dropped, and with it told as abandoned.
-            .h1_allow_half_closed(false)
-            .on_connect_ext(|io: &Inbound, data| {
-                data.insert(Rc::clone(&io.visit));
-            })
-            .h1(fn_service(move |request: Request| {
-                let visit = request.conn_data::<Rc<Visit>>().map_or_else(Rc::default, Rc::clone);
-                let answer = handle(request, visit);
-                async move { Ok::<_, Infallible>(answer.await) }
-            }));
-        let Ok(service) = factory.new_service(()).await else {
+        let Ok(service) = protocol(handle).new_service(()).await else {
             log::error!("the server did not start");
             return;
         };
@@ -107,9 +118,7 @@
         S: Service<(Inbound, Option<SocketAddr>)>,
         S::Error: Display,
     {
-        if stream.set_nodelay(true).is_err() {
-            return;
-        }
+        without_delay(&stream);
         let visit = self.enter(stream);
         let _leave = Leave { server: &self, visit: &visit };
         let unread = {
@@ -205,3 +214,38 @@
         self.server.left.notify_waiters();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use actix_http::StatusCode;
+    use std::os::fd::OwnedFd;
+    use std::os::unix::net::UnixStream;
+
+    /// Guards against a connection that the machine has accepted being closed unserved because its socket grants
+    /// no option that only makes it quicker: a local socket knows none of TCP's.
+    #[test]
+    fn a_connection_that_cannot_be_hurried_is_served_all_the_same() {
+        actix_rt::Runtime::new().expect("a runtime").block_on(async {
+            let (ours, theirs) = UnixStream::pair().expect("a pair");
+            ours.set_nonblocking(true).expect("it does not block");
+            let stream =
+                TcpStream::from_std(std::net::TcpStream::from(OwnedFd::from(ours))).expect("a stream");
+            assert!(stream.set_nodelay(true).is_err());
+            let handle = |_, visit: Rc<Visit>| async move {
+                let _stay = visit.taken();
+                Response::new(StatusCode::IM_A_TEAPOT).set_body(BoxBody::new(""))
+            };
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let service = protocol(handle).new_service(()).await;
+            let Ok(service) = service else { panic!("the server did not start") };
+            actix_rt::spawn(Server::new(listener, 1).host(Rc::new(service), stream));
+            theirs.set_nonblocking(true).expect("it does not block");
+            let mut theirs = tokio::net::UnixStream::from_std(theirs).expect("a stream");
+            theirs.write_all(b"GET / HTTP/1.1\r\nHost: n0\r\n\r\n").await.expect("it is written");
+            let mut answer = [0; 12];
+            theirs.read_exact(&mut answer).await.expect("it is answered");
+            assert_eq!(&answer, b"HTTP/1.1 418");
+        });
+    }
+}
