Successors of a release are not starved where all upstreams stand in one zone

Counted over the logs of the 17 first-tier balancers, by upstream and two seconds: five of sixteen drain 2.5 s before their successors are listed, and then the old ones get 25 to 35 RPCs each (answers from 0.5 to 3 s) while the successors, idle, get 2 to 8. Ruled out: the cold budget (it spaces sends at 1.5 times what a cold one can do, and was not reached), discovery (told at once), handshakes (connect failures none), breakers (six openings). At fault: Balancer::pick, where a warm upstream of the own zone weighs eight times as much and a cold one does not: with one zone there is nobody far, and each cold one had an eighth of its part.

Change: nearness counts only where one that may be picked stands in another zone.

--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -644,11 +644,13 @@
         let held: Vec<f64> = us.iter().map(|u| u.held(now, late, rpc.method)).collect();
         let part = mean(held.iter().copied()).unwrap_or(0.0);
         let usual = 1.0 - mean(us.iter().filter_map(|u| u.utilisation)).unwrap_or(0.0);
+        // Guards against starved successors: where all stand in one zone a weight that cold ones lack is a loss.
+        let zoned = us.iter().any(|u| u.zone != self.zone);
         let weigh = |(u, held): (&&Upstream, &f64)| {
             let warmth = self.warmth(u.started);
             let weight = u.utilisation.map_or(usual, |used| 1.0 - used).max(FLOOR) * warmth;
             // Not while it is cold: the callers near a zone that comes back would all crowd it.
-            let weight = if u.zone == self.zone && warmth >= 1.0 { weight * NEAR } else { weight };
+            let weight = if zoned && u.zone == self.zone && warmth >= 1.0 { weight * NEAR } else { weight };
             // Guards against upstreams that swallow RPCs, stand still or are crowded by what no report shows
             // yet, and against those that fail fast and so look idle: one that holds more than its part of
             // this balancer's transmissions draws less. What is overdue counts twice, and what failed counts
--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -428,6 +428,33 @@
     assert!(notes.sent[before..].iter().all(|(_, to, _)| (12..16).any(|n| *to == upstream(n).0)));
 }
 
+/// Guards against successors that are starved where there is one zone: nobody is far, and being near is no reason to
+/// crowd the upstreams that are left.
+#[test]
+fn successors_get_their_part_where_all_stand_in_one_zone() {
+    let mut tier = tier_of(16, 0, &[("rules.cold_from", "0.4")]);
+    let turn = |tier: &mut Vec<(Balancer<Notebook>, Notebook)>,
+                now,
+                leave: [usize; 2],
+                come: [usize; 2],
+                started| {
+        for (b, _) in tier {
+            b.list_begins(now, false);
+            (leave[0]..leave[1]).for_each(|n| b.upstream_drains(&upstream(n).0));
+            (come[0]..come[1]).for_each(|n| b.upstream_ready(&upstream(n).0, "east", "0", started));
+            b.list_ends(true);
+        }
+    };
+    turn(&mut tier, START, [0, 0], [0, 16], 0);
+    round_robin(&mut tier, START, 1000, 100);
+    let began = START + 10 * SECOND;
+    turn(&mut tier, began, [0, 8], [16, 24], began);
+    let went = round_robin(&mut tier, began, 300, 100);
+    let cold = went.iter().filter(|(_, to)| (16..24).any(|n| *to == upstream(n).0)).count();
+    // Eight that can do four to six tenths, beside eight warm ones.
+    assert!((40..=120).contains(&cold), "{cold} of {} in the first three seconds", went.len());
+}
+
 /// One RPC a second, each answered before the next: outcome, time and load are `end`'s. Counts those that went
 /// to `watched`.
 fn each_second(
