A list that empties or goes back is asked for again; starts in the future bounded

Need: one whole list that is empty for a moment, as of a discovery that has just started, took all upstreams away; an older list brought back what drains; of two entries of one id the later one won; a start in the far future kept an upstream at its cold share, and its reports out, for good. Read in the code, shown by tests that failed before. Change: protocol/list.rs says when a list is doubtful; the watch keeps the last good one, asks for the whole list 50 ms later (within any grace and the watch's gap), and believes that answer, whatever it says. Of an id named twice the least ready entry counts. The decisions count a start as one warm-up ahead at the most; what was told still names the start.

--- a/crates/fernroute-server/src/protocol/list.rs
+++ b/crates/fernroute-server/src/protocol/list.rs
@@ -1,9 +1,12 @@
 //! The list of upstreams as discovery gives it.
 
 use serde_json::Value;
+use std::collections::btree_map::Entry::{Occupied, Vacant};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The least ready last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum State {
     Ready,
     Drains,
@@ -60,15 +63,43 @@
     })
 }
 
+impl List {
+    /// Why this had better be asked for again before it is believed, coming after a list of version `last`: a whole
+    /// list without one upstream that may be used would end all service, and what is older than what is known would
+    /// bring back upstreams that drain or are gone.
+    pub fn doubtful(&self, last: Option<u64>) -> Option<&'static str> {
+        if last.is_some_and(|last| self.version < last) {
+            return Some("its version goes back");
+        }
+        let empty = self.full && self.entries.iter().all(|e| e.state != State::Ready);
+        empty.then_some("it names no upstream that serves")
+    }
+}
+
 /// None where it is no list at all; an entry that can't be read is skipped.
 pub fn decode(value: &Value) -> Option<List> {
     let version = value.get("version")?.as_u64()?;
     let full = value.get("full").and_then(Value::as_bool).unwrap_or(false);
-    let mut entries = Vec::new();
+    let mut entries: Vec<Entry> = Vec::new();
+    let mut places = BTreeMap::new();
     for one in value.get("servers")?.as_array()? {
-        match entry(one) {
-            Some(entry) => entries.push(entry),
-            None => log::warn!("list {version}: entry {one} is not readable, skipped"),
+        let Some(entry) = entry(one) else {
+            log::warn!("list {version}: entry {one} is not readable, skipped");
+            continue;
+        };
+        match places.entry(entry.id.clone()) {
+            Vacant(place) => {
+                place.insert(entries.len());
+                entries.push(entry);
+            }
+            // Whatever is meant, nothing new to one that may be leaving.
+            Occupied(place) => {
+                log::warn!("list {version}: {} is named twice, the least ready counts", entry.id);
+                let before = &mut entries[*place.get()];
+                if entry.state > before.state {
+                    *before = entry;
+                }
+            }
         }
     }
     Some(List { version, full, entries })
--- a/crates/fernroute-server/src/transport/discovery.rs
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -20,8 +20,8 @@
 /// An agent that is up answers at once after that: a little more is for a busy machine.
 const GRACE: Duration = Duration::from_secs(1);
 
-/// After a call that brought nothing, where news come unasked: well within the 200 ms in which a watch must
-/// go on.
+/// After a call that brought nothing, where news come unasked, or brought what must be asked for again: well within
+/// the 200 ms in which a watch must go on, and within any grace for upstreams that leave.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// A list of some ten thousand upstreams.
@@ -65,6 +65,8 @@
     /// that all asks at once, is turned away, and asks again at once.
     pub async fn run(self, mut version: Option<u64>, begin: Option<Rc<Notify>>, news: impl Fn(Option<List>)) {
         let mut failing = false;
+        // The next list is the answer to a doubt: it is believed.
+        let mut asked_again = false;
         loop {
             if let Some(begin) = &begin {
                 begin.notified().await;
@@ -72,6 +74,14 @@
             loop {
                 match self.ask(version).await {
                     Ok(list) => {
+                        let doubt = list.doubtful(version).filter(|_| !asked_again);
+                        asked_again = doubt.is_some();
+                        if let Some(why) = doubt {
+                            log::warn!("list {}: {why}, the whole list is asked for", list.version);
+                            version = None;
+                            actix_rt::time::sleep(PAUSE).await;
+                            continue;
+                        }
                         if failing {
                             log::info!("discovery answers again, list {}", list.version);
                         }
@@ -84,7 +94,7 @@
                         if !failing {
                             log::warn!("discovery: {why}");
                         }
-                        failing = true;
+                        (failing, asked_again) = (true, false);
                         break;
                     }
                 }
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -4,6 +4,7 @@
 
 use common::{ask, balancer, connect, ok, read, rpc, run, send, stand_in, station, until, Deed};
 use fernroute_server::program::{serve, shutdown};
+use fernroute_server::protocol::list::{self as lists, State};
 use fernroute_server::protocol::load::{self, Gauges};
 use std::io::{BufRead as _, BufReader};
 use std::net::SocketAddr;
@@ -58,6 +59,60 @@
     });
 }
 
+/// Guards against a list that shrinks to nothing for a moment, and against an older one that would bring back what
+/// drains: either is asked for again, whole, and believed if it stays.
+#[test]
+fn a_doubtful_list_is_asked_for_again_and_believed_if_it_stays() {
+    run(async {
+        let up = stand_in(|_, _| ok("whole")).await;
+        let address = up.address;
+        let entry = move |state: &str| {
+            format!(r#"{{"id":"s-9","addr":"{address}","state":"{state}","started_ms":0}}"#)
+        };
+        let discovery = stand_in(move |n, _| match n {
+            0 => list(8, true, &entry("SERVING")),
+            1 => list(9, true, ""),
+            2 => list(10, true, &entry("SERVING")),
+            // What was before the last list is no news.
+            3 => list(5, false, &entry("DRAINING")),
+            4 => list(5, true, &entry("SERVING")),
+            5 => list(12, true, &entry("DRAINING")),
+            6 => list(12, true, ""),
+            _ => Deed::Silence,
+        })
+        .await;
+        let b = serve::start(station(&[], discovery.address, &[])).await.expect("it starts");
+        let mut most = 0;
+        until(|| {
+            let seen = discovery.seen.borrow().len();
+            // Never without upstreams from the first list on, up to the answer that confirms the end.
+            if (2..=6).contains(&seen) {
+                assert!(b.board.is_ready(), "after {seen} calls");
+                most = most.max(seen);
+            }
+            seen == 8
+        })
+        .await;
+        assert!(most >= 5, "looked at after {most}");
+        until(|| !b.board.is_ready()).await;
+        let asked: Vec<bool> = discovery.seen.borrow().iter().map(|m| m.head.contains("?index=")).collect();
+        assert_eq!(asked, [true, true, false, true, false, true, false, true]);
+        assert!(discovery.seen.borrow()[5].head.contains("?index=5&"));
+    });
+}
+
+/// Guards against two entries of one id, of which the later would bring back one that drains.
+#[test]
+fn an_id_that_is_named_twice_counts_as_the_least_ready() {
+    let entry = |state: &str| format!(r#"{{"id":"s-9","addr":"127.0.0.1:1","state":"{state}"}}"#);
+    for (first, second) in [("SERVING", "DRAINING"), ("DRAINING", "SERVING"), ("DELETED", "DRAINING")] {
+        let text = format!(r#"{{"version":1,"full":true,"servers":[{},{}]}}"#, entry(first), entry(second));
+        let list = lists::decode(&serde_json::from_str(&text).expect("it is JSON")).expect("a list");
+        let states: Vec<State> = list.entries.iter().map(|e| e.state).collect();
+        assert_eq!(states, [if first == "DELETED" { State::Gone } else { State::Drains }]);
+    }
+}
+
 /// Guards against an upstream that gets a connection which was made for the one that stood at its address before,
 /// and against connections to upstreams that are gone, kept open until they are in the way.
 #[test]
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -149,7 +149,8 @@
 struct Upstream {
     zone: String,
     cell: String,
-    /// Clock of its last start; 0 is long ago.
+    /// Its last start as told, and as it counts; 0 is long ago.
+    told: Time,
     started: Time,
     /// Told that it drains or is gone. One that is gone leaves the table with its last transmission.
     leaving: bool,
@@ -466,7 +467,9 @@
     pub fn upstream_ready(&mut self, id: &str, zone: &str, cell: &str, started: Time) {
         let now = self.now;
         // All balancers hear of a start at about the same time: a random phase keeps their first sends apart.
-        let known = self.upstreams.get(id).is_some_and(|u| u.started == started);
+        let (told, known) = (started, self.upstreams.get(id).is_some_and(|u| u.told == started));
+        // Guards against a start in the far future, which would keep an upstream cold, and its reports out, for good.
+        let started = started.min(now + self.cold.warm_within as Time);
         let gap = if known { None } else { self.cold_gap(started) };
         let phase = gap.map_or(0, |gap| (gap * self.rng.generate::<f64>()) as Time);
         let u = self.upstreams.entry(Id::from(id)).or_default();
@@ -474,7 +477,7 @@
         (u.zone, u.cell) = (zone.to_owned(), cell.to_owned());
         if !known {
             // A process that restarted is a new upstream to the breaker; what is out was the old one's.
-            (u.started, u.cold_next, u.utilisation) = (started, now + phase, None);
+            (u.told, u.started, u.cold_next, u.utilisation) = (told, started, now + phase, None);
             u.breaker = Breaker { epoch: u.breaker.epoch + 1, ..Breaker::default() };
             u.scars.clear();
         }
--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -455,6 +455,27 @@
     assert!((40..=120).contains(&cold), "{cold} of {} in the first three seconds", went.len());
 }
 
+/// Guards against an upstream that is kept cold for good, and its reports out, by a start in the far future.
+#[test]
+fn a_start_in_the_future_is_cold_for_a_warm_up_or_two_and_no_longer() {
+    let (mut b, notes) = balancer(2, &[]);
+    let (id, zone, cell) = upstream(2);
+    let tell = |b: &mut Balancer<Notebook>, now| {
+        b.list_begins(now, false);
+        b.upstream_ready(&id, zone, &cell, START + 3600 * SECOND);
+        b.list_ends(true);
+    };
+    tell(&mut b, START);
+    let went = |b: &mut Balancer<Notebook>, from| {
+        run(b, &notes, from, 600, good).iter().filter(|u| **u == id).count()
+    };
+    let at_first = went(&mut b, START);
+    // Told of again, it has not started again.
+    tell(&mut b, START + 21 * SECOND);
+    let warm = went(&mut b, START + 21 * SECOND);
+    assert!(at_first < 30 && (100..=300).contains(&warm), "{at_first}, then {warm} of 600");
+}
+
 /// One RPC a second, each answered before the next: outcome, time and load are `end`'s. Counts those that went
 /// to `watched`.
 fn each_second(
