--- /dev/null
+++ b/crates/fernroute-lab/src/books.rs
@@ -0,0 +1,125 @@
+//! What a run was worth to its callers: service, answers, times.
+
+use crate::scenario::{seconds, Scenario};
+use fernroute::Time;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Second {
+    pub offered: f64,
+    pub served: f64,
+    pub exhausted: u64,
+    pub errored: u64,
+    pub late: u64,
+}
+
+/// RPCs of callers and calls between tiers alike: each arrival has exactly one end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Ends {
+    pub arrived: u64,
+    pub completed: u64,
+    pub exhausted: u64,
+    pub errored: u64,
+    /// Their caller left, or the balancer that held them died.
+    pub abandoned: u64,
+    pub lost: u64,
+    pub open: u64,
+}
+
+impl Ends {
+    pub fn sum(&self) -> u64 {
+        self.completed + self.exhausted + self.errored + self.abandoned + self.lost + self.open
+    }
+}
+
+/// One method's requests, by their first tries.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct ByMethod {
+    pub name: String,
+    pub offered: u64,
+    pub served: u64,
+}
+
+pub struct Books {
+    pub seconds: Vec<Second>,
+    pub methods: Vec<ByMethod>,
+    /// From the first try's arrival to the whole answer, in tenths of a millisecond.
+    pub times: Histogram<u64>,
+    pub ends: Ends,
+    pub transmissions: u64,
+    /// Time that RPCs of callers spent in the first tier, summed; and work that upstreams did, in core time.
+    pub in_system: u128,
+}
+
+impl Books {
+    pub fn new(scenario: &Scenario) -> Self {
+        /// Three digits: a tenth of a percent, in some tens of kilobytes.
+        const DIGITS: u8 = 3;
+        let name = |m: &crate::scenario::Method| ByMethod { name: m.name.clone(), ..ByMethod::default() };
+        let longest = scenario.method.iter().map(|m| m.hard_ms).fold(1000.0, f64::max);
+        let most = (seconds(longest / 1000.0) * 2).max(1000);
+        let times = Histogram::new_with_bounds(1, most, DIGITS);
+        Books {
+            seconds: vec![Second::default(); scenario.seconds.ceil() as usize],
+            methods: scenario.method.iter().map(name).collect(),
+            times: times.unwrap_or_else(|why| unreachable!("the bounds are in order: {why}")),
+            ends: Ends::default(),
+            transmissions: 0,
+            in_system: 0,
+        }
+    }
+
+    fn second(&mut self, at: Time) -> &mut Second {
+        let last = self.seconds.len() - 1;
+        &mut self.seconds[((at / seconds(1.0)) as usize).min(last)]
+    }
+
+    pub fn offered(&mut self, at: Time, method: usize, gain: f64) {
+        self.second(at).offered += gain;
+        self.methods[method].offered += 1;
+    }
+
+    /// A request answered whole; it counts in the second in which it was first asked.
+    pub fn completed(&mut self, asked: Time, now: Time, method: usize, gain: f64, soft: Time) {
+        self.times.saturating_record((now - asked).max(1));
+        if now <= asked + soft {
+            self.second(asked).served += gain;
+            self.methods[method].served += 1;
+        } else {
+            self.second(asked).late += 1;
+        }
+    }
+
+    pub fn exhausted(&mut self, asked: Time) {
+        self.second(asked).exhausted += 1;
+    }
+
+    pub fn errored(&mut self, asked: Time) {
+        self.second(asked).errored += 1;
+    }
+
+    /// Gain served in time over gain asked for.
+    pub fn service(&self) -> f64 {
+        let (served, offered) =
+            self.seconds.iter().fold((0.0, 0.0), |(s, o), x| (s + x.served, o + x.offered));
+        if offered > 0.0 {
+            served / offered
+        } else {
+            1.0
+        }
+    }
+
+    /// The same over the worst ten seconds, or all of a shorter run.
+    pub fn worst_ten(&self) -> f64 {
+        let part = |w: &[Second]| {
+            let offered: f64 = w.iter().map(|s| s.offered).sum();
+            if offered > 0.0 {
+                w.iter().map(|s| s.served).sum::<f64>() / offered
+            } else {
+                1.0
+            }
+        };
+        self.seconds.windows(self.seconds.len().min(10)).map(part).fold(1.0, f64::min)
+    }
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/experiment.rs
@@ -0,0 +1,311 @@
+//! Scenarios × variants × seeds. Variants are paired by seed: what chance draws for the callers is the same for all.
+
+use crate::player::Variant;
+use crate::referee::Rule;
+use crate::run::{self, Result as Run};
+use crate::scenario::Scenario;
+use rayon::prelude::*;
+use serde::{Deserialize, Serialize};
+use statrs::distribution::{ContinuousCDF as _, StudentsT};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+
+/// A file as it is written; scenarios by their path from there.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Page {
+    pub name: String,
+    pub scenarios: Vec<PathBuf>,
+    /// The first is the one that the others are held against.
+    pub variants: Vec<String>,
+    pub seeds: Vec<u64>,
+}
+
+pub struct Experiment {
+    pub name: String,
+    pub scenarios: Vec<(Scenario, String)>,
+    pub variants: Vec<Variant>,
+    pub seeds: Vec<u64>,
+}
+
+impl Experiment {
+    pub fn read(path: &Path) -> Result<Self, String> {
+        let place = |why: String| format!("{}: {}", path.display(), why.replace('\n', " "));
+        let text = std::fs::read_to_string(path).map_err(|e| place(e.to_string()))?;
+        let page: Page = toml::from_str(&text).map_err(|e| place(e.message().to_owned()))?;
+        if page.scenarios.is_empty() || page.variants.is_empty() || page.seeds.is_empty() {
+            return Err(place(
+                "scenarios, variants and seeds: there must be one of each at the least".to_owned(),
+            ));
+        }
+        if page.seeds.iter().collect::<BTreeSet<_>>().len() < page.seeds.len() {
+            return Err(place("seeds: one is there twice".to_owned()));
+        }
+        let variants: Result<Vec<Variant>, String> =
+            page.variants.iter().map(|v| Variant::named(v)).collect();
+        let folder = path.parent().unwrap_or(Path::new(""));
+        let mut scenarios: Vec<(Scenario, String)> = Vec::new();
+        for file in &page.scenarios {
+            let file = folder.join(file);
+            let scenario = Scenario::read(&file)?;
+            if scenarios.iter().any(|(other, _)| other.name == scenario.name) {
+                return Err(place(format!("scenarios: {} is there twice", scenario.name)));
+            }
+            let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+            scenarios.push((scenario, text));
+        }
+        Ok(Experiment { name: page.name, scenarios, variants: variants.map_err(place)?, seeds: page.seeds })
+    }
+
+    /// All runs, side by side; their order does not depend on which ends first.
+    pub fn play(&self) -> Vec<Row> {
+        let all: Vec<(usize, Variant, u64)> = (0..self.scenarios.len())
+            .flat_map(|s| self.variants.iter().map(move |v| (s, *v)))
+            .flat_map(|(s, v)| self.seeds.iter().map(move |seed| (s, v, *seed)))
+            .collect();
+        let play = |(s, variant, seed): (usize, Variant, u64)| {
+            let scenario = &self.scenarios[s].0;
+            Row::of(scenario, variant, seed, &run::run(scenario, variant, seed))
+        };
+        all.into_par_iter().map(play).collect()
+    }
+}
+
+/// One run's figures.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    pub scenario: String,
+    pub variant: Variant,
+    pub seed: u64,
+    pub service: f64,
+    pub worst_ten: f64,
+    pub requests: u64,
+    pub transmissions: u64,
+    pub exhausted: u64,
+    pub errored: u64,
+    pub late: u64,
+    pub lost: u64,
+    pub never_answered: u64,
+    /// By method, served over offered.
+    pub methods: Vec<(String, f64)>,
+    /// In milliseconds.
+    pub p50: f64,
+    pub p99: f64,
+    /// Percentiles of 1 to 99 and 99.9, for the chart.
+    pub times: Vec<(f64, f64)>,
+    /// Served and offered gain by the second.
+    pub course: Vec<(f64, f64)>,
+    pub breaches: BTreeMap<Rule, usize>,
+}
+
+impl Row {
+    fn of(scenario: &Scenario, variant: Variant, seed: u64, run: &Run) -> Self {
+        let books = &run.books;
+        let at = |q: f64| books.times.value_at_quantile(q) as f64 / 10.0;
+        let mut breaches = BTreeMap::new();
+        for breach in &run.breaches {
+            *breaches.entry(breach.rule).or_insert(0) += 1;
+        }
+        let sum = |what: fn(&crate::books::Second) -> u64| books.seconds.iter().map(what).sum();
+        let share =
+            |m: &crate::books::ByMethod| (m.name.clone(), m.served as f64 / (m.offered as f64).max(1.0));
+        Row {
+            scenario: scenario.name.clone(),
+            variant,
+            seed,
+            service: books.service(),
+            worst_ten: books.worst_ten(),
+            requests: books.methods.iter().map(|m| m.offered).sum(),
+            transmissions: books.transmissions,
+            exhausted: sum(|s| s.exhausted),
+            errored: sum(|s| s.errored),
+            late: sum(|s| s.late),
+            lost: books.ends.lost,
+            never_answered: books.ends.open,
+            methods: books.methods.iter().map(share).collect(),
+            p50: at(0.5),
+            p99: at(0.99),
+            times: (1..=99).map(f64::from).chain([99.9]).map(|p| (p, at(p / 100.0))).collect(),
+            course: books.seconds.iter().map(|s| (s.served, s.offered)).collect(),
+            breaches,
+        }
+    }
+}
+
+/// A mean and how far chance may have moved it, at 95 in 100.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    pub mean: f64,
+    /// Half the interval; no number where there is but one value.
+    pub half: f64,
+}
+
+impl Estimate {
+    pub fn of(values: &[f64]) -> Self {
+        let n = values.len() as f64;
+        let mean = values.iter().sum::<f64>() / n;
+        let var = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>() / (n - 1.0);
+        let half =
+            StudentsT::new(0.0, 1.0, n - 1.0).map_or(f64::NAN, |t| t.inverse_cdf(0.975) * (var / n).sqrt());
+        Estimate { mean, half: if values.len() < 2 { f64::NAN } else { half } }
+    }
+
+    /// Whether the interval leaves out zero.
+    pub fn shows_a_difference(self) -> bool {
+        self.half.is_finite() && self.mean.abs() > self.half
+    }
+}
+
+/// One variant on one scenario, over all seeds.
+#[derive(Clone, Debug)]
+pub struct Summary {
+    pub scenario: String,
+    pub variant: Variant,
+    pub service: Estimate,
+    pub worst_ten: Estimate,
+    /// The first variant's service less this one's, paired by seed; none for the first.
+    pub ahead: Option<Estimate>,
+    pub p99: f64,
+    pub breaches: BTreeMap<Rule, usize>,
+}
+
+pub fn summarise(rows: &[Row]) -> Vec<Summary> {
+    let mut groups: Vec<(String, Variant)> = Vec::new();
+    for row in rows {
+        let group = (row.scenario.clone(), row.variant);
+        if !groups.contains(&group) {
+            groups.push(group);
+        }
+    }
+    let of = |scenario: &str, variant: Variant| -> Vec<&Row> {
+        rows.iter().filter(|r| r.scenario == scenario && r.variant == variant).collect()
+    };
+    let first = rows.first().map(|r| r.variant);
+    let summary = |(scenario, variant): (String, Variant)| {
+        let these = of(&scenario, variant);
+        let values = |what: fn(&Row) -> f64| these.iter().map(|r| what(r)).collect::<Vec<f64>>();
+        let ahead = first.filter(|first| *first != variant).map(|first| {
+            let base = of(&scenario, first);
+            let pairs = these.iter().filter_map(|r| Some((base.iter().find(|b| b.seed == r.seed)?, r)));
+            Estimate::of(&pairs.map(|(b, r)| b.service - r.service).collect::<Vec<f64>>())
+        });
+        let mut breaches = BTreeMap::new();
+        for rule in these.iter().flat_map(|r| r.breaches.keys()) {
+            *breaches.entry(*rule).or_insert(0) += 1;
+        }
+        Summary {
+            service: Estimate::of(&values(|r| r.service)),
+            worst_ten: Estimate::of(&values(|r| r.worst_ten)),
+            p99: Estimate::of(&values(|r| r.p99)).mean,
+            ahead,
+            breaches,
+            scenario,
+            variant,
+        }
+    };
+    groups.into_iter().map(summary).collect()
+}
+
+/// The summary as a Markdown table.
+pub fn table(summaries: &[Summary], seeds: usize) -> String {
+    let first = summaries.first().map_or("", |s| s.variant.name());
+    let mut out = format!(
+        "| scenario | variant | service | worst 10 s | 99 in 100 answered within, ms | {first} is ahead by | rules broken, \
+         runs of {seeds} |\n| --- | --- | --- | --- | --- | --- | --- |\n"
+    );
+    let number = |e: Estimate| match e.half.is_finite() {
+        true => format!("{:.3} ± {:.3}", e.mean, e.half),
+        false => format!("{:.3}", e.mean),
+    };
+    for s in summaries {
+        let ahead = match s.ahead {
+            None => String::new(),
+            Some(a) if !a.half.is_finite() => format!("{:+.3}, one seed", a.mean),
+            Some(a) if a.shows_a_difference() => format!("{:+.3} ± {:.3}", a.mean, a.half),
+            Some(a) => format!("no difference shown ({:+.3} ± {:.3})", a.mean, a.half),
+        };
+        let broken: Vec<String> = s.breaches.iter().map(|(rule, n)| format!("{rule:?} {n}")).collect();
+        let (service, worst) = (number(s.service), number(s.worst_ten));
+        let broken = if broken.is_empty() { "none".to_owned() } else { broken.join(", ") };
+        // Writing to a text does not fail.
+        let _ = writeln!(
+            out,
+            "| {} | {} | {service} | {worst} | {:.0} | {ahead} | {broken} |",
+            s.scenario,
+            s.variant.name(),
+            s.p99
+        );
+    }
+    out
+}
+
+/// From which the results can be made again.
+#[derive(Serialize)]
+struct Manifest<'a> {
+    experiment: &'a str,
+    version: &'a str,
+    command: &'a str,
+    variants: Vec<&'a str>,
+    seeds: &'a [u64],
+    scenarios: Vec<&'a str>,
+}
+
+/// Writes all results to a folder that holds nothing yet.
+pub fn write(experiment: &Experiment, rows: &[Row], folder: &Path, command: &str) -> Result<(), String> {
+    let trouble = |e: std::io::Error| format!("{}: {e}", folder.display());
+    claim(folder)?;
+    let put = |name: &str, text: &str| std::fs::write(folder.join(name), text).map_err(trouble);
+    let mut csv = csv::Writer::from_writer(Vec::new());
+    let wrong = |e: csv::Error| e.to_string();
+    let head = "scenario,variant,seed,service,worst_ten,requests,transmissions,exhausted,errored,late,lost,\
+                never_answered,p50_ms,p99_ms,rules_broken,methods";
+    csv.write_record(head.split(',')).map_err(wrong)?;
+    for r in rows {
+        let broken: Vec<String> = r.breaches.iter().map(|(rule, n)| format!("{rule:?}={n}")).collect();
+        let methods: Vec<String> =
+            r.methods.iter().map(|(name, share)| format!("{name}={share:.4}")).collect();
+        let numbers = [r.requests, r.transmissions, r.exhausted, r.errored, r.late, r.lost, r.never_answered];
+        let mut line = vec![r.scenario.clone(), r.variant.name().to_owned(), r.seed.to_string()];
+        line.extend([format!("{:.6}", r.service), format!("{:.6}", r.worst_ten)]);
+        line.extend(numbers.map(|n| n.to_string()));
+        line.extend([format!("{:.1}", r.p50), format!("{:.1}", r.p99), broken.join(" "), methods.join(" ")]);
+        csv.write_record(line).map_err(wrong)?;
+    }
+    let csv = csv.into_inner().map_err(|e| e.to_string())?;
+    put("results.csv", &String::from_utf8_lossy(&csv))?;
+    let summaries = summarise(rows);
+    let mut text = format!(
+        "# {}\n\nSimulated figures: fleets in virtual time, {} seeds for each line, 95% intervals (Student's t), variants paired by \
+         seed.\nTo make them again: `{command}`.\n\n",
+        experiment.name,
+        experiment.seeds.len()
+    );
+    text.push_str(&table(&summaries, experiment.seeds.len()));
+    text.push_str("\n![comparison](comparison.svg)\n");
+    for (scenario, _) in &experiment.scenarios {
+        let name = &scenario.name;
+        let _ = write!(text, "\n## {name}\n\n![course]({name}-course.svg)\n![times]({name}-times.svg)\n");
+    }
+    put("README.md", &text)?;
+    let manifest = Manifest {
+        experiment: &experiment.name,
+        version: env!("CARGO_PKG_VERSION"),
+        command,
+        variants: experiment.variants.iter().map(|v| v.name()).collect(),
+        seeds: &experiment.seeds,
+        scenarios: experiment.scenarios.iter().map(|(_, text)| text.as_str()).collect(),
+    };
+    put("manifest.json", &serde_json::to_string_pretty(&manifest).map_err(|e| e.to_string())?)?;
+    crate::charts::draw(experiment, rows, &summaries, folder)
+}
+
+/// Makes the folder; results that are there already are not overwritten.
+pub fn claim(folder: &Path) -> Result<(), String> {
+    let trouble = |e: std::io::Error| format!("{}: {e}", folder.display());
+    std::fs::create_dir_all(folder).map_err(trouble)?;
+    match std::fs::read_dir(folder).map_err(trouble)?.next() {
+        None => Ok(()),
+        Some(_) => Err(format!("{}: holds something already", folder.display())),
+    }
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! A laboratory for fernroute: fleets of real balancers in virtual time, a referee who judges the rules from what
+//! happened, plain rules to compare with, and experiments over scenarios, variants and seeds.
+
+pub mod books;
+pub mod charts;
+pub mod experiment;
+pub mod player;
+pub mod referee;
+pub mod run;
+pub mod scenario;
+pub mod trace;
+mod upstream;
+pub mod world;
--- /dev/null
+++ b/crates/fernroute-lab/src/main.rs
@@ -0,0 +1,140 @@
+//! The program `fernroute-lab`.
+
+use argh::FromArgs;
+use fernroute_lab::experiment::{self, Experiment};
+use fernroute_lab::player::Variant;
+use fernroute_lab::run;
+use fernroute_lab::scenario::Scenario;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Plays fleets of fernroute balancers in virtual time.
+#[derive(FromArgs)]
+struct Line {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(Check),
+    Run(RunOne),
+    Experiment(Compare),
+}
+
+/// Read scenarios and say whether they will do.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// scenario files
+    #[argh(positional)]
+    scenarios: Vec<PathBuf>,
+}
+
+/// Play one scenario and print its figures; ends with 1 where a rule was broken.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+struct RunOne {
+    /// scenario file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// who decides: fernroute (the default), random, round-robin, least-outstanding, two-choices
+    #[argh(option, default = "String::from(\"fernroute\")")]
+    variant: String,
+    /// what chance starts from (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// write all that happened to this file, a line for each event
+    #[argh(option)]
+    trace: Option<PathBuf>,
+}
+
+/// Play scenarios, variants and seeds, and write tables and charts.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "experiment")]
+struct Compare {
+    /// experiment file
+    #[argh(positional)]
+    experiment: PathBuf,
+    /// folder for the results; it must hold nothing
+    #[argh(option)]
+    out: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = arguments.iter().skip(1).map(String::as_str).collect();
+    let line = match Line::from_args(&["fernroute-lab"], &words) {
+        Ok(line) => line,
+        Err(early) if early.status.is_ok() => {
+            println!("{}", early.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(early) => return refuse(&early.output),
+    };
+    let done = match line.command {
+        Command::Check(check) => check.scenarios.iter().try_for_each(|path| {
+            let s = Scenario::read(path)?;
+            println!("{}: {}, {} tiers, {} faults", path.display(), s.name, s.tier.len(), s.fault.len());
+            Ok(())
+        }),
+        Command::Run(one) => match play(&one) {
+            Ok(true) => Ok(()),
+            Ok(false) => return ExitCode::FAILURE,
+            Err(why) => Err(why),
+        },
+        Command::Experiment(compare) => {
+            let command = format!("fernroute-lab {}", words.join(" "));
+            Experiment::read(&compare.experiment).and_then(|experiment| {
+                // Before the work, not after it.
+                experiment::claim(&compare.out)?;
+                let rows = experiment.play();
+                experiment::write(&experiment, &rows, &compare.out, &command)?;
+                print!("{}", experiment::table(&experiment::summarise(&rows), experiment.seeds.len()));
+                Ok(())
+            })
+        }
+    };
+    done.map_or_else(|why| refuse(&why), |()| ExitCode::SUCCESS)
+}
+
+/// Tells whether all rules were kept.
+fn play(one: &RunOne) -> Result<bool, String> {
+    let (scenario, variant) = (Scenario::read(&one.scenario)?, Variant::named(&one.variant)?);
+    let make = |s: &Scenario, post, desk, now, seed| variant.player(s, post, desk, now, seed);
+    let result = match &one.trace {
+        None => run::run(&scenario, variant, one.seed),
+        Some(path) => {
+            let mut lines: Vec<(u64, String)> = Vec::new();
+            let result = run::run_with(&scenario, one.seed, &make, &mut lines);
+            let text: String = lines
+                .iter()
+                .map(|(at, line)| format!("{}.{:04} {line}\n", at / 10_000, at % 10_000))
+                .collect();
+            std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+            result
+        }
+    };
+    let (books, ends) = (&result.books, result.books.ends);
+    println!("{} ({}, seed {})", scenario.name, variant.name(), one.seed);
+    println!("service {:.4}, worst ten seconds {:.4}", books.service(), books.worst_ten());
+    for m in &books.methods {
+        println!("  {}: {} of {} served in time", m.name, m.served, m.offered);
+    }
+    let at = |q: f64| books.times.value_at_quantile(q) as f64 / 10.0;
+    println!("answered within {:.1} ms (half), {:.1} ms (99 in 100)", at(0.5), at(0.99));
+    println!(
+        "RPCs {}: completed {}, exhausted {}, errored {}, abandoned {}, lost with their balancer {}; transmissions {}",
+        ends.arrived, ends.completed, ends.exhausted, ends.errored, ends.abandoned, ends.lost, books.transmissions
+    );
+    for b in &result.breaches {
+        println!("BROKEN at {}.{:04} s: {:?}: {}", b.at / 10_000, b.at % 10_000, b.rule, b.what);
+    }
+    Ok(result.breaches.is_empty())
+}
+
+fn refuse(why: &str) -> ExitCode {
+    eprintln!("fernroute-lab: {}", why.split_whitespace().collect::<Vec<_>>().join(" "));
+    ExitCode::from(2)
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/referee.rs
@@ -0,0 +1,255 @@
+//! Judges the four rules from what happened alone. It knows nothing of how balancers decide.
+
+use crate::scenario::{millis, seconds, Effect, Group, Scenario};
+use crate::trace::{Event, Final, Told, Witness};
+use fernroute::{Outcome, Time};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// A rule that was broken, and when.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    pub at: Time,
+    pub rule: Rule,
+    pub what: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// One whole final answer before the hard deadline, nothing after.
+    OneAnswer,
+    /// No effect twice.
+    NoSecondEffect,
+    /// Nothing new past the grace after a drain was told.
+    DrainsKept,
+    /// Cold upstreams are not pushed over.
+    ColdSpared,
+}
+
+struct Tx {
+    upstream: usize,
+    sent: Time,
+    ran: bool,
+    end: Option<Outcome>,
+}
+
+struct Rpc {
+    balancer: usize,
+    method: usize,
+    hard: Time,
+    answered: bool,
+    left: bool,
+    txs: Vec<Tx>,
+}
+
+struct Cold {
+    started: Time,
+    rate: f64,
+    zone: usize,
+    cell: usize,
+    cold: bool,
+    /// When it was sent something, while it is cold; the last window of it.
+    sends: VecDeque<Time>,
+    fell: bool,
+}
+
+pub struct Referee {
+    effects: Vec<(Effect, Group, Time)>,
+    grace: Time,
+    slack: Time,
+    cold_from: f64,
+    warm_within: f64,
+    multiple: f64,
+    window: Time,
+    /// Emptied by final answers and the ends of transmissions.
+    rpcs: BTreeMap<Rc<str>, Rpc>,
+    /// One for each upstream of the run; a warm one keeps no sends.
+    upstreams: BTreeMap<usize, Cold>,
+    /// What a balancer was told last of an upstream that leaves, and when; emptied with the balancer.
+    leaving: BTreeMap<(usize, usize), Time>,
+    pub breaches: Vec<Breach>,
+}
+
+/// More say no more; a balancer that breaks a rule with each RPC fills no memory.
+const MOST_BREACHES: usize = 100;
+
+impl Referee {
+    pub fn new(scenario: &Scenario) -> Self {
+        let r = &scenario.rules;
+        Referee {
+            effects: scenario.method.iter().map(|m| (m.effect, m.group, seconds(m.window_s))).collect(),
+            grace: millis(r.drain_grace_ms),
+            slack: millis(r.answer_slack_ms),
+            cold_from: r.cold_from,
+            warm_within: seconds(r.warm_within_s) as f64,
+            multiple: r.cold_multiple,
+            window: seconds(r.cold_window_s),
+            rpcs: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            breaches: Vec::new(),
+        }
+    }
+
+    fn broken(&mut self, at: Time, rule: Rule, what: String) {
+        if self.breaches.len() < MOST_BREACHES {
+            self.breaches.push(Breach { at, rule, what });
+        }
+    }
+
+    /// At the end of the run: what has no answer yet never gets one.
+    pub fn end(&mut self, at: Time) {
+        for (id, rpc) in std::mem::take(&mut self.rpcs) {
+            if !rpc.answered && !rpc.left {
+                self.broken(at, Rule::OneAnswer, format!("RPC {id} was never answered"));
+            }
+        }
+    }
+
+    fn sent(&mut self, at: Time, id: &Rc<str>, n: usize, balancer: usize, upstream: usize) {
+        if self.leaving.get(&(balancer, upstream)).is_some_and(|told| at > told + self.grace) {
+            let what = format!(
+                "RPC {id} to upstream {upstream} by balancer {balancer}, which was told that it leaves"
+            );
+            self.broken(at, Rule::DrainsKept, what);
+        }
+        self.count_cold(at, upstream);
+        let place = |u: &Cold, group: Group| match group {
+            Group::All => 0,
+            Group::Zone => u.zone,
+            Group::Cell => u.cell,
+        };
+        let groups = |group: Group, a: usize, b: usize| {
+            let of = |n: usize| self.upstreams.get(&n).map(|u| place(u, group));
+            of(a) == of(b)
+        };
+        let Some(rpc) = self.rpcs.get(id) else {
+            return self.broken(at, Rule::OneAnswer, format!("RPC {id} was sent, which is not open"));
+        };
+        let first = rpc.txs.iter().find(|t| t.ran || !t.end.is_some_and(Outcome::never_ran));
+        let (effect, group, window) = self.effects[rpc.method];
+        let wrong = first.and_then(|first| match effect {
+            Effect::Retriable => None,
+            Effect::NonRetriable => Some("that may have run".to_owned()),
+            Effect::Deduped if !groups(group, first.upstream, upstream) => {
+                Some("out of its group".to_owned())
+            }
+            Effect::Deduped => (at > first.sent + window).then(|| "past its window".to_owned()),
+        });
+        let late = rpc.answered || rpc.left;
+        if let Some(wrong) = wrong {
+            self.broken(at, Rule::NoSecondEffect, format!("RPC {id} was sent again {wrong}"));
+        }
+        if late {
+            self.broken(at, Rule::OneAnswer, format!("RPC {id} was sent after its end"));
+        }
+        if let Some(rpc) = self.rpcs.get_mut(id) {
+            if rpc.txs.len() != n {
+                let what = format!("RPC {id}: transmission {n} came as number {}", rpc.txs.len());
+                rpc.txs.push(Tx { upstream, sent: at, ran: false, end: None });
+                return self.broken(at, Rule::OneAnswer, what);
+            }
+            rpc.txs.push(Tx { upstream, sent: at, ran: false, end: None });
+        }
+    }
+
+    /// All that the fleet sent it in the last window, against what it could do in that time.
+    fn count_cold(&mut self, at: Time, upstream: usize) {
+        let (from, within, multiple, window) = (self.cold_from, self.warm_within, self.multiple, self.window);
+        let Some(u) = self.upstreams.get_mut(&upstream).filter(|u| u.cold && !u.fell) else { return };
+        let warmth = |at: Time| (from + (1.0 - from) * (at - u.started) as f64 / within).min(1.0);
+        if warmth(at) >= 1.0 {
+            (u.cold, u.sends) = (false, VecDeque::new());
+            return;
+        }
+        let begin = at.saturating_sub(window);
+        let middle = warmth((begin.max(u.started) + at) / 2);
+        u.sends.push_back(at);
+        while u.sends.front().is_some_and(|sent| *sent <= begin) {
+            u.sends.pop_front();
+        }
+        let budget = multiple * u.rate * middle * window as f64 / seconds(1.0) as f64;
+        // One RPC more is chance, however small the upstream.
+        if u.sends.len() as f64 > budget + 1.0 {
+            u.fell = true;
+            let what =
+                format!("upstream {upstream} got {} RPCs in a window, {budget:.1} are borne", u.sends.len());
+            self.broken(at, Rule::ColdSpared, what);
+        }
+    }
+
+    fn answered(&mut self, at: Time, id: &Rc<str>, last: Final) {
+        let Some(rpc) = self.rpcs.get_mut(id) else {
+            return self.broken(at, Rule::OneAnswer, format!("RPC {id} was answered, which is not open"));
+        };
+        let (twice, late) = (rpc.answered, at > rpc.hard + self.slack);
+        rpc.answered = true;
+        // An exhaustion reply says that asking again does no harm, to whichever upstream that then goes.
+        let may_have_run = rpc.txs.iter().any(|t| t.ran || !t.end.is_some_and(Outcome::never_ran));
+        let harmless = match self.effects[rpc.method] {
+            (Effect::Retriable, ..) | (Effect::Deduped, Group::All, _) => true,
+            _ => !may_have_run,
+        };
+        if twice {
+            self.broken(at, Rule::OneAnswer, format!("RPC {id} was answered twice"));
+        }
+        if late {
+            self.broken(at, Rule::OneAnswer, format!("RPC {id} was answered after its hard deadline"));
+        }
+        if last == Final::Exhausted && !harmless {
+            self.broken(at, Rule::NoSecondEffect, format!("RPC {id} was exhausted and may have run"));
+        }
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: &Rc<str>) {
+        let over = |r: &Rpc| (r.answered || r.left) && r.txs.iter().all(|t| t.end.is_some());
+        if self.rpcs.get(id).is_some_and(over) {
+            self.rpcs.remove(id);
+        }
+    }
+}
+
+impl Witness for Referee {
+    fn see(&mut self, at: Time, event: &Event) {
+        match event {
+            Event::Arrived { rpc, balancer, method, hard } => {
+                let (balancer, method, hard) = (*balancer, *method, *hard);
+                let new = Rpc { balancer, method, hard, answered: false, left: false, txs: Vec::new() };
+                self.rpcs.insert(Rc::clone(rpc), new);
+            }
+            Event::Sent { rpc, tx, balancer, upstream } => self.sent(at, rpc, *tx, *balancer, *upstream),
+            Event::Ran { rpc, tx } => {
+                let tx = self.rpcs.get_mut(rpc).and_then(|r| r.txs.get_mut(*tx));
+                tx.into_iter().for_each(|t| t.ran = true);
+            }
+            Event::Ended { rpc, tx, outcome } => {
+                let tx = self.rpcs.get_mut(rpc).and_then(|r| r.txs.get_mut(*tx));
+                tx.into_iter().for_each(|t| t.end = Some(*outcome));
+                self.forget(rpc);
+            }
+            Event::Answered { rpc, last } => self.answered(at, rpc, *last),
+            Event::CallerLeft { rpc } => {
+                self.rpcs.get_mut(rpc).into_iter().for_each(|r| r.left = true);
+                self.forget(rpc);
+            }
+            Event::Heard { balancer, upstream, told: Told::Ready } => {
+                self.leaving.remove(&(*balancer, *upstream));
+            }
+            Event::Heard { balancer, upstream, .. } => {
+                self.leaving.entry((*balancer, *upstream)).or_insert(at);
+            }
+            Event::Started { upstream, zone, cell, rate, cold } => {
+                let sends = VecDeque::new();
+                let (zone, cell, rate, cold) = (*zone, *cell, *rate, *cold);
+                let new = Cold { started: at, rate, zone, cell, cold, sends, fell: false };
+                self.upstreams.insert(*upstream, new);
+            }
+            Event::BalancerDied { balancer } => {
+                // What it held is its callers' to ask again.
+                self.rpcs.retain(|_, rpc| rpc.balancer != *balancer);
+                self.leaving.retain(|(b, _), _| b != balancer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/scenario.rs
@@ -0,0 +1,471 @@
+//! What a scenario file says, checked whole before anything runs: the fleet, the load, the methods, the faults.
+
+use fernroute::{Terms, Time};
+use serde::Deserialize;
+use std::path::Path;
+
+/// A file as it is written; unknown names are refused.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub name: String,
+    /// For how long RPCs arrive; what is open then is played to its end.
+    pub seconds: f64,
+    pub load: Load,
+    pub method: Vec<Method>,
+    pub tier: Vec<Tier>,
+    #[serde(default)]
+    pub network: Network,
+    #[serde(default)]
+    pub discovery: Discovery,
+    #[serde(default)]
+    pub rules: Rules,
+    #[serde(default)]
+    pub fault: Vec<Fault>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// First tries a second, over all balancers of the first tier.
+    pub rate: f64,
+    /// How often a caller asks again after it was turned away, and how long it waits where it is told no time.
+    #[serde(default)]
+    pub retries: u32,
+    #[serde(default = "backoff")]
+    pub backoff_ms: f64,
+    /// The share of callers that leave before half of their time is up.
+    #[serde(default)]
+    pub impatient: f64,
+}
+
+fn backoff() -> f64 {
+    300.0
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    Retriable,
+    Deduped,
+    NonRetriable,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Group {
+    All,
+    Zone,
+    #[default]
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Spread {
+    Fixed,
+    #[default]
+    Exponential,
+    Lognormal,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Method {
+    pub name: String,
+    pub effect: Effect,
+    #[serde(default)]
+    pub group: Group,
+    #[serde(default = "window")]
+    pub window_s: f64,
+    pub share: f64,
+    /// Work of one core over all tiers, on the mean.
+    pub work_ms: f64,
+    #[serde(default)]
+    pub spread: Spread,
+    /// Standard deviation over mean, where the spread is lognormal.
+    #[serde(default = "half")]
+    pub cv: f64,
+    pub soft_ms: f64,
+    pub hard_ms: f64,
+    #[serde(default = "one")]
+    pub gain: f64,
+}
+
+fn window() -> f64 {
+    10.0
+}
+
+fn half() -> f64 {
+    0.5
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A tier below the first has a balancer for each upstream of the tier above.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tier {
+    pub name: String,
+    pub upstreams: usize,
+    /// Of the first tier only.
+    #[serde(default)]
+    pub balancers: usize,
+    pub cores: usize,
+    /// RPCs in hand, also while they wait for the tier below; and those that wait for a place.
+    pub slots: usize,
+    #[serde(default)]
+    pub queue: usize,
+    /// The part of a method's work that is done here.
+    #[serde(default = "one")]
+    pub work: f64,
+    /// Calls on this tier for each RPC of the tier above, one after another.
+    #[serde(default = "one")]
+    pub calls: f64,
+    /// Speeds differ by up to this share, either way.
+    #[serde(default)]
+    pub unlike: f64,
+    #[serde(default = "one_zone")]
+    pub zones: usize,
+    #[serde(default = "cell")]
+    pub cell: usize,
+    #[serde(default = "report")]
+    pub report_ms: f64,
+    #[serde(default)]
+    pub report_late_ms: f64,
+    /// Waiting work whose caller has given up is dropped.
+    #[serde(default = "yes")]
+    pub drops: bool,
+    #[serde(default)]
+    pub choke: Option<Choke>,
+}
+
+/// A slowdown that outlives its load.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Choke {
+    /// RPCs in hand for each core, held for so long, turn an upstream so many times slower …
+    pub at: f64,
+    pub over_s: f64,
+    pub slower: f64,
+    /// … until it has been this little busy for so long.
+    pub below: f64,
+    pub rest_s: f64,
+}
+
+fn one_zone() -> usize {
+    1
+}
+
+fn cell() -> usize {
+    8
+}
+
+fn report() -> f64 {
+    500.0
+}
+
+fn yes() -> bool {
+    true
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Network {
+    pub same_zone_ms: f64,
+    pub cross_zone_ms: f64,
+    /// Up to so much more, as a share.
+    pub jitter: f64,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Network { same_zone_ms: 0.3, cross_zone_ms: 3.0, jitter: 0.2 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Discovery {
+    /// From a start or a drain until it is told, and from a silent end; each balancer is told up to `spread_ms` later.
+    pub late_ms: f64,
+    pub gone_late_ms: f64,
+    pub spread_ms: f64,
+}
+
+impl Default for Discovery {
+    fn default() -> Self {
+        Discovery { late_ms: 1000.0, gone_late_ms: 4000.0, spread_ms: 300.0 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    pub drain_grace_ms: f64,
+    pub answer_slack_ms: f64,
+    pub max_transmissions: usize,
+    pub max_stay_away_ms: f64,
+    /// An upstream starts at this share of what it can do, and has warmed evenly after so long.
+    pub cold_from: f64,
+    pub warm_within_s: f64,
+    /// Sent more than so many times what it can do, for so long, a cold upstream falls over.
+    pub cold_multiple: f64,
+    pub cold_window_s: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules {
+            drain_grace_ms: 300.0,
+            answer_slack_ms: 0.0,
+            max_transmissions: 4,
+            max_stay_away_ms: 2000.0,
+            cold_from: 0.3,
+            warm_within_s: 8.0,
+            cold_multiple: 2.5,
+            cold_window_s: 3.0,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Processes die, and come back cold when the fault ends.
+    Crash,
+    /// Machines vanish: nothing is heard of them, and they come back cold.
+    Vanish,
+    /// The same for all of zone `size` (0 is the first).
+    ZoneLoss,
+    /// `size` times slower.
+    Slow,
+    /// Takes RPCs and answers none.
+    Hang,
+    /// The share `size` of RPCs errors at once.
+    FastErrors,
+    /// Stands still for `size` seconds, every `every_s`.
+    Pauses,
+    /// Dies and returns, every `every_s`.
+    Flap,
+    /// Drained evenly over the fault's time, each replaced by a new, cold one at once.
+    Replace,
+    /// Drained at the fault's start, and back at its end.
+    Drain,
+    /// `size` times the load.
+    Surge,
+    /// Load reports `size` seconds later.
+    ReportsLate,
+    /// Nothing is told while it lasts.
+    ListDown,
+    /// Balancers of the first tier start anew, one after another over the fault's time.
+    BalancerRestart,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    pub kind: Kind,
+    pub at_s: f64,
+    pub for_s: f64,
+    /// The name of a tier; the first where none is named.
+    #[serde(default)]
+    pub tier: Option<String>,
+    /// The share of the tier's upstreams.
+    #[serde(default = "one")]
+    pub part: f64,
+    #[serde(default)]
+    pub size: f64,
+    #[serde(default = "one")]
+    pub every_s: f64,
+}
+
+/// Seconds and milliseconds of a file, as the decisions count time.
+pub fn seconds(s: f64) -> Time {
+    (s * 10_000.0).round() as Time
+}
+
+pub fn millis(ms: f64) -> Time {
+    (ms * 10.0).round() as Time
+}
+
+impl Scenario {
+    pub fn read(path: &Path) -> Result<Self, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Scenario::decode(&text).map_err(|why| format!("{}: {why}", path.display()))
+    }
+
+    /// The first thing that will not do, with its place.
+    pub fn decode(text: &str) -> Result<Self, String> {
+        let scenario: Scenario = toml::from_str(text).map_err(|e| {
+            let line = e.span().map_or(0, |span| text[..span.start].matches('\n').count() + 1);
+            format!("line {line}: {}", e.message().replace('\n', " "))
+        })?;
+        scenario.check()?;
+        Ok(scenario)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        /// A number that must be finite and within these bounds.
+        fn within(place: &str, value: f64, least: f64, most: f64) -> Result<(), String> {
+            if value.is_finite() && (least..=most).contains(&value) {
+                return Ok(());
+            }
+            Err(format!("{place}: {value} is not between {least} and {most}"))
+        }
+        const DAY: f64 = 86_400.0;
+        const MOST: f64 = 1e6;
+        within("seconds", self.seconds, 1.0, DAY)?;
+        within("load.rate", self.load.rate, 0.001, MOST)?;
+        within("load.backoff_ms", self.load.backoff_ms, 0.0, MOST)?;
+        within("load.impatient", self.load.impatient, 0.0, 1.0)?;
+        if self.method.is_empty() || self.tier.is_empty() {
+            return Err("method and tier: there must be one of each at the least".to_owned());
+        }
+        for (i, m) in self.method.iter().enumerate() {
+            let at = |what: &str| format!("method[{i}].{what}");
+            if self.method[..i].iter().any(|other| other.name == m.name) {
+                return Err(format!("{}: {} is there twice", at("name"), m.name));
+            }
+            within(&at("share"), m.share, 0.0, MOST)?;
+            within(&at("work_ms"), m.work_ms, 0.001, MOST)?;
+            within(&at("cv"), m.cv, 0.0, 100.0)?;
+            within(&at("soft_ms"), m.soft_ms, 0.1, MOST)?;
+            within(&at("hard_ms"), m.hard_ms, m.soft_ms, MOST)?;
+            within(&at("gain"), m.gain, 0.0, MOST)?;
+            within(&at("window_s"), m.window_s, 0.0, DAY)?;
+        }
+        within("method: the sum of share", self.method.iter().map(|m| m.share).sum(), 0.001, MOST)?;
+        for (i, t) in self.tier.iter().enumerate() {
+            let at = |what: &str| format!("tier[{i}].{what}");
+            if self.tier[..i].iter().any(|other| other.name == t.name) {
+                return Err(format!("{}: {} is there twice", at("name"), t.name));
+            }
+            within(&at("upstreams"), t.upstreams as f64, 1.0, 10_000.0)?;
+            let least = if i == 0 { 1.0 } else { 0.0 };
+            within(&at("balancers"), t.balancers as f64, least, if i == 0 { 10_000.0 } else { 0.0 })?;
+            within(&at("cores"), t.cores as f64, 1.0, 10_000.0)?;
+            within(&at("slots"), t.slots as f64, t.cores as f64, MOST)?;
+            within(&at("work"), t.work, 0.0001, MOST)?;
+            within(&at("calls"), t.calls, 0.0, 100.0)?;
+            within(&at("unlike"), t.unlike, 0.0, 0.9)?;
+            within(&at("zones"), t.zones as f64, 1.0, 100.0)?;
+            within(&at("cell"), t.cell as f64, 1.0, 10_000.0)?;
+            within(&at("report_ms"), t.report_ms, 1.0, MOST)?;
+            within(&at("report_late_ms"), t.report_late_ms, 0.0, MOST)?;
+            if let Some(c) = &t.choke {
+                within(&at("choke.at"), c.at, 0.1, MOST)?;
+                within(&at("choke.over_s"), c.over_s, 0.0, DAY)?;
+                within(&at("choke.slower"), c.slower, 1.0, 1000.0)?;
+                within(&at("choke.below"), c.below, 0.0, 1.0)?;
+                within(&at("choke.rest_s"), c.rest_s, 0.0, DAY)?;
+            }
+        }
+        let (n, d, r) = (&self.network, &self.discovery, &self.rules);
+        for (place, value) in [
+            ("network.same_zone_ms", n.same_zone_ms),
+            ("network.cross_zone_ms", n.cross_zone_ms),
+            ("network.jitter", n.jitter),
+            ("discovery.late_ms", d.late_ms),
+            ("discovery.gone_late_ms", d.gone_late_ms),
+            ("discovery.spread_ms", d.spread_ms),
+            ("rules.drain_grace_ms", r.drain_grace_ms),
+            ("rules.answer_slack_ms", r.answer_slack_ms),
+            ("rules.max_stay_away_ms", r.max_stay_away_ms),
+        ] {
+            within(place, value, 0.0, MOST)?;
+        }
+        within("rules.max_transmissions", r.max_transmissions as f64, 1.0, 100.0)?;
+        within("rules.cold_from", r.cold_from, 0.001, 1.0)?;
+        within("rules.warm_within_s", r.warm_within_s, 0.001, DAY)?;
+        within("rules.cold_multiple", r.cold_multiple, 0.1, 1000.0)?;
+        within("rules.cold_window_s", r.cold_window_s, 0.001, DAY)?;
+        for (i, f) in self.fault.iter().enumerate() {
+            let at = |what: &str| format!("fault[{i}].{what}");
+            within(&at("at_s"), f.at_s, 0.0, self.seconds)?;
+            within(&at("for_s"), f.for_s, 0.0, DAY)?;
+            within(&at("part"), f.part, 0.0, 1.0)?;
+            within(&at("every_s"), f.every_s, 0.01, DAY)?;
+            let (least, most) = match f.kind {
+                Kind::Slow => (1.0, 1000.0),
+                Kind::Surge => (0.0, 1000.0),
+                Kind::FastErrors => (0.0, 1.0),
+                Kind::Pauses => (0.001, f.every_s),
+                Kind::ReportsLate => (0.0, DAY),
+                Kind::ZoneLoss => (0.0, self.tier.iter().map(|t| t.zones).max().unwrap_or(1) as f64 - 1.0),
+                _ => (0.0, 0.0),
+            };
+            within(&at("size"), f.size, least, most)?;
+            if let Some(name) = &f.tier {
+                if !self.tier.iter().any(|t| t.name == *name) {
+                    return Err(format!("{}: there is no tier {name}", at("tier")));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    pub fn tier_of(&self, fault: &Fault) -> usize {
+        let name = fault.tier.as_ref();
+        name.and_then(|name| self.tier.iter().position(|t| t.name == *name)).unwrap_or(0)
+    }
+
+    /// What a balancer of this tier is told at its start.
+    pub fn terms(&self, tier: usize, number: usize, instances: usize, zone: usize) -> Terms {
+        let r = &self.rules;
+        let mut all = Terms::new();
+        let mut put = |name: String, value: String| {
+            all.insert(name, value);
+        };
+        for (name, value) in [
+            ("instances", instances.to_string()),
+            ("number", number.to_string()),
+            ("tier", tier.to_string()),
+            ("zone", zone_name(zone)),
+            ("tick", "1".to_owned()),
+            ("list_mode", "push".to_owned()),
+            ("load.names", "utilisation".to_owned()),
+            ("limits.max_transmissions", r.max_transmissions.to_string()),
+            ("limits.cancel", "true".to_owned()),
+            ("limits.stay_away", "true".to_owned()),
+            ("limits.max_stay_away", millis(r.max_stay_away_ms).to_string()),
+            ("rules.cold_from", r.cold_from.to_string()),
+            ("rules.warm_within", seconds(r.warm_within_s).to_string()),
+            ("rules.cold_multiple", r.cold_multiple.to_string()),
+            ("rules.cold_window", seconds(r.cold_window_s).to_string()),
+            ("methods.count", self.method.len().to_string()),
+        ] {
+            put(name.to_owned(), value);
+        }
+        for (i, m) in self.method.iter().enumerate() {
+            let effect = match m.effect {
+                Effect::Retriable => "retriable",
+                Effect::Deduped => "deduped",
+                Effect::NonRetriable => "non_retriable",
+            };
+            let group = match m.group {
+                Group::All => "all",
+                Group::Zone => "zone",
+                Group::Cell => "cell",
+            };
+            for (name, value) in [
+                ("name", m.name.clone()),
+                ("effect", effect.to_owned()),
+                ("group", group.to_owned()),
+                ("window", seconds(m.window_s).to_string()),
+                ("soft_deadline", millis(m.soft_ms).to_string()),
+                ("hard_deadline", millis(m.hard_ms).to_string()),
+                ("gain", m.gain.to_string()),
+            ] {
+                put(format!("methods.{i}.{name}"), value);
+            }
+        }
+        all
+    }
+}
+
+pub fn zone_name(zone: usize) -> String {
+    format!("z{zone}")
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/trace.rs
@@ -0,0 +1,81 @@
+//! What happened, told as it happens. The referee and the books read this and nothing else.
+
+use fernroute::{Outcome, Time};
+use std::rc::Rc;
+
+/// How an RPC ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    Completed,
+    Exhausted,
+    Errored,
+}
+
+/// What a balancer was told of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    Ready,
+    Drains,
+    Gone,
+}
+
+/// Upstreams and balancers go by their number in the run; a replaced one's number is not used again.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Arrived {
+        rpc: Rc<str>,
+        balancer: usize,
+        method: usize,
+        hard: Time,
+    },
+    Sent {
+        rpc: Rc<str>,
+        tx: usize,
+        balancer: usize,
+        upstream: usize,
+    },
+    /// It began at the upstream: from here on it has had its effect.
+    Ran {
+        rpc: Rc<str>,
+        tx: usize,
+    },
+    Ended {
+        rpc: Rc<str>,
+        tx: usize,
+        outcome: Outcome,
+    },
+    Answered {
+        rpc: Rc<str>,
+        last: Final,
+    },
+    CallerLeft {
+        rpc: Rc<str>,
+    },
+    Heard {
+        balancer: usize,
+        upstream: usize,
+        told: Told,
+    },
+    /// `rate` is what it can do when warm, RPCs a second.
+    Started {
+        upstream: usize,
+        zone: usize,
+        cell: usize,
+        rate: f64,
+        cold: bool,
+    },
+    BalancerDied {
+        balancer: usize,
+    },
+}
+
+/// Takes in the events in the order in which they happen.
+pub trait Witness {
+    fn see(&mut self, at: Time, event: &Event);
+}
+
+impl Witness for Vec<(Time, String)> {
+    fn see(&mut self, at: Time, event: &Event) {
+        self.push((at, format!("{event:?}")));
+    }
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/upstream.rs
@@ -0,0 +1,193 @@
+//! One simulated upstream: its places, cores, warmth, afflictions and reports. No I/O, no clock of its own.
+
+use crate::scenario::{self, seconds, Choke};
+use fernroute::Time;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Up,
+    /// Finishes what it has, and is told as draining.
+    Draining,
+    /// Its process is gone: connections to it are refused.
+    Dead,
+    /// Its machine is gone: nothing is heard of it.
+    Silent,
+}
+
+/// One transmission, as the upstream has it.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub rpc: Rc<str>,
+    pub tx: usize,
+    /// The balancer that sent it.
+    pub node: usize,
+    pub method: usize,
+    /// Work of one core over all tiers, and calls on each tier, as drawn with the request.
+    pub work: Time,
+    pub calls: Rc<[u32]>,
+    pub hard: Time,
+    /// Calls on the tier below that are still to be made.
+    pub left: u32,
+    /// Its caller has given up.
+    pub void: bool,
+}
+
+/// What befalls an upstream, by the number of the fault; taken off by its end.
+#[derive(Clone, Copy, Debug)]
+pub enum Affliction {
+    Slow(f64),
+    Errors(f64),
+    Hang,
+}
+
+pub struct Upstream {
+    pub name: Rc<str>,
+    pub tier: usize,
+    pub zone: usize,
+    pub cell: usize,
+    pub cores: usize,
+    pub slots: usize,
+    pub queue: usize,
+    pub speed: f64,
+    pub state: State,
+    pub started: Time,
+    pub cold: bool,
+    /// Counts lives: what was going on in an earlier one comes to nothing.
+    pub life: u32,
+    /// Its own balancer for the tier below.
+    pub balancer: Option<usize>,
+    pub afflicted: BTreeMap<usize, Affliction>,
+    pub paused_until: Time,
+    /// In a place, waiting for one, waiting for a core.
+    pub held: usize,
+    pub waiting: VecDeque<u64>,
+    pub ready: VecDeque<u64>,
+    pub busy: usize,
+    /// Core time used up to `as_of`, and up to the last report.
+    pub used: u128,
+    pub used_at_report: u128,
+    pub as_of: Time,
+    /// Past reports, as old as the latest delay at most.
+    pub reports: VecDeque<(Time, f64)>,
+    pub choked: bool,
+    over_for: Time,
+    rest_for: Time,
+}
+
+impl Upstream {
+    pub fn new(
+        name: Rc<str>,
+        tier: usize,
+        of: &scenario::Tier,
+        at: (usize, usize),
+        speed: f64,
+        now: Time,
+    ) -> Self {
+        Upstream {
+            name,
+            tier,
+            zone: at.0,
+            cell: at.1,
+            cores: of.cores,
+            slots: of.slots,
+            queue: of.queue,
+            speed,
+            state: State::Up,
+            started: now,
+            cold: now > 0,
+            life: 0,
+            balancer: None,
+            afflicted: BTreeMap::new(),
+            paused_until: 0,
+            held: 0,
+            waiting: VecDeque::new(),
+            ready: VecDeque::new(),
+            busy: 0,
+            used: 0,
+            used_at_report: 0,
+            as_of: now,
+            reports: VecDeque::new(),
+            choked: false,
+            over_for: 0,
+            rest_for: 0,
+        }
+    }
+
+    pub fn serves(&self) -> bool {
+        matches!(self.state, State::Up | State::Draining)
+    }
+
+    /// Starts again from nothing, cold.
+    pub fn restart(&mut self, now: Time) {
+        let afflicted = std::mem::take(&mut self.afflicted);
+        self.end(now);
+        (self.afflicted, self.state, self.started, self.cold) = (afflicted, State::Up, now, true);
+    }
+
+    /// All that it had is gone.
+    pub fn end(&mut self, now: Time) {
+        self.account(now);
+        self.life += 1;
+        (self.held, self.busy, self.choked, self.over_for, self.rest_for) = (0, 0, false, 0, 0);
+        self.waiting.clear();
+        self.ready.clear();
+        self.reports.clear();
+    }
+
+    pub fn account(&mut self, now: Time) {
+        self.used += self.busy as u128 * (now - self.as_of) as u128;
+        self.as_of = now;
+    }
+
+    pub fn hangs(&self) -> bool {
+        self.afflicted.values().any(|a| matches!(a, Affliction::Hang))
+    }
+
+    pub fn errors(&self) -> f64 {
+        let of = |a: &Affliction| if let Affliction::Errors(share) = a { *share } else { 0.0 };
+        self.afflicted.values().map(of).fold(0.0, f64::max)
+    }
+
+    pub fn warmth(&self, now: Time, from: f64, within: Time) -> f64 {
+        if !self.cold {
+            return 1.0;
+        }
+        (from + (1.0 - from) * (now - self.started) as f64 / within.max(1) as f64).min(1.0)
+    }
+
+    /// How long a core takes for this much work, if it begins now.
+    pub fn takes(&self, work: f64, warmth: f64, choke: Option<&Choke>) -> Time {
+        let slow = |a: &Affliction| if let Affliction::Slow(times) = a { *times } else { 1.0 };
+        let slower: f64 = self.afflicted.values().map(slow).product();
+        let choked = if self.choked { choke.map_or(1.0, |c| c.slower) } else { 1.0 };
+        (work * slower * choked / (self.speed * warmth)).round().max(1.0) as Time
+    }
+
+    /// Makes a report, and judges by it whether the upstream chokes or has recovered.
+    pub fn report(&mut self, now: Time, period: Time, keep: Time, choke: Option<&Choke>) {
+        self.account(now);
+        let used = (self.used - self.used_at_report) as f64 / (period as f64 * self.cores as f64);
+        self.used_at_report = self.used;
+        self.reports.push_back((now, used.min(1.0)));
+        while self.reports.len() > 1 && self.reports[1].0 + keep < now {
+            self.reports.pop_front();
+        }
+        let Some(c) = choke else { return };
+        let hands = (self.held + self.waiting.len()) as f64;
+        self.over_for = if hands > c.at * self.cores as f64 { self.over_for + period } else { 0 };
+        self.rest_for = if used < c.below { self.rest_for + period } else { 0 };
+        if self.over_for > seconds(c.over_s) {
+            self.choked = true;
+        } else if self.choked && self.rest_for >= seconds(c.rest_s) {
+            self.choked = false;
+        }
+    }
+
+    /// The newest report that is at least this old; no number before the first.
+    pub fn reported(&self, now: Time, late: Time) -> f64 {
+        let old = self.reports.iter().rev().find(|(at, _)| at + late <= now);
+        old.map_or(f64::NAN, |(_, used)| *used)
+    }
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/world.rs
@@ -0,0 +1,912 @@
+//! A fleet in virtual time. Events that fall on one instant happen in the order in which they were set down.
+
+use crate::books::{Books, Ends};
+use crate::player::{Entry, Maker, Player, Post};
+use crate::scenario::{millis, seconds, Fault, Kind, Scenario, Spread};
+use crate::trace::{Event, Final, Told, Witness};
+use crate::upstream::{Affliction, Job, State, Upstream};
+use fernroute::desk::{Act, Desk};
+use fernroute::{Outcome, Time};
+use rand::seq::SliceRandom as _;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution as _, Exp1, StandardNormal};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::rc::Rc;
+
+/// What is set down to happen.
+#[derive(Debug)]
+enum Due {
+    Arrival,
+    Try { request: u64, balancer: Option<usize> },
+    Reach { node: usize, upstream: usize, life: u32, job: Box<Job> },
+    CoreDone { upstream: usize, life: u32, job: u64 },
+    Back { node: usize, rpc: Rc<str>, tx: usize, outcome: Outcome, load: f64 },
+    TimeOut { node: usize, rpc: Rc<str>, tx: usize },
+    Stopped { node: usize, rpc: Rc<str>, tx: usize, outcome: Outcome },
+    Timer { node: usize, token: String },
+    Leave { node: usize, rpc: Rc<str> },
+    Tell { node: usize, upstream: usize, life: u32, told: Told },
+    Report { upstream: usize },
+    Wake { upstream: usize, life: u32 },
+    FaultBegins(usize),
+    FaultStep(usize, usize),
+    FaultEnds(usize),
+    Retire { upstream: usize, life: u32 },
+}
+
+/// Who waits for an RPC's final answer.
+enum Origin {
+    Caller { request: u64 },
+    Call { upstream: usize, life: u32, job: u64 },
+}
+
+struct Out {
+    upstream: usize,
+    sent: Time,
+}
+
+struct Open {
+    origin: Origin,
+    method: usize,
+    hard: Time,
+    arrived: Time,
+    work: Time,
+    calls: Rc<[u32]>,
+    answered: bool,
+    made: usize,
+    out: BTreeMap<usize, Out>,
+}
+
+struct Node {
+    tier: usize,
+    zone: usize,
+    alive: bool,
+    player: Box<dyn Player>,
+    desk: Desk,
+    /// Emptied by final answers and the ends of transmissions.
+    open: BTreeMap<Rc<str>, Open>,
+}
+
+/// What a caller wants, over all its tries.
+struct Request {
+    method: usize,
+    asked: Time,
+    work: Time,
+    calls: Rc<[u32]>,
+    tries: u32,
+    impatient: Option<f64>,
+}
+
+pub struct World<'a> {
+    scenario: &'a Scenario,
+    make: &'a Maker<'a>,
+    witness: &'a mut dyn Witness,
+    seed: u64,
+    now: Time,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    /// Emptied as events happen.
+    due: BTreeMap<u64, Due>,
+    count: u64,
+    nodes: Vec<Node>,
+    /// The balancers of the first tier, by their number.
+    first: Vec<usize>,
+    upstreams: Vec<Upstream>,
+    by_name: BTreeMap<Rc<str>, usize>,
+    /// Emptied as upstreams answer or end.
+    jobs: BTreeMap<u64, (usize, Job)>,
+    jobs_made: u64,
+    /// Emptied by the last answer to a request.
+    requests: BTreeMap<u64, Request>,
+    requests_made: u64,
+    calls_made: u64,
+    arrivals: ChaCha8Rng,
+    chance: ChaCha8Rng,
+    surge: BTreeMap<usize, f64>,
+    reports_late: BTreeMap<usize, Time>,
+    list_down_until: Time,
+    /// Whom each fault has hit; emptied by its end.
+    victims: BTreeMap<usize, Vec<usize>>,
+    end: Time,
+    pub books: Books,
+    /// The most events, jobs and requests that were held at a time.
+    pub most_held: usize,
+}
+
+/// Where the request streams, the world's chance and the balancers' seeds come apart.
+const ARRIVALS: u64 = 1;
+const CHANCE: u64 = 2;
+const REQUESTS: u64 = 1 << 32;
+
+fn stream(seed: u64, part: u64) -> ChaCha8Rng {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(part);
+    rng
+}
+
+impl<'a> World<'a> {
+    pub fn new(scenario: &'a Scenario, seed: u64, make: &'a Maker<'a>, witness: &'a mut dyn Witness) -> Self {
+        let mut world = World {
+            scenario,
+            make,
+            witness,
+            seed,
+            now: 0,
+            queue: BinaryHeap::new(),
+            due: BTreeMap::new(),
+            count: 0,
+            nodes: Vec::new(),
+            first: Vec::new(),
+            upstreams: Vec::new(),
+            by_name: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            jobs_made: 0,
+            requests: BTreeMap::new(),
+            requests_made: 0,
+            calls_made: 0,
+            arrivals: stream(seed, ARRIVALS),
+            chance: stream(seed, CHANCE),
+            surge: BTreeMap::new(),
+            reports_late: BTreeMap::new(),
+            list_down_until: 0,
+            victims: BTreeMap::new(),
+            end: seconds(scenario.seconds),
+            books: Books::new(scenario),
+            most_held: 0,
+        };
+        for (tier, of) in scenario.tier.iter().enumerate() {
+            for place in 0..of.upstreams {
+                world.new_upstream(tier, place);
+            }
+        }
+        for upstream in 0..world.upstreams.len() {
+            world.new_balancer_of(upstream);
+        }
+        for number in 0..scenario.tier[0].balancers {
+            let node = world.new_node(0, number, number % scenario.tier[0].zones);
+            world.first.push(node);
+        }
+        for (i, fault) in scenario.fault.iter().enumerate() {
+            world.set(seconds(fault.at_s), Due::FaultBegins(i));
+        }
+        world.next_arrival();
+        world
+    }
+
+    // ------------------------------------------------------------------------------------------------ clock
+
+    fn set(&mut self, at: Time, due: Due) {
+        self.count += 1;
+        self.queue.push(Reverse((at.max(self.now), self.count)));
+        self.due.insert(self.count, due);
+    }
+
+    fn tell(&mut self, event: &Event) {
+        self.witness.see(self.now, event);
+    }
+
+    /// Plays to the end of the last RPC that may still be answered.
+    pub fn play(mut self) -> (Books, usize) {
+        let longest = self.scenario.method.iter().map(|m| millis(m.hard_ms)).max().unwrap_or(0);
+        let tries = u64::from(self.scenario.load.retries) + 1;
+        let last = self.end + tries * (longest + millis(self.scenario.rules.max_stay_away_ms)) + seconds(1.0);
+        while let Some(Reverse((at, place))) = self.queue.pop() {
+            if at > last {
+                break;
+            }
+            self.now = at;
+            let held = self.due.len() + self.jobs.len() + self.requests.len();
+            self.most_held = self.most_held.max(held);
+            if let Some(due) = self.due.remove(&place) {
+                self.happen(due);
+            }
+        }
+        let open: usize = self.nodes.iter().map(|n| n.open.values().filter(|o| !o.answered).count()).sum();
+        self.books.ends.open = open as u64;
+        (self.books, self.most_held)
+    }
+
+    pub fn ends(&self) -> Ends {
+        self.books.ends
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Arrival => {
+                self.arrive();
+                self.next_arrival();
+            }
+            Due::Try { request, balancer } => self.ask(request, balancer),
+            Due::Reach { node, upstream, life, job } => self.reach(node, upstream, life, *job),
+            Due::CoreDone { upstream, life, job } => self.core_done(upstream, life, job),
+            Due::Back { node, rpc, tx, outcome, load } => self.ended(node, &rpc, tx, outcome, load),
+            Due::TimeOut { node, rpc, tx } => self.give_up(node, &rpc, tx, Outcome::TimedOut),
+            Due::Stopped { node, rpc, tx, outcome } => self.give_up(node, &rpc, tx, outcome),
+            Due::Timer { node, token } => {
+                let now = self.now;
+                self.decide(node, |p| p.timer(now, &token));
+            }
+            Due::Leave { node, rpc } => self.leave(node, &rpc),
+            Due::Tell { node, upstream, life, told } => self.hear(node, upstream, life, told),
+            Due::Report { upstream } => self.report(upstream),
+            Due::Wake { upstream, life } if self.upstreams[upstream].life == life => self.work(upstream),
+            Due::Wake { .. } => {}
+            Due::FaultBegins(i) => self.fault_begins(i),
+            Due::FaultStep(i, n) => self.fault_step(i, n),
+            Due::FaultEnds(i) => self.fault_ends(i),
+            Due::Retire { upstream, life } if self.upstreams[upstream].life == life => {
+                self.die(upstream, State::Dead);
+                self.announce(upstream, Told::Gone, millis(self.scenario.discovery.late_ms));
+            }
+            Due::Retire { .. } => {}
+        }
+    }
+
+    // ------------------------------------------------------------------------------------------------ fleet
+
+    fn new_upstream(&mut self, tier: usize, place: usize) -> usize {
+        let of = &self.scenario.tier[tier];
+        let number = self.upstreams.len();
+        let name: Rc<str> = Rc::from(format!("{}-{number}", of.name));
+        let speed = 1.0 + of.unlike * (2.0 * self.chance.random::<f64>() - 1.0);
+        let at = (place % of.zones, place / of.cell);
+        self.upstreams.push(Upstream::new(Rc::clone(&name), tier, of, at, speed, self.now));
+        self.by_name.insert(name, number);
+        self.started(number);
+        // Reports of a fleet are not in step.
+        let phase = (millis(of.report_ms) as f64 * self.chance.random::<f64>()) as Time;
+        self.set(self.now + phase.max(1), Due::Report { upstream: number });
+        number
+    }
+
+    fn started(&mut self, number: usize) {
+        let u = &self.upstreams[number];
+        let of = &self.scenario.tier[u.tier];
+        let shares: f64 = self.scenario.method.iter().map(|m| m.share).sum();
+        let mean: f64 =
+            self.scenario.method.iter().map(|m| m.share * m.work_ms).sum::<f64>() / shares * of.work;
+        let rate = of.cores as f64 * u.speed / mean * 1000.0;
+        let (zone, cell, cold) = (u.zone, u.cell, u.cold);
+        self.tell(&Event::Started { upstream: number, zone, cell, rate, cold });
+    }
+
+    /// The balancer of an upstream's own, where there is a tier below.
+    fn new_balancer_of(&mut self, upstream: usize) {
+        let (tier, zone) = (self.upstreams[upstream].tier + 1, self.upstreams[upstream].zone);
+        if tier < self.scenario.tier.len() {
+            let node = self.new_node(tier, upstream, zone);
+            self.upstreams[upstream].balancer = Some(node);
+        }
+    }
+
+    fn new_node(&mut self, tier: usize, number: usize, zone: usize) -> usize {
+        let instances = match tier {
+            0 => self.scenario.tier[0].balancers,
+            below => self.scenario.tier[below - 1].upstreams,
+        };
+        let (desk, post) = (Desk::default(), Post { tier, number, instances, zone });
+        let seed = self.seed ^ (self.nodes.len() as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let player = (self.make)(self.scenario, post, desk.clone(), self.now, seed);
+        let node = self.nodes.len();
+        self.nodes.push(Node { tier, zone, alive: true, player, desk, open: BTreeMap::new() });
+        let known = (0..self.upstreams.len()).filter(|n| self.upstreams[*n].tier == tier);
+        let known: Vec<usize> = known.filter(|n| self.upstreams[*n].state == State::Up).collect();
+        let entries: Vec<Entry> = known.iter().map(|n| self.entry(*n, Told::Ready)).collect();
+        let now = self.now;
+        self.decide(node, |p| p.list(now, true, &entries));
+        node
+    }
+
+    fn entry(&self, upstream: usize, told: Told) -> Entry {
+        let u = &self.upstreams[upstream];
+        let started = if u.cold { u.started } else { 0 };
+        Entry { name: Rc::clone(&u.name), zone: u.zone, cell: u.cell, started, told }
+    }
+
+    /// Discovery tells each balancer of the tier, late and not all at once; after an outage, all that it held back.
+    fn announce(&mut self, upstream: usize, told: Told, late: Time) {
+        let (tier, life) = (self.upstreams[upstream].tier, self.upstreams[upstream].life);
+        let spread = millis(self.scenario.discovery.spread_ms);
+        let from = (self.now + late).max(self.list_down_until);
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].alive && self.nodes[node].tier == tier {
+                let wait = (spread as f64 * self.chance.random::<f64>()) as Time;
+                self.set(from + wait, Due::Tell { node, upstream, life, told });
+            }
+        }
+    }
+
+    fn hear(&mut self, node: usize, upstream: usize, life: u32, told: Told) {
+        // What is overtaken by a later start or end is not told any more.
+        if !self.nodes[node].alive || self.upstreams[upstream].life != life {
+            return;
+        }
+        if self.now < self.list_down_until {
+            let at = self.list_down_until;
+            return self.set(at, Due::Tell { node, upstream, life, told });
+        }
+        self.tell(&Event::Heard { balancer: node, upstream, told });
+        let (now, entry) = (self.now, [self.entry(upstream, told)]);
+        self.decide(node, |p| p.list(now, false, &entry));
+    }
+
+    fn report(&mut self, upstream: usize) {
+        /// Reports are kept for as long as the latest fault may delay them.
+        const KEEP: f64 = 60.0;
+        let of = &self.scenario.tier[self.upstreams[upstream].tier];
+        let period = millis(of.report_ms);
+        let u = &mut self.upstreams[upstream];
+        u.report(self.now, period, seconds(KEEP), of.choke.as_ref());
+        if self.now < self.end + seconds(KEEP) {
+            self.set(self.now + period, Due::Report { upstream });
+        }
+    }
+
+    fn delay(&mut self, a: usize, b: usize) -> Time {
+        let n = &self.scenario.network;
+        let ms = if a == b { n.same_zone_ms } else { n.cross_zone_ms };
+        millis(ms * (1.0 + n.jitter * self.chance.random::<f64>()))
+    }
+
+    // ------------------------------------------------------------------------------------------------- load
+
+    fn next_arrival(&mut self) {
+        let surge: f64 = self.surge.values().product();
+        let wait: f64 = Exp1.sample(&mut self.arrivals);
+        // Where a surge takes all load away, it is looked for again soon.
+        let rate = (self.scenario.load.rate * surge).max(0.01);
+        let at = self.now + ((wait * seconds(1.0) as f64 / rate).round() as Time).max(1);
+        if at < self.end {
+            self.set(at, Due::Arrival);
+        }
+    }
+
+    /// All that chance has to say of a request is drawn from a stream of its own: so that it is the same whoever
+    /// decides.
+    fn arrive(&mut self) {
+        let number = self.requests_made;
+        self.requests_made += 1;
+        let mut rng = stream(self.seed, REQUESTS + number);
+        let methods = &self.scenario.method;
+        let mut at = rng.random::<f64>() * methods.iter().map(|m| m.share).sum::<f64>();
+        let method = methods.iter().position(|m| {
+            at -= m.share;
+            at < 0.0
+        });
+        let method = method.unwrap_or(methods.len() - 1);
+        let m = &methods[method];
+        let factor = match m.spread {
+            Spread::Fixed => 1.0,
+            Spread::Exponential => Exp1.sample(&mut rng),
+            Spread::Lognormal => {
+                let sigma = (1.0 + m.cv * m.cv).ln().sqrt();
+                let normal: f64 = StandardNormal.sample(&mut rng);
+                (sigma * normal - sigma * sigma / 2.0).exp()
+            }
+        };
+        let calls = self.scenario.tier.iter().map(|t| {
+            let whole = t.calls.floor();
+            whole as u32 + u32::from(rng.random::<f64>() < t.calls - whole)
+        });
+        let calls: Rc<[u32]> = calls.collect();
+        let impatient = rng.random::<f64>() < self.scenario.load.impatient;
+        let impatient = impatient.then(|| 0.5 * rng.random::<f64>());
+        let work = millis(m.work_ms * factor).max(1);
+        let request = Request { method, asked: self.now, work, calls, tries: 0, impatient };
+        self.requests.insert(number, request);
+        let gain = m.gain;
+        self.books.offered(self.now, method, gain);
+        // A front deals connections out evenly.
+        let balancer = rng.random_range(0..self.first.len().max(1));
+        self.ask(number, Some(balancer));
+    }
+
+    fn ask(&mut self, number: u64, balancer: Option<usize>) {
+        let any = self.chance.random_range(0..self.first.len());
+        let Some(request) = self.requests.get_mut(&number) else { return };
+        let m = &self.scenario.method[request.method];
+        let hard = request.asked + millis(m.hard_ms);
+        if hard <= self.now {
+            return self.fail(number);
+        }
+        let rpc: Rc<str> = Rc::from(format!("r{number}.{}", request.tries));
+        request.tries += 1;
+        let (method, work, calls) = (request.method, request.work, Rc::clone(&request.calls));
+        let leaves = request.impatient.map(|share| (millis(m.hard_ms) as f64 * share) as Time);
+        let node = self.first[balancer.unwrap_or(any)];
+        if let Some(after) = leaves {
+            self.set(self.now + after, Due::Leave { node, rpc: Rc::clone(&rpc) });
+        }
+        self.put(node, rpc, Origin::Caller { request: number }, method, hard, work, calls);
+    }
+
+    /// Puts an RPC before a balancer.
+    #[allow(clippy::too_many_arguments)]
+    fn put(
+        &mut self,
+        node: usize,
+        rpc: Rc<str>,
+        origin: Origin,
+        method: usize,
+        hard: Time,
+        work: Time,
+        calls: Rc<[u32]>,
+    ) {
+        self.books.ends.arrived += 1;
+        let (arrived, out) = (self.now, BTreeMap::new());
+        let open = Open { origin, method, hard, arrived, work, calls, answered: false, made: 0, out };
+        self.nodes[node].open.insert(Rc::clone(&rpc), open);
+        self.tell(&Event::Arrived { rpc: Rc::clone(&rpc), balancer: node, method, hard });
+        let (now, scenario) = (self.now, self.scenario);
+        self.decide(node, |p| p.rpc_arrived(now, &rpc, &scenario.method[method].name, hard - now));
+    }
+
+    // -------------------------------------------------------------------------------------------- balancers
+
+    /// Calls a balancer, then does what it asked for.
+    fn decide(&mut self, node: usize, call: impl FnOnce(&mut dyn Player)) {
+        if !self.nodes[node].alive {
+            return;
+        }
+        call(&mut *self.nodes[node].player);
+        while let Some(act) = self.nodes[node].desk.next() {
+            match act {
+                Act::Transmit { rpc, upstream, time_out } => self.transmit(node, &rpc, &upstream, time_out),
+                Act::Cancel { rpc, tx } => {
+                    let outcome = Outcome::Cancelled;
+                    self.set(self.now, Due::Stopped { node, rpc, tx, outcome });
+                }
+                Act::Exhaust { rpc, stay_away } => self.answer(node, &rpc, Final::Exhausted, stay_away),
+                Act::Error { rpc } => self.answer(node, &rpc, Final::Errored, 0),
+                Act::Timer { after, token } => self.set(self.now + after, Due::Timer { node, token }),
+                // All are told unasked.
+                Act::FollowList | Act::Log(_) => {}
+            }
+        }
+    }
+
+    fn transmit(&mut self, node: usize, rpc: &Rc<str>, to: &Rc<str>, time_out: Time) {
+        let Some(upstream) = self.by_name.get(to).copied() else { return };
+        let Some(tx) = self.nodes[node].open.get_mut(rpc).map(|open| {
+            open.made += 1;
+            open.made - 1
+        }) else {
+            // The referee is told, who knows that it is not open.
+            return self.tell(&Event::Sent { rpc: Rc::clone(rpc), tx: 0, balancer: node, upstream });
+        };
+        self.books.transmissions += 1;
+        self.tell(&Event::Sent { rpc: Rc::clone(rpc), tx, balancer: node, upstream });
+        let delay = self.delay(self.nodes[node].zone, self.upstreams[upstream].zone);
+        let (now, life) = (self.now, self.upstreams[upstream].life);
+        let tier = self.upstreams[upstream].tier;
+        let Some(open) = self.nodes[node].open.get_mut(rpc) else { return };
+        open.out.insert(tx, Out { upstream, sent: now });
+        let left = open.calls.get(tier + 1).copied().unwrap_or(0);
+        let job = Job {
+            rpc: Rc::clone(rpc),
+            tx,
+            node,
+            method: open.method,
+            work: open.work,
+            calls: Rc::clone(&open.calls),
+            hard: open.hard,
+            left,
+            void: false,
+        };
+        self.set(now + delay, Due::Reach { node, upstream, life, job: Box::new(job) });
+        self.set(now + time_out, Due::TimeOut { node, rpc: Rc::clone(rpc), tx });
+    }
+
+    /// A transmission that its balancer gives up, if it is still out.
+    fn give_up(&mut self, node: usize, rpc: &Rc<str>, tx: usize, outcome: Outcome) {
+        let out = self.nodes[node].open.get(rpc).and_then(|open| open.out.get(&tx));
+        let Some(upstream) = out.map(|out| out.upstream) else { return };
+        let void = |job: &&mut (usize, Job)| job.0 == upstream && job.1.tx == tx && job.1.rpc == *rpc;
+        if let Some((_, job)) = self.jobs.values_mut().find(void) {
+            job.void = true;
+        }
+        self.ended(node, rpc, tx, outcome, f64::NAN);
+    }
+
+    fn ended(&mut self, node: usize, rpc: &Rc<str>, tx: usize, outcome: Outcome, load: f64) {
+        let Some(open) = self.nodes[node].open.get_mut(rpc) else { return };
+        let Some(out) = open.out.remove(&tx) else { return };
+        let took = self.now - out.sent;
+        self.tell(&Event::Ended { rpc: Rc::clone(rpc), tx, outcome });
+        if outcome == Outcome::Completed {
+            self.answer(node, rpc, Final::Completed, 0);
+        }
+        let over = self.nodes[node].open.get(rpc).is_none_or(|open| open.answered);
+        let now = self.now;
+        self.decide(node, |p| p.tx_ended(now, rpc, tx, outcome, took, over, load));
+        self.forget(node, rpc);
+    }
+
+    fn forget(&mut self, node: usize, rpc: &Rc<str>) {
+        let open = &mut self.nodes[node].open;
+        if open.get(rpc).is_some_and(|o| o.answered && o.out.is_empty()) {
+            open.remove(rpc);
+        }
+    }
+
+    fn answer(&mut self, node: usize, rpc: &Rc<str>, last: Final, stay_away: Time) {
+        self.tell(&Event::Answered { rpc: Rc::clone(rpc), last });
+        let Some(open) = self.nodes[node].open.get_mut(rpc).filter(|open| !open.answered) else { return };
+        open.answered = true;
+        let arrived = open.arrived;
+        let ends = &mut self.books.ends;
+        match last {
+            Final::Completed => ends.completed += 1,
+            Final::Exhausted => ends.exhausted += 1,
+            Final::Errored => ends.errored += 1,
+        }
+        match open.origin {
+            Origin::Caller { request } => {
+                self.books.in_system += u128::from(self.now - arrived);
+                self.told_caller(request, last, stay_away);
+            }
+            Origin::Call { upstream, life, job } => self.call_done(upstream, life, job, last),
+        }
+        self.forget(node, rpc);
+    }
+
+    fn told_caller(&mut self, number: u64, last: Final, stay_away: Time) {
+        let Some(request) = self.requests.get(&number) else { return };
+        let (asked, method) = (request.asked, request.method);
+        let m = &self.scenario.method[method];
+        match last {
+            Final::Completed => {
+                self.requests.remove(&number);
+                self.books.completed(asked, self.now, method, m.gain, millis(m.soft_ms));
+            }
+            Final::Exhausted if request.tries <= self.scenario.load.retries => {
+                let wait = if stay_away > 0 { stay_away } else { millis(self.scenario.load.backoff_ms) };
+                self.set(self.now + wait.max(1), Due::Try { request: number, balancer: None });
+            }
+            Final::Exhausted => {
+                self.requests.remove(&number);
+                self.books.exhausted(asked);
+            }
+            Final::Errored => self.fail(number),
+        }
+    }
+
+    fn fail(&mut self, number: u64) {
+        if let Some(request) = self.requests.remove(&number) {
+            self.books.errored(request.asked);
+        }
+    }
+
+    fn leave(&mut self, node: usize, rpc: &Rc<str>) {
+        let Some(open) = self.nodes[node].open.get_mut(rpc).filter(|open| !open.answered) else { return };
+        open.answered = true;
+        if let Origin::Caller { request } = open.origin {
+            self.fail(request);
+        }
+        self.books.ends.abandoned += 1;
+        self.tell(&Event::CallerLeft { rpc: Rc::clone(rpc) });
+        let now = self.now;
+        self.decide(node, |p| p.rpc_abandoned(now, rpc));
+        self.forget(node, rpc);
+    }
+
+    /// A balancer dies with all that it holds.
+    fn balancer_dies(&mut self, node: usize) {
+        self.tell(&Event::BalancerDied { balancer: node });
+        self.nodes[node].alive = false;
+        for (_, open) in std::mem::take(&mut self.nodes[node].open) {
+            if !open.answered {
+                self.books.ends.lost += 1;
+                if let Origin::Caller { request } = open.origin {
+                    self.fail(request);
+                }
+            }
+        }
+    }
+
+    // -------------------------------------------------------------------------------------------- upstreams
+
+    fn reach(&mut self, node: usize, upstream: usize, life: u32, job: Job) {
+        let back = self.delay(self.upstreams[upstream].zone, self.nodes[node].zone);
+        let u = &self.upstreams[upstream];
+        let (rpc, tx) = (Rc::clone(&job.rpc), job.tx);
+        let late =
+            millis(self.scenario.tier[u.tier].report_late_ms) + self.reports_late.values().sum::<Time>();
+        let load = u.reported(self.now, late);
+        let say = |outcome, load| Due::Back { node, rpc, tx, outcome, load };
+        let at = self.now + back;
+        if u.state == State::Silent {
+            return;
+        }
+        if u.state == State::Dead || u.life != life {
+            // The process that it was sent to is gone, or one that has just started in its place: refused.
+            return self.set(at, say(Outcome::ConnectFailed, f64::NAN));
+        }
+        if u.hangs() {
+            return self.tell(&Event::Ran { rpc: job.rpc, tx });
+        }
+        let errors = u.errors();
+        if errors > 0.0 && self.chance.random::<f64>() < errors {
+            self.tell(&Event::Ran { rpc: job.rpc, tx });
+            return self.set(at, say(Outcome::Errored, load));
+        }
+        if u.held >= u.slots && u.waiting.len() >= u.queue {
+            return self.set(at, say(Outcome::Exhausted, load));
+        }
+        self.tell(&Event::Ran { rpc: Rc::clone(&job.rpc), tx });
+        let number = self.jobs_made;
+        self.jobs_made += 1;
+        self.jobs.insert(number, (upstream, job));
+        let u = &mut self.upstreams[upstream];
+        if u.held < u.slots {
+            u.held += 1;
+            u.ready.push_back(number);
+            self.work(upstream);
+        } else {
+            u.waiting.push_back(number);
+        }
+    }
+
+    /// Free cores take what is ready.
+    fn work(&mut self, upstream: usize) {
+        let of = &self.scenario.tier[self.upstreams[upstream].tier];
+        let rules = &self.scenario.rules;
+        loop {
+            let u = &mut self.upstreams[upstream];
+            if u.busy >= u.cores || u.ready.is_empty() {
+                return;
+            }
+            if self.now < u.paused_until {
+                let (at, life) = (u.paused_until, u.life);
+                return self.set(at, Due::Wake { upstream, life });
+            }
+            let Some(job) = u.ready.pop_front() else { return };
+            let work = self.jobs.get(&job).map_or(0.0, |(_, j)| j.work as f64 * of.work);
+            u.account(self.now);
+            u.busy += 1;
+            let warmth = u.warmth(self.now, rules.cold_from, seconds(rules.warm_within_s));
+            let (at, life) = (self.now + u.takes(work, warmth, of.choke.as_ref()), u.life);
+            self.set(at, Due::CoreDone { upstream, life, job });
+        }
+    }
+
+    fn core_done(&mut self, upstream: usize, life: u32, job: u64) {
+        let u = &mut self.upstreams[upstream];
+        if u.life != life {
+            return;
+        }
+        if self.now < u.paused_until {
+            let at = u.paused_until;
+            return self.set(at, Due::CoreDone { upstream, life, job });
+        }
+        u.account(self.now);
+        u.busy -= 1;
+        self.next_call(upstream, job);
+        self.work(upstream);
+    }
+
+    /// One after another, the calls on the tier below; then the answer.
+    fn next_call(&mut self, upstream: usize, number: u64) {
+        let Some((_, job)) = self.jobs.get_mut(&number) else { return };
+        let node = self.upstreams[upstream].balancer;
+        let Some(node) = node.filter(|_| job.left > 0 && self.now < job.hard && !job.void) else {
+            let outcome = if job.left > 0 { Outcome::Errored } else { Outcome::Completed };
+            return self.done(upstream, number, outcome);
+        };
+        job.left -= 1;
+        let (method, hard, work, calls) = (job.method, job.hard, job.work, Rc::clone(&job.calls));
+        self.calls_made += 1;
+        let rpc = Rc::from(format!("c{}", self.calls_made));
+        let origin = Origin::Call { upstream, life: self.upstreams[upstream].life, job: number };
+        self.put(node, rpc, origin, method, hard, work, calls);
+    }
+
+    fn call_done(&mut self, upstream: usize, life: u32, job: u64, last: Final) {
+        if self.upstreams[upstream].life != life {
+            return;
+        }
+        match last {
+            Final::Completed => self.next_call(upstream, job),
+            // It fails if a call does.
+            Final::Exhausted | Final::Errored => self.done(upstream, job, Outcome::Errored),
+        }
+    }
+
+    fn done(&mut self, upstream: usize, number: u64, outcome: Outcome) {
+        let Some((_, job)) = self.jobs.remove(&number) else { return };
+        let u = &self.upstreams[upstream];
+        let of = &self.scenario.tier[u.tier];
+        let late = millis(of.report_late_ms) + self.reports_late.values().sum::<Time>();
+        let (load, zone) = (u.reported(self.now, late), u.zone);
+        let back = self.delay(zone, self.nodes[job.node].zone);
+        let (node, rpc, tx) = (job.node, job.rpc, job.tx);
+        self.set(self.now + back, Due::Back { node, rpc, tx, outcome, load });
+        let u = &mut self.upstreams[upstream];
+        u.held -= 1;
+        while u.held < u.slots {
+            let Some(next) = u.waiting.pop_front() else { break };
+            let over = |j: &Job| of.drops && (j.void || j.hard <= self.now);
+            if self.jobs.get(&next).is_none_or(|(_, j)| over(j)) {
+                self.jobs.remove(&next);
+                continue;
+            }
+            u.held += 1;
+            u.ready.push_back(next);
+        }
+        self.work(upstream);
+    }
+
+    /// Ends a process or a machine, and its balancer with it.
+    fn die(&mut self, upstream: usize, state: State) {
+        let silent = state == State::Silent;
+        let gone: Vec<u64> = self.jobs.iter().filter(|(_, (u, _))| *u == upstream).map(|(n, _)| *n).collect();
+        for number in gone {
+            let Some((_, job)) = self.jobs.remove(&number) else { continue };
+            if !silent {
+                let back = self.delay(self.upstreams[upstream].zone, self.nodes[job.node].zone);
+                let (node, rpc, tx, outcome) = (job.node, job.rpc, job.tx, Outcome::Reset);
+                self.set(self.now + back, Due::Back { node, rpc, tx, outcome, load: f64::NAN });
+            }
+        }
+        let u = &mut self.upstreams[upstream];
+        u.end(self.now);
+        u.state = state;
+        if let Some(node) = u.balancer.take() {
+            self.balancer_dies(node);
+        }
+    }
+
+    fn revive(&mut self, upstream: usize) {
+        self.upstreams[upstream].restart(self.now);
+        self.started(upstream);
+        self.new_balancer_of(upstream);
+        self.announce(upstream, Told::Ready, millis(self.scenario.discovery.late_ms));
+    }
+
+    // ----------------------------------------------------------------------------------------------- faults
+
+    fn fault_begins(&mut self, i: usize) {
+        let fault = &self.scenario.fault[i];
+        let tier = self.scenario.tier_of(fault);
+        let up = |n: &usize| self.upstreams[*n].tier == tier && self.upstreams[*n].state == State::Up;
+        let mut all: Vec<usize> = (0..self.upstreams.len()).filter(up).collect();
+        if fault.kind == Kind::ZoneLoss {
+            all.retain(|n| self.upstreams[*n].zone == fault.size as usize);
+        } else {
+            // Who is hit does not depend on who decides.
+            all.shuffle(&mut stream(self.seed, (i as u64 + 1) << 16));
+            all.truncate((all.len() as f64 * fault.part).round() as usize);
+        }
+        let steps = match fault.kind {
+            Kind::Replace => all.len(),
+            Kind::BalancerRestart => self.first.len(),
+            Kind::Flap | Kind::Pauses => (fault.for_s / fault.every_s).ceil() as usize,
+            _ => 0,
+        };
+        let apart = match fault.kind {
+            Kind::Flap | Kind::Pauses => fault.every_s,
+            _ => fault.for_s / steps.max(1) as f64,
+        };
+        for n in 0..steps {
+            self.set(self.now + seconds(apart * n as f64), Due::FaultStep(i, n));
+        }
+        self.set(self.now + seconds(fault.for_s), Due::FaultEnds(i));
+        for n in &all {
+            self.afflict(i, fault, *n);
+        }
+        match fault.kind {
+            Kind::Surge => {
+                self.surge.insert(i, fault.size);
+            }
+            Kind::ReportsLate => {
+                self.reports_late.insert(i, seconds(fault.size));
+            }
+            Kind::ListDown => {
+                self.list_down_until = self.list_down_until.max(self.now + seconds(fault.for_s))
+            }
+            _ => {}
+        }
+        self.victims.insert(i, all);
+    }
+
+    fn afflict(&mut self, i: usize, fault: &Fault, upstream: usize) {
+        let d = &self.scenario.discovery;
+        match fault.kind {
+            Kind::Crash => {
+                self.die(upstream, State::Dead);
+                self.announce(upstream, Told::Gone, millis(d.late_ms));
+            }
+            Kind::Vanish | Kind::ZoneLoss => {
+                self.die(upstream, State::Silent);
+                self.announce(upstream, Told::Gone, millis(d.gone_late_ms));
+            }
+            Kind::Drain => {
+                self.upstreams[upstream].state = State::Draining;
+                self.announce(upstream, Told::Drains, millis(d.late_ms));
+            }
+            Kind::Slow => {
+                self.upstreams[upstream].afflicted.insert(i, Affliction::Slow(fault.size));
+            }
+            Kind::FastErrors => {
+                self.upstreams[upstream].afflicted.insert(i, Affliction::Errors(fault.size));
+            }
+            Kind::Hang => {
+                self.upstreams[upstream].afflicted.insert(i, Affliction::Hang);
+            }
+            _ => {}
+        }
+    }
+
+    fn fault_step(&mut self, i: usize, n: usize) {
+        /// A drained upstream ends when it has been told for so long: longer than most RPCs take.
+        const LINGER: f64 = 6.0;
+        let fault = &self.scenario.fault[i];
+        let d = &self.scenario.discovery;
+        let hit = self.victims.get(&i).cloned().unwrap_or_default();
+        match fault.kind {
+            Kind::Replace => {
+                let old = hit[n];
+                if self.upstreams[old].state != State::Up {
+                    return;
+                }
+                self.upstreams[old].state = State::Draining;
+                self.announce(old, Told::Drains, millis(d.late_ms));
+                let life = self.upstreams[old].life;
+                self.set(self.now + millis(d.late_ms) + seconds(LINGER), Due::Retire { upstream: old, life });
+                // In the place of the old one: zone and cell go by place.
+                let (tier, zone, cell) = {
+                    let u = &self.upstreams[old];
+                    (u.tier, u.zone, u.cell)
+                };
+                let new = self.new_upstream(tier, zone);
+                (self.upstreams[new].zone, self.upstreams[new].cell) = (zone, cell);
+                self.started(new);
+                self.new_balancer_of(new);
+                self.announce(new, Told::Ready, millis(d.late_ms));
+            }
+            Kind::Flap => {
+                for u in hit {
+                    if n.is_multiple_of(2) && self.upstreams[u].serves() {
+                        self.die(u, State::Dead);
+                        self.announce(u, Told::Gone, millis(d.late_ms));
+                    } else if !n.is_multiple_of(2) && self.upstreams[u].state == State::Dead {
+                        self.revive(u);
+                    }
+                }
+            }
+            Kind::Pauses => {
+                let until = self.now + seconds(fault.size);
+                for u in hit {
+                    self.upstreams[u].paused_until = self.upstreams[u].paused_until.max(until);
+                }
+            }
+            Kind::BalancerRestart => {
+                let old = self.first[n];
+                self.balancer_dies(old);
+                let node = self.new_node(0, n, self.nodes[old].zone);
+                self.first[n] = node;
+            }
+            _ => {}
+        }
+    }
+
+    fn fault_ends(&mut self, i: usize) {
+        let fault = &self.scenario.fault[i];
+        self.surge.remove(&i);
+        self.reports_late.remove(&i);
+        for n in self.victims.remove(&i).unwrap_or_default() {
+            self.upstreams[n].afflicted.remove(&i);
+            match fault.kind {
+                Kind::Crash | Kind::Vanish | Kind::ZoneLoss | Kind::Flap if !self.upstreams[n].serves() => {
+                    self.revive(n);
+                }
+                Kind::Drain if self.upstreams[n].state == State::Draining => {
+                    self.upstreams[n].state = State::Up;
+                    self.announce(n, Told::Ready, millis(self.scenario.discovery.late_ms));
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernroute-lab/tests/common/mod.rs
@@ -0,0 +1,60 @@
+//! Scenarios of the tests' own, and where the shipped ones are.
+#![allow(dead_code)]
+
+use fernroute_lab::scenario::Scenario;
+use std::path::PathBuf;
+
+/// One tier behind one balancer or more; no delays, no early ends.
+pub fn queue(rate: f64, work_ms: f64, cores: usize, seconds: f64) -> Scenario {
+    decode(&format!(
+        r#"name = "queue"
+        seconds = {seconds}
+        load = {{ rate = {rate} }}
+        network = {{ same_zone_ms = 0, cross_zone_ms = 0, jitter = 0 }}
+        [[method]]
+        name = "ask"
+        effect = "retriable"
+        share = 1
+        work_ms = {work_ms}
+        soft_ms = 30000
+        hard_ms = 30000
+        [[tier]]
+        name = "only"
+        upstreams = 1
+        balancers = 1
+        cores = {cores}
+        slots = 100000"#
+    ))
+}
+
+/// Four upstreams, a method of each kind, and these faults.
+pub fn small(faults: &str) -> Scenario {
+    let method = |name: &str, effect: &str| {
+        format!(
+            "[[method]]\nname = \"{name}\"\neffect = \"{effect}\"\nshare = 1\nwork_ms = 20\nsoft_ms = 500\nhard_ms = 1000\n"
+        )
+    };
+    decode(&format!(
+        "name = \"small\"\nseconds = 12\nload = {{ rate = 100 }}\n{}{}{}\n[[tier]]\nname = \"only\"\nupstreams = 4\n\
+         balancers = 2\ncores = 2\nslots = 20\ncell = 2\n{faults}",
+        method("look", "retriable"),
+        method("put", "deduped"),
+        method("pay", "non_retriable"),
+    ))
+}
+
+pub fn decode(text: &str) -> Scenario {
+    Scenario::decode(text).expect("the scenario will do")
+}
+
+pub fn folder() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../lab/scenarios")
+}
+
+/// Every scenario that ships.
+pub fn shipped() -> Vec<Scenario> {
+    let files = std::fs::read_dir(folder()).expect("the folder of scenarios");
+    let mut paths: Vec<PathBuf> = files.map(|f| f.expect("a file").path()).collect();
+    paths.sort();
+    paths.iter().map(|p| Scenario::read(p).expect("the scenario will do")).collect()
+}
--- /dev/null
+++ b/crates/fernroute-lab/tests/referee.rs
@@ -0,0 +1,157 @@
+//! Balancers that are broken on purpose: each is caught, by the rule and the moment.
+
+mod common;
+
+use common::small;
+use fernroute::desk::Desk;
+use fernroute::{Host as _, Outcome, Time};
+use fernroute_lab::player::{Entry, Player, Variant};
+use fernroute_lab::referee::{Breach, Rule};
+use fernroute_lab::run::{run, run_with, Nobody};
+use fernroute_lab::scenario::{seconds, Scenario};
+use fernroute_lab::trace::Told;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Rogue {
+    Honest,
+    AnswersTwice,
+    ResendsWhatMayHaveRun,
+    ExhaustsWhatMayHaveRun,
+    LeavesTheGroup,
+    SendsIntoDrains,
+    FloodsTheCold,
+    NeverAnswers,
+    AnswersLate,
+    SendsAfterItsAnswer,
+}
+
+/// Sends each RPC to the next upstream, once; errors what does not complete. But for its one fault.
+struct Plain {
+    how: Rogue,
+    host: Desk,
+    upstreams: BTreeMap<Rc<str>, Entry>,
+    /// Method, hard deadline, upstreams so far.
+    rpcs: BTreeMap<String, (String, Time, Vec<Rc<str>>)>,
+    turn: usize,
+}
+
+impl Plain {
+    fn next(&mut self, not: &[Rc<str>]) -> Option<Rc<str>> {
+        self.turn += 1;
+        let drains = self.how == Rogue::SendsIntoDrains;
+        let usable = |e: &&Entry| e.told == Told::Ready || drains && e.told == Told::Drains;
+        let all: Vec<&Entry> =
+            self.upstreams.values().filter(usable).filter(|e| !not.contains(&e.name)).collect();
+        let cold = all.iter().find(|e| self.how == Rogue::FloodsTheCold && e.started > 0);
+        let next = cold.or_else(|| all.get(self.turn % all.len().max(1)));
+        next.map(|e| Rc::clone(&e.name))
+    }
+
+    fn send(&mut self, now: Time, rpc: &str) -> bool {
+        let Some((_, hard, before)) = self.rpcs.get(rpc).cloned() else { return false };
+        let Some(to) = self.next(&before) else { return false };
+        self.rpcs.get_mut(rpc).into_iter().for_each(|r| r.2.push(Rc::clone(&to)));
+        let room = if self.how == Rogue::AnswersLate { 2 * seconds(1.0) } else { 0 };
+        self.host.transmit(rpc, &to, (hard - now).max(1) + room);
+        true
+    }
+}
+
+impl Player for Plain {
+    fn list(&mut self, _: Time, _: bool, entries: &[Entry]) {
+        for e in entries {
+            self.upstreams.insert(Rc::clone(&e.name), e.clone());
+        }
+        self.upstreams.retain(|_, e| e.told != Told::Gone);
+    }
+    fn rpc_arrived(&mut self, now: Time, rpc: &str, method: &str, time_left: Time) {
+        self.rpcs.insert(rpc.to_owned(), (method.to_owned(), now + time_left, Vec::new()));
+        if !self.send(now, rpc) {
+            self.rpcs.remove(rpc);
+            self.host.exhaust(rpc, 0);
+        }
+    }
+    fn tx_ended(&mut self, now: Time, rpc: &str, _: usize, end: Outcome, _: Time, over: bool, _: f64) {
+        let Some((method, _, before)) = self.rpcs.get(rpc).cloned() else { return };
+        let ran = !end.never_ran();
+        let again = match self.how {
+            Rogue::SendsAfterItsAnswer => over && before.len() < 2,
+            Rogue::ResendsWhatMayHaveRun => !over && ran && method == "pay" && before.len() < 2,
+            Rogue::LeavesTheGroup => !over && ran && method == "put" && before.len() < 3,
+            _ => false,
+        };
+        if again && self.send(now, rpc) {
+            return;
+        }
+        match self.how {
+            Rogue::AnswersTwice if over => self.host.error(rpc),
+            Rogue::ExhaustsWhatMayHaveRun if !over && ran => {
+                self.rpcs.remove(rpc);
+                return self.host.exhaust(rpc, 0);
+            }
+            Rogue::NeverAnswers if !over => {
+                self.rpcs.remove(rpc);
+                return;
+            }
+            _ => {}
+        }
+        if self.rpcs.remove(rpc).is_some() && !over {
+            self.host.error(rpc);
+        }
+    }
+    fn rpc_abandoned(&mut self, _: Time, rpc: &str) {
+        self.rpcs.remove(rpc);
+    }
+    fn timer(&mut self, _: Time, _: &str) {}
+}
+
+fn judged(scenario: &Scenario, how: Rogue) -> Vec<Breach> {
+    let make = |_: &Scenario, _, host: Desk, _, _| -> Box<dyn Player> {
+        Box::new(Plain { how, host, upstreams: BTreeMap::new(), rpcs: BTreeMap::new(), turn: 0 })
+    };
+    run_with(scenario, 1, &make, &mut Nobody).breaches
+}
+
+const ERRORS: &str = "[[fault]]\nkind = \"fast_errors\"\nat_s = 4\nfor_s = 3\npart = 1\nsize = 0.5\n";
+const HANG: &str = "[[fault]]\nkind = \"hang\"\nat_s = 4\nfor_s = 3\npart = 0.5\n";
+const DRAIN: &str = "[[fault]]\nkind = \"drain\"\nat_s = 4\nfor_s = 4\npart = 0.5\n";
+const RETURN: &str = "[[fault]]\nkind = \"crash\"\nat_s = 2\nfor_s = 3\npart = 0.25\n";
+
+#[test]
+fn each_fault_of_a_balancer_is_caught_by_its_rule_and_moment() {
+    for (how, faults, rule, from, to) in [
+        (Rogue::AnswersTwice, "", Rule::OneAnswer, 0.0, 1.0),
+        (Rogue::SendsAfterItsAnswer, "", Rule::OneAnswer, 0.0, 1.0),
+        // Two seconds later than a second after the first one is swallowed.
+        (Rogue::AnswersLate, HANG, Rule::OneAnswer, 7.0, 7.5),
+        (Rogue::ResendsWhatMayHaveRun, ERRORS, Rule::NoSecondEffect, 4.0, 5.0),
+        (Rogue::ExhaustsWhatMayHaveRun, ERRORS, Rule::NoSecondEffect, 4.0, 5.0),
+        (Rogue::LeavesTheGroup, ERRORS, Rule::NoSecondEffect, 4.0, 5.0),
+        // Told a second later, and 0.3 s of grace.
+        (Rogue::SendsIntoDrains, DRAIN, Rule::DrainsKept, 5.3, 6.0),
+        // Back at 5 s, told a second later.
+        (Rogue::FloodsTheCold, RETURN, Rule::ColdSpared, 6.0, 8.5),
+    ] {
+        let mut scenario = small(faults);
+        scenario.load.rate = if how == Rogue::FloodsTheCold { 300.0 } else { 100.0 };
+        let found = judged(&scenario, how);
+        let first = found.first().unwrap_or_else(|| panic!("{how:?} was not caught"));
+        assert!(found.iter().all(|b| b.rule == rule), "{how:?}: {found:?}");
+        assert!((seconds(from)..=seconds(to)).contains(&first.at), "{how:?}: {first:?}");
+        // The same day, and nothing to blame: neither the plain one without its fault nor the balancer.
+        assert_eq!(judged(&small(faults), Rogue::Honest), [], "{how:?}");
+        assert_eq!(run(&scenario, Variant::Fernroute, 1).breaches, [], "{how:?}");
+    }
+}
+
+#[test]
+fn who_never_answers_is_found_out_at_the_end() {
+    let found = judged(&small(ERRORS), Rogue::NeverAnswers);
+    assert!(found.len() > 20);
+    assert!(
+        found.iter().all(|b| b.rule == Rule::OneAnswer && b.what.ends_with("was never answered")),
+        "{found:?}"
+    );
+}
--- /dev/null
+++ b/crates/fernroute-lab/tests/simulator.rs
@@ -0,0 +1,204 @@
+//! The simulator against what is known: waiting times, Little's law, conservation, one seed one result.
+
+mod common;
+
+use common::{queue, shipped, small};
+use fernroute::Time;
+use fernroute_lab::experiment::Estimate;
+use fernroute_lab::player::Variant;
+use fernroute_lab::run::{run, run_with};
+use fernroute_lab::scenario::Scenario;
+use fernroute_lab::trace::{Event, Witness};
+
+/// Erlang's formula: the mean time in an M/M/c system, by the arrivals and the work of one.
+fn time_in_system(rate: f64, work: f64, cores: usize) -> f64 {
+    let load = rate * work;
+    let (mut term, mut sum) = (1.0, 0.0);
+    for n in 0..cores {
+        sum += term;
+        term *= load / (n + 1) as f64;
+    }
+    let free = 1.0 - load / cores as f64;
+    let waits = term / free / (sum + term / free);
+    work + waits * work / (cores as f64 * free)
+}
+
+#[test]
+fn erlangs_formula_itself_is_right_where_the_answer_is_plain() {
+    // One server: work over the free share. Two: 1 / (1 - load²/4) works.
+    assert!((time_in_system(5.0, 0.1, 1) - 0.2).abs() < 1e-12);
+    assert!((time_in_system(10.0, 0.1, 2) - 0.1 / 0.75).abs() < 1e-12);
+}
+
+#[test]
+fn one_upstream_waits_as_queues_of_one_and_more_servers_do() {
+    for (rate, work_ms, cores, long) in
+        [(12.0, 50.0, 1, 900.0), (30.0, 50.0, 2, 600.0), (140.0, 40.0, 8, 120.0)]
+    {
+        let scenario = queue(rate, work_ms, cores, long);
+        let mean = |seed: u64| {
+            let books = run(&scenario, Variant::Random, seed).books;
+            books.in_system as f64 / books.ends.completed as f64 / 10.0
+        };
+        let seen = Estimate::of(&(1..=12).map(mean).collect::<Vec<f64>>());
+        let known = time_in_system(rate, work_ms / 1000.0, cores) * 1000.0;
+        // The interval must also be narrow enough to say something.
+        assert!(seen.half < 0.08 * known, "{cores} cores: {} ± {} ms", seen.mean, seen.half);
+        assert!(
+            (seen.mean - known).abs() <= seen.half,
+            "{cores}: {} ± {}, not {known}",
+            seen.mean,
+            seen.half
+        );
+    }
+}
+
+/// Integrates over time how many RPCs are in the system.
+#[derive(Default)]
+struct InSystem {
+    now: u64,
+    last: Time,
+    area: u128,
+    arrived: u64,
+}
+
+impl Witness for InSystem {
+    fn see(&mut self, at: Time, event: &Event) {
+        self.area += u128::from(self.now) * u128::from(at - self.last);
+        self.last = at;
+        match event {
+            Event::Arrived { .. } => (self.now, self.arrived) = (self.now + 1, self.arrived + 1),
+            Event::Answered { .. } => self.now -= 1,
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn littles_law_holds_between_what_was_counted_apart() {
+    let scenario = queue(32.0, 50.0, 2, 600.0);
+    let make = |s: &Scenario, post, desk, now, seed| Variant::Random.player(s, post, desk, now, seed);
+    let mut seen = InSystem::default();
+    let books = run_with(&scenario, 3, &make, &mut seen).books;
+    let long = seen.last as f64;
+    let (mean_number, rate) = (seen.area as f64 / long, seen.arrived as f64 / long);
+    // The histogram keeps three digits.
+    let mean_time = books.times.mean();
+    assert!((mean_number / (rate * mean_time) - 1.0).abs() < 0.002, "{mean_number}, {rate} × {mean_time}");
+}
+
+#[test]
+fn every_arrival_has_exactly_one_end_in_every_scenario_that_ships() {
+    let all = shipped();
+    assert!(all.len() >= 8);
+    for scenario in &all {
+        for variant in [Variant::Fernroute, Variant::Random] {
+            let ends = run(scenario, variant, 5).books.ends;
+            assert_eq!(ends.arrived, ends.sum(), "{} {}", scenario.name, variant.name());
+            assert_eq!(ends.open, 0, "{} {}", scenario.name, variant.name());
+        }
+    }
+}
+
+#[test]
+fn the_balancer_keeps_all_rules_in_every_scenario_that_ships() {
+    for scenario in &shipped() {
+        for seed in [1, 2] {
+            assert_eq!(run(scenario, Variant::Fernroute, seed).breaches, [], "{} seed {seed}", scenario.name);
+        }
+    }
+}
+
+fn trace(scenario: &Scenario, variant: Variant, seed: u64) -> Vec<(Time, String)> {
+    let make = |s: &Scenario, post, desk, now, seed| variant.player(s, post, desk, now, seed);
+    let mut lines: Vec<(Time, String)> = Vec::new();
+    run_with(scenario, seed, &make, &mut lines);
+    lines
+}
+
+const TROUBLES: &str = "[[fault]]\nkind = \"crash\"\nat_s = 3\nfor_s = 3\npart = 0.5\n\
+    [[fault]]\nkind = \"surge\"\nat_s = 4\nfor_s = 2\nsize = 3\n\
+    [[fault]]\nkind = \"balancer_restart\"\nat_s = 5\nfor_s = 2\n\
+    [[fault]]\nkind = \"replace\"\nat_s = 7\nfor_s = 2\npart = 0.5\n";
+
+#[test]
+fn one_seed_gives_one_course_however_many_run_at_once() {
+    let scenario = small(TROUBLES);
+    for variant in [Variant::Fernroute, Variant::TwoChoices] {
+        let alone = trace(&scenario, variant, 9);
+        let beside: Vec<_> = std::thread::scope(|scope| {
+            let all: Vec<_> = (8..12)
+                .map(|seed| {
+                    scope.spawn({
+                        let scenario = &scenario;
+                        move || trace(scenario, variant, seed)
+                    })
+                })
+                .collect();
+            all.into_iter().map(|t| t.join().expect("it ends")).collect()
+        });
+        assert!(alone.len() > 1000);
+        assert!(alone == beside[1], "the same seed beside others");
+        assert!(alone != beside[0], "another seed");
+    }
+}
+
+/// What callers ask for does not depend on who decides: variants are paired.
+#[test]
+fn callers_ask_the_same_of_every_variant() {
+    #[derive(Default)]
+    struct Asked(Vec<(Time, usize)>);
+    impl Witness for Asked {
+        fn see(&mut self, at: Time, event: &Event) {
+            if let Event::Arrived { rpc, method, .. } = event {
+                if rpc.ends_with(".0") {
+                    self.0.push((at, *method));
+                }
+            }
+        }
+    }
+    let scenario = small(TROUBLES);
+    let asked = Variant::ALL.map(|variant| {
+        let make = |s: &Scenario, post, desk, now, seed| variant.player(s, post, desk, now, seed);
+        let mut seen = Asked::default();
+        run_with(&scenario, 4, &make, &mut seen);
+        seen.0
+    });
+    assert!(asked[0].len() > 1000 && asked.iter().all(|a| *a == asked[0]));
+}
+
+#[test]
+fn what_is_held_does_not_grow_with_the_rpcs_that_were_played() {
+    // A time-out stays set down until it is due: short ones let a short run reach the bound.
+    let mut quick = queue(200.0, 5.0, 2, 20.0);
+    quick.method[0].soft_ms = 500.0;
+    quick.method[0].hard_ms = 1000.0;
+    let mut longer = quick.clone();
+    longer.seconds = 200.0;
+    let held = |s: &Scenario| run(s, Variant::Fernroute, 1).most_held as f64;
+    assert!(held(&longer) < 1.5 * held(&quick), "{} after {}", held(&longer), held(&quick));
+}
+
+/// Callers that leave, RPCs that are open as the run ends, and a load beyond all capacity.
+#[test]
+fn odd_ends_are_counted_once() {
+    let mut scenario = small("[[fault]]\nkind = \"surge\"\nat_s = 1\nfor_s = 11\nsize = 30\n");
+    scenario.load.impatient = 0.3;
+    scenario.load.retries = 2;
+    for variant in Variant::ALL {
+        let run = run(&scenario, variant, 2);
+        let ends = run.books.ends;
+        assert_eq!((ends.arrived, ends.open), (ends.sum(), 0), "{}", variant.name());
+        assert!(ends.abandoned > 0 && ends.exhausted + ends.errored > 0, "{}: {ends:?}", variant.name());
+        let offered: u64 = run.books.methods.iter().map(|m| m.offered).sum();
+        assert!(offered > 20_000, "{offered}");
+    }
+}
+
+#[test]
+fn a_balancer_that_restarts_loses_what_it_held_and_nothing_else() {
+    let ends =
+        run(&small("[[fault]]\nkind = \"balancer_restart\"\nat_s = 5\nfor_s = 2\n"), Variant::Fernroute, 1);
+    assert_eq!(ends.breaches, []);
+    assert!((1..=20).contains(&ends.books.ends.lost), "{:?}", ends.books.ends);
+}
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -2,7 +2,7 @@
 
 use crate::protocol::list::{self, List};
 use crate::protocol::terms;
-use crate::routing::desk::Desk;
+use fernroute::desk::Desk;
 use fernroute::{Balancer, Terms};
 use serde::Deserialize;
 use serde_json::Value;
--- a/crates/fernroute-server/src/routing/mod.rs
+++ b/crates/fernroute-server/src/routing/mod.rs
@@ -3,7 +3,6 @@
 pub mod admit;
 pub mod book;
 pub mod clock;
-pub mod desk;
 pub mod relay;
 pub mod route;
 pub mod send;
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -1,13 +1,13 @@
 //! What the stages share: the balancer, the open RPCs, the addresses, the timers.
 
 use super::clock::{self, Clock};
-use super::desk::{Act, Desk};
 use super::timers::{Due, Timers};
 use crate::protocol::answer::{Final, MOST_ANSWER};
 use crate::protocol::list::{List, State};
 use crate::protocol::load::Gauges;
 use crate::protocol::request::{Request, Shape};
 use crate::transport::client::{Client, Line};
+use fernroute::desk::{Act, Desk};
 use fernroute::{Balancer, MissingTerm, Outcome, Terms, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -132,6 +132,7 @@
                     self.timers.set(after, Due::Token(token));
                 }
                 Act::FollowList => self.follow.notify_one(),
+                Act::Log(line) => log::info!("{line}"),
             }
         }
     }
--- a/crates/fernroute-server/src/routing/desk.rs
+++ b/crates/fernroute/src/desk.rs
@@ -1,18 +1,35 @@
-//! The `Host` of the decisions. It is called from inside the balancer: it only notes what is to be done.
+//! A `Host` for whoever acts later: it is called from inside the balancer, and only notes what is to be done.
 
-use fernroute::{Host, Time};
+use crate::host::{Host, Time};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 
 #[derive(Debug, PartialEq, Eq)]
 pub enum Act {
-    Transmit { rpc: Rc<str>, upstream: Rc<str>, time_out: Time },
-    Cancel { rpc: Rc<str>, tx: usize },
-    Exhaust { rpc: Rc<str>, stay_away: Time },
-    Error { rpc: Rc<str> },
-    Timer { after: Time, token: String },
+    Transmit {
+        rpc: Rc<str>,
+        upstream: Rc<str>,
+        time_out: Time,
+    },
+    Cancel {
+        rpc: Rc<str>,
+        tx: usize,
+    },
+    Exhaust {
+        rpc: Rc<str>,
+        stay_away: Time,
+    },
+    Error {
+        rpc: Rc<str>,
+    },
+    Timer {
+        after: Time,
+        token: String,
+    },
     FollowList,
+    /// A line for the people on call.
+    Log(String),
 }
 
 /// Emptied after each call on the balancer.
@@ -49,6 +66,6 @@
         self.note(Act::FollowList);
     }
     fn log(&mut self, line: &str) {
-        log::info!("{line}");
+        self.note(Act::Log(line.to_owned()));
     }
 }
--- a/crates/fernroute/src/lib.rs
+++ b/crates/fernroute/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Balancer`] holds every decision; it acts through the [`Host`] that it is handed at start.
 
 pub mod decide;
+pub mod desk;
 pub mod host;
 
 pub use decide::Balancer;
