--- a/crates/fernroute-lab/src/world.rs
+++ b/crates/fernroute-lab/src/world.rs
@@ -512,9 +512,10 @@
     fn ended(&mut self, node: usize, rpc: &Rc<str>, tx: usize, outcome: Outcome, load: f64) {
         let Some(open) = self.nodes[node].open.get_mut(rpc) else { return };
         let Some(out) = open.out.remove(&tx) else { return };
-        let took = self.now - out.sent;
+        let (took, answered) = (self.now - out.sent, open.answered);
         self.tell(&Event::Ended { rpc: Rc::clone(rpc), tx, outcome });
-        if outcome == Outcome::Completed {
+        // Whose caller has left has nobody to answer to.
+        if outcome == Outcome::Completed && !answered {
             self.answer(node, rpc, Final::Completed, 0);
         }
         let over = self.nodes[node].open.get(rpc).is_none_or(|open| open.answered);
--- a/crates/fernroute-lab/tests/simulator.rs
+++ b/crates/fernroute-lab/tests/simulator.rs
@@ -6,6 +6,7 @@
 use fernroute::Time;
 use fernroute_lab::experiment::Estimate;
 use fernroute_lab::player::Variant;
+use fernroute_lab::referee::Rule;
 use fernroute_lab::run::{run, run_with};
 use fernroute_lab::scenario::Scenario;
 use fernroute_lab::trace::{Event, Witness};
@@ -190,6 +191,9 @@
         let ends = run.books.ends;
         assert_eq!((ends.arrived, ends.open), (ends.sum(), 0), "{}", variant.name());
         assert!(ends.abandoned > 0 && ends.exhausted + ends.errored > 0, "{}: {ends:?}", variant.name());
+        // Also where an answer and the caller's leaving fall on one instant.
+        let wrong: Vec<_> = run.breaches.iter().filter(|b| b.rule == Rule::OneAnswer).collect();
+        assert!(wrong.is_empty(), "{}: {wrong:?}", variant.name());
         let offered: u64 = run.books.methods.iter().map(|m| m.offered).sum();
         assert!(offered > 20_000, "{offered}");
     }
--- /dev/null
+++ b/crates/fernroute/benches/decision.rs
@@ -0,0 +1,62 @@
+//! What one RPC costs the decisions: taken on, sent, answered. By the number of upstreams.
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use fernroute::desk::Desk;
+use fernroute::host::SECOND;
+use fernroute::{Balancer, Outcome, Terms};
+use std::hint::black_box;
+
+fn terms() -> Terms {
+    [
+        ("instances", "100"),
+        ("load.names", "utilisation"),
+        ("limits.max_transmissions", "4"),
+        ("limits.cancel", "true"),
+        ("rules.cold_from", "0.3"),
+        ("rules.warm_within", "80000"),
+        ("rules.cold_multiple", "2.5"),
+        ("rules.cold_window", "30000"),
+        ("methods.count", "1"),
+        ("methods.0.name", "look"),
+        ("methods.0.effect", "retriable"),
+        ("methods.0.soft_deadline", "10000"),
+    ]
+    .into_iter()
+    .map(|(name, value)| (name.to_owned(), value.to_owned()))
+    .collect()
+}
+
+fn decision(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decision");
+    for count in [10, 100, 600] {
+        // A busy balancer draws among all of them, one of few calls among six.
+        for (pace, gap) in [("busy", 10), ("quiet", SECOND / 2)] {
+            let desk = Desk::default();
+            let mut now = 1000 * SECOND;
+            let mut balancer = Balancer::new(desk.clone(), now, 7, &terms()).expect("the terms are whole");
+            balancer.list_begins(now, true);
+            for n in 0..count {
+                balancer.upstream_ready(&format!("u-{n}"), "a", &(n / 8).to_string(), 0);
+            }
+            balancer.list_ends(true);
+            let mut rpc = 0_u64;
+            let mut one = || {
+                rpc += 1;
+                now += gap;
+                let id = format!("r{rpc}");
+                balancer.rpc_arrived(now, &id, "look", "", SECOND);
+                balancer.tx_ended(now + 5, &id, 0, Outcome::Completed, 5, true, &[0.5]);
+                while let Some(act) = desk.next() {
+                    black_box(act);
+                }
+            };
+            // Until its rate is what it will be.
+            (0..20_000).for_each(|_| one());
+            group.bench_function(BenchmarkId::new(pace, count), |b| b.iter(&mut one));
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
