Laboratory: the same scenarios against real processes on loopback

Need: a simulator is believed as far as it was held against the real thing. Change: fernroute-lab live starts a real balancer for each of the scenario's and stands in for callers (open-loop, times from the intended moment), upstreams (with calls on the tier below through their own balancers) and discovery (an agent for each balancer); the referee judges what the stand-ins saw. A load that was not kept is marked invalid. Requests and arrivals are drawn in one place for both. Seen on the way, each by a test that failed: calls still open when the last caller has its answer were taken for lost; an upstream that came back at its old port found it taken.

--- /dev/null
+++ b/crates/fernroute-lab/src/demand.rs
@@ -0,0 +1,95 @@
+//! What callers want, drawn by chance: the same for the simulator and for real processes, and whoever decides.
+
+use crate::scenario::{millis, seconds, Kind, Scenario, Spread};
+use fernroute::Time;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution as _, Exp1, StandardNormal};
+use std::rc::Rc;
+
+/// Where the streams of chance come apart; that of request `n` is `REQUESTS + n`.
+pub const ARRIVALS: u64 = 1;
+pub const CHANCE: u64 = 2;
+const REQUESTS: u64 = 1 << 32;
+
+pub fn stream(seed: u64, part: u64) -> ChaCha8Rng {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(part);
+    rng
+}
+
+/// One request of a caller, over all its tries.
+#[derive(Clone, Debug)]
+pub struct Want {
+    pub method: usize,
+    /// Work of one core over all tiers, and calls on each tier for one of the tier above.
+    pub work: Time,
+    pub calls: Rc<[u32]>,
+    /// After which share of its time the caller leaves, if it does.
+    pub leaves: Option<f64>,
+    /// Which balancer of the first tier it comes to, of as many as there are.
+    pub balancer: usize,
+}
+
+impl Want {
+    /// All that chance has to say of a request comes from a stream of its own.
+    pub fn of(scenario: &Scenario, seed: u64, number: u64) -> Self {
+        let mut rng = stream(seed, REQUESTS + number);
+        let methods = &scenario.method;
+        let mut at = rng.random::<f64>() * methods.iter().map(|m| m.share).sum::<f64>();
+        let method = methods.iter().position(|m| {
+            at -= m.share;
+            at < 0.0
+        });
+        let method = method.unwrap_or(methods.len() - 1);
+        let m = &methods[method];
+        let factor = match m.spread {
+            Spread::Fixed => 1.0,
+            Spread::Exponential => Exp1.sample(&mut rng),
+            Spread::Lognormal => {
+                let sigma = (1.0 + m.cv * m.cv).ln().sqrt();
+                let normal: f64 = StandardNormal.sample(&mut rng);
+                (sigma * normal - sigma * sigma / 2.0).exp()
+            }
+        };
+        let calls = scenario.tier.iter().map(|t| {
+            let whole = t.calls.floor();
+            whole as u32 + u32::from(rng.random::<f64>() < t.calls - whole)
+        });
+        let calls = calls.collect();
+        let impatient = rng.random::<f64>() < scenario.load.impatient;
+        Want {
+            method,
+            work: millis(m.work_ms * factor).max(1),
+            calls,
+            leaves: impatient.then(|| 0.5 * rng.random::<f64>()),
+            // A front deals connections out evenly.
+            balancer: rng.random_range(0..scenario.tier[0].balancers),
+        }
+    }
+}
+
+/// When requests come: at random, at a rate that follows the surges. None is after `end`.
+pub struct Arrivals {
+    rng: ChaCha8Rng,
+    now: Time,
+    end: Time,
+}
+
+impl Arrivals {
+    pub fn new(scenario: &Scenario, seed: u64) -> Self {
+        Arrivals { rng: stream(seed, ARRIVALS), now: 0, end: seconds(scenario.seconds) }
+    }
+
+    pub fn next(&mut self, scenario: &Scenario) -> Option<Time> {
+        let on = |f: &&crate::scenario::Fault| {
+            f.kind == Kind::Surge && (seconds(f.at_s)..seconds(f.at_s + f.for_s)).contains(&self.now)
+        };
+        let surge: f64 = scenario.fault.iter().filter(on).map(|f| f.size).product();
+        // Where a surge takes all load away, it is looked for again at some time.
+        let rate = (scenario.load.rate * surge).max(0.01);
+        let wait: f64 = Exp1.sample(&mut self.rng);
+        self.now += ((wait * seconds(1.0) as f64 / rate).round() as Time).max(1);
+        (self.now < self.end).then_some(self.now)
+    }
+}
--- a/crates/fernroute-lab/src/lib.rs
+++ b/crates/fernroute-lab/src/lib.rs
@@ -3,7 +3,10 @@
 
 pub mod books;
 pub mod charts;
+pub mod demand;
 pub mod experiment;
+mod http;
+pub mod live;
 pub mod player;
 pub mod referee;
 pub mod run;
--- a/crates/fernroute-lab/src/main.rs
+++ b/crates/fernroute-lab/src/main.rs
@@ -1,8 +1,11 @@
 //! The program `fernroute-lab`.
 
 use argh::FromArgs;
+use fernroute_lab::books::Books;
 use fernroute_lab::experiment::{self, Experiment};
+use fernroute_lab::live;
 use fernroute_lab::player::Variant;
+use fernroute_lab::referee::Breach;
 use fernroute_lab::run;
 use fernroute_lab::scenario::Scenario;
 use std::path::PathBuf;
@@ -21,6 +24,8 @@
     Check(Check),
     Run(RunOne),
     Experiment(Compare),
+    Live(Live),
+    Balancer(RealOne),
 }
 
 /// Read scenarios and say whether they will do.
@@ -62,6 +67,34 @@
     out: PathBuf,
 }
 
+/// Play one scenario against real processes on loopback, in real time; ends with 1 where a rule was broken, with 3
+/// where the load was not kept.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "live")]
+struct Live {
+    /// scenario file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// what chance starts from (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// words that start a balancer, but for --config FILE (default: this program's own)
+    #[argh(option)]
+    program: Option<String>,
+    /// folder that is to keep the balancers' configurations and logs; it must hold nothing
+    #[argh(option)]
+    keep: Option<PathBuf>,
+}
+
+/// Serve as a real balancer, as `fernroute serve` does.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "balancer")]
+struct RealOne {
+    /// file that tells the balancer its place and terms
+    #[argh(option)]
+    config: String,
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let words: Vec<&str> = arguments.iter().skip(1).map(String::as_str).collect();
@@ -95,6 +128,14 @@
                 Ok(())
             })
         }
+        Command::Live(one) => match play_live(&one) {
+            Ok(code) => return ExitCode::from(code),
+            Err(why) => Err(why),
+        },
+        Command::Balancer(one) => {
+            let words = ["fernroute", "serve", "--config", &one.config];
+            return fernroute_server::program::commands::run(words.map(str::to_owned).to_vec());
+        }
     };
     done.map_or_else(|why| refuse(&why), |()| ExitCode::SUCCESS)
 }
@@ -116,22 +157,61 @@
             result
         }
     };
-    let (books, ends) = (&result.books, result.books.ends);
     println!("{} ({}, seed {})", scenario.name, variant.name(), one.seed);
+    print(&result.books, &result.breaches);
+    Ok(result.breaches.is_empty())
+}
+
+fn print(books: &Books, breaches: &[Breach]) {
     println!("service {:.4}, worst ten seconds {:.4}", books.service(), books.worst_ten());
     for m in &books.methods {
         println!("  {}: {} of {} served in time", m.name, m.served, m.offered);
     }
-    let at = |q: f64| books.times.value_at_quantile(q) as f64 / 10.0;
+    let (at, ends) = (|q: f64| books.times.value_at_quantile(q) as f64 / 10.0, books.ends);
     println!("answered within {:.1} ms (half), {:.1} ms (99 in 100)", at(0.5), at(0.99));
     println!(
         "RPCs {}: completed {}, exhausted {}, errored {}, abandoned {}, lost with their balancer {}; transmissions {}",
         ends.arrived, ends.completed, ends.exhausted, ends.errored, ends.abandoned, ends.lost, books.transmissions
     );
-    for b in &result.breaches {
+    for b in breaches {
         println!("BROKEN at {}.{:04} s: {:?}: {}", b.at / 10_000, b.at % 10_000, b.rule, b.what);
     }
-    Ok(result.breaches.is_empty())
+}
+
+/// The exit code.
+fn play_live(one: &Live) -> Result<u8, String> {
+    let scenario = Scenario::read(&one.scenario)?;
+    let own = || std::env::current_exe().map(|path| vec![path.display().to_string(), "balancer".to_owned()]);
+    let program = match &one.program {
+        Some(words) => words.split_whitespace().map(str::to_owned).collect(),
+        None => own().map_err(|e| format!("this program does not know its place: {e}"))?,
+    };
+    let folder = one
+        .keep
+        .clone()
+        .unwrap_or_else(|| std::env::temp_dir().join(format!("fernroute-lab-{}", std::process::id())));
+    experiment::claim(&folder)?;
+    let report = live::run(&scenario, one.seed, &program, &folder);
+    if one.keep.is_none() {
+        // What is left of it does no harm.
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    let report = report?;
+    println!("{} (real processes, seed {})", scenario.name, one.seed);
+    print(&report.books, &report.breaches);
+    println!(
+        "requests sent late {} of {}, by up to {} ms",
+        report.sent_late,
+        report.requests,
+        report.latest.as_millis()
+    );
+    Ok(match report.invalid() {
+        Some(why) => {
+            println!("INVALID: {why}");
+            3
+        }
+        None => u8::from(!report.breaches.is_empty()),
+    })
 }
 
 fn refuse(why: &str) -> ExitCode {
--- a/crates/fernroute-lab/src/world.rs
+++ b/crates/fernroute-lab/src/world.rs
@@ -1,16 +1,16 @@
 //! A fleet in virtual time. Events that fall on one instant happen in the order in which they were set down.
 
 use crate::books::{Books, Ends};
+use crate::demand::{stream, Arrivals, Want, CHANCE};
 use crate::player::{Entry, Maker, Player, Post};
-use crate::scenario::{millis, seconds, Fault, Kind, Scenario, Spread};
+use crate::scenario::{millis, seconds, Fault, Kind, Scenario};
 use crate::trace::{Event, Final, Told, Witness};
 use crate::upstream::{Affliction, Job, State, Upstream};
 use fernroute::desk::{Act, Desk};
 use fernroute::{Outcome, Time};
 use rand::seq::SliceRandom as _;
-use rand::{RngExt as _, SeedableRng as _};
+use rand::RngExt as _;
 use rand_chacha::ChaCha8Rng;
-use rand_distr::{Distribution as _, Exp1, StandardNormal};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::rc::Rc;
@@ -69,14 +69,11 @@
     open: BTreeMap<Rc<str>, Open>,
 }
 
-/// What a caller wants, over all its tries.
+/// What a caller wants, and how far it has come.
 struct Request {
-    method: usize,
+    want: Want,
     asked: Time,
-    work: Time,
-    calls: Rc<[u32]>,
     tries: u32,
-    impatient: Option<f64>,
 }
 
 pub struct World<'a> {
@@ -101,9 +98,8 @@
     requests: BTreeMap<u64, Request>,
     requests_made: u64,
     calls_made: u64,
-    arrivals: ChaCha8Rng,
+    arrivals: Arrivals,
     chance: ChaCha8Rng,
-    surge: BTreeMap<usize, f64>,
     reports_late: BTreeMap<usize, Time>,
     list_down_until: Time,
     /// Whom each fault has hit; emptied by its end.
@@ -114,17 +110,6 @@
     pub most_held: usize,
 }
 
-/// Where the request streams, the world's chance and the balancers' seeds come apart.
-const ARRIVALS: u64 = 1;
-const CHANCE: u64 = 2;
-const REQUESTS: u64 = 1 << 32;
-
-fn stream(seed: u64, part: u64) -> ChaCha8Rng {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    rng.set_stream(part);
-    rng
-}
-
 impl<'a> World<'a> {
     pub fn new(scenario: &'a Scenario, seed: u64, make: &'a Maker<'a>, witness: &'a mut dyn Witness) -> Self {
         let mut world = World {
@@ -145,9 +130,8 @@
             requests: BTreeMap::new(),
             requests_made: 0,
             calls_made: 0,
-            arrivals: stream(seed, ARRIVALS),
+            arrivals: Arrivals::new(scenario, seed),
             chance: stream(seed, CHANCE),
-            surge: BTreeMap::new(),
             reports_late: BTreeMap::new(),
             list_down_until: 0,
             victims: BTreeMap::new(),
@@ -352,73 +336,38 @@
     // ------------------------------------------------------------------------------------------------- load
 
     fn next_arrival(&mut self) {
-        let surge: f64 = self.surge.values().product();
-        let wait: f64 = Exp1.sample(&mut self.arrivals);
-        // Where a surge takes all load away, it is looked for again soon.
-        let rate = (self.scenario.load.rate * surge).max(0.01);
-        let at = self.now + ((wait * seconds(1.0) as f64 / rate).round() as Time).max(1);
-        if at < self.end {
+        if let Some(at) = self.arrivals.next(self.scenario) {
             self.set(at, Due::Arrival);
         }
     }
 
-    /// All that chance has to say of a request is drawn from a stream of its own: so that it is the same whoever
-    /// decides.
     fn arrive(&mut self) {
         let number = self.requests_made;
         self.requests_made += 1;
-        let mut rng = stream(self.seed, REQUESTS + number);
-        let methods = &self.scenario.method;
-        let mut at = rng.random::<f64>() * methods.iter().map(|m| m.share).sum::<f64>();
-        let method = methods.iter().position(|m| {
-            at -= m.share;
-            at < 0.0
-        });
-        let method = method.unwrap_or(methods.len() - 1);
-        let m = &methods[method];
-        let factor = match m.spread {
-            Spread::Fixed => 1.0,
-            Spread::Exponential => Exp1.sample(&mut rng),
-            Spread::Lognormal => {
-                let sigma = (1.0 + m.cv * m.cv).ln().sqrt();
-                let normal: f64 = StandardNormal.sample(&mut rng);
-                (sigma * normal - sigma * sigma / 2.0).exp()
-            }
-        };
-        let calls = self.scenario.tier.iter().map(|t| {
-            let whole = t.calls.floor();
-            whole as u32 + u32::from(rng.random::<f64>() < t.calls - whole)
-        });
-        let calls: Rc<[u32]> = calls.collect();
-        let impatient = rng.random::<f64>() < self.scenario.load.impatient;
-        let impatient = impatient.then(|| 0.5 * rng.random::<f64>());
-        let work = millis(m.work_ms * factor).max(1);
-        let request = Request { method, asked: self.now, work, calls, tries: 0, impatient };
-        self.requests.insert(number, request);
-        let gain = m.gain;
-        self.books.offered(self.now, method, gain);
-        // A front deals connections out evenly.
-        let balancer = rng.random_range(0..self.first.len().max(1));
+        let want = Want::of(self.scenario, self.seed, number);
+        let (method, balancer) = (want.method, want.balancer);
+        self.requests.insert(number, Request { want, asked: self.now, tries: 0 });
+        self.books.offered(self.now, method, self.scenario.method[method].gain);
         self.ask(number, Some(balancer));
     }
 
     fn ask(&mut self, number: u64, balancer: Option<usize>) {
         let any = self.chance.random_range(0..self.first.len());
         let Some(request) = self.requests.get_mut(&number) else { return };
-        let m = &self.scenario.method[request.method];
+        let m = &self.scenario.method[request.want.method];
         let hard = request.asked + millis(m.hard_ms);
         if hard <= self.now {
             return self.fail(number);
         }
         let rpc: Rc<str> = Rc::from(format!("r{number}.{}", request.tries));
         request.tries += 1;
-        let (method, work, calls) = (request.method, request.work, Rc::clone(&request.calls));
-        let leaves = request.impatient.map(|share| (millis(m.hard_ms) as f64 * share) as Time);
+        let want = request.want.clone();
+        let leaves = want.leaves.map(|share| (millis(m.hard_ms) as f64 * share) as Time);
         let node = self.first[balancer.unwrap_or(any)];
         if let Some(after) = leaves {
             self.set(self.now + after, Due::Leave { node, rpc: Rc::clone(&rpc) });
         }
-        self.put(node, rpc, Origin::Caller { request: number }, method, hard, work, calls);
+        self.put(node, rpc, Origin::Caller { request: number }, want.method, hard, want.work, want.calls);
     }
 
     /// Puts an RPC before a balancer.
@@ -554,7 +503,7 @@
 
     fn told_caller(&mut self, number: u64, last: Final, stay_away: Time) {
         let Some(request) = self.requests.get(&number) else { return };
-        let (asked, method) = (request.asked, request.method);
+        let (asked, method) = (request.asked, request.want.method);
         let m = &self.scenario.method[method];
         match last {
             Final::Completed => {
@@ -797,9 +746,6 @@
             self.afflict(i, fault, *n);
         }
         match fault.kind {
-            Kind::Surge => {
-                self.surge.insert(i, fault.size);
-            }
             Kind::ReportsLate => {
                 self.reports_late.insert(i, seconds(fault.size));
             }
@@ -894,7 +840,6 @@
 
     fn fault_ends(&mut self, i: usize) {
         let fault = &self.scenario.fault[i];
-        self.surge.remove(&i);
         self.reports_late.remove(&i);
         for n in self.victims.remove(&i).unwrap_or_default() {
             self.upstreams[n].afflicted.remove(&i);
--- /dev/null
+++ b/crates/fernroute-lab/tests/live.rs
@@ -0,0 +1,107 @@
+//! Real processes on loopback: the same scenario, the same referee.
+
+mod common;
+
+use common::decode;
+use fernroute_lab::books::Books;
+use fernroute_lab::live::{run, Report};
+use fernroute_lab::scenario::Scenario;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Two tiers, and room enough that a slow machine changes no verdict.
+fn scenario(faults: &str) -> Scenario {
+    let method = |name: &str, effect: &str| {
+        format!(
+            "[[method]]\nname = \"{name}\"\neffect = \"{effect}\"\nshare = 1\nwork_ms = 10\nsoft_ms = 1500\nhard_ms = 3000\n"
+        )
+    };
+    decode(&format!(
+        "name = \"live\"\nseconds = 4\nload = {{ rate = 40, retries = 2 }}\n\
+         discovery = {{ late_ms = 200, gone_late_ms = 600, spread_ms = 100 }}\n{}{}{}\n\
+         [[tier]]\nname = \"front\"\nupstreams = 3\nbalancers = 2\ncores = 2\nslots = 40\nqueue = 10\ncell = 1\n\
+         [[tier]]\nname = \"core\"\nupstreams = 3\ncores = 2\nslots = 40\nqueue = 10\n{faults}",
+        method("look", "retriable"),
+        method("put", "deduped"),
+        method("pay", "non_retriable"),
+    ))
+}
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("fernroute-live-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn played(name: &str, faults: &str) -> Report {
+    let folder = Folder::new(name);
+    let program = [env!("CARGO_BIN_EXE_fernroute-lab").to_owned(), "balancer".to_owned()];
+    let report = run(&scenario(faults), 1, &program, &folder.0).expect("it plays");
+    let ends = report.books.ends;
+    assert!(ends.arrived == ends.sum() && ends.completed > 200, "{ends:?}");
+    assert_eq!(report.breaches, [], "{name}");
+    report
+}
+
+#[test]
+fn a_calm_run_serves_all_that_is_asked() {
+    let report = played("calm", "");
+    assert!(report.books.service() > 0.97, "{}", report.books.service());
+    assert_eq!(report.books.ends.lost, 0);
+}
+
+#[test]
+fn crashes_hangs_replacements_and_restarts_break_no_rule() {
+    let faults = "[[fault]]\nkind = \"replace\"\nat_s = 0.5\nfor_s = 1\npart = 0.7\n\
+        [[fault]]\nkind = \"crash\"\nat_s = 1\nfor_s = 1\ntier = \"core\"\npart = 0.4\n\
+        [[fault]]\nkind = \"hang\"\nat_s = 1.5\nfor_s = 1\ntier = \"core\"\npart = 0.4\n\
+        [[fault]]\nkind = \"fast_errors\"\nat_s = 2\nfor_s = 1\npart = 0.4\nsize = 0.5\n\
+        [[fault]]\nkind = \"balancer_restart\"\nat_s = 2.5\nfor_s = 0.5\n";
+    let report = played("troubled", faults);
+    // Most is served all the same, and something was in the way.
+    assert!((0.5..0.9999).contains(&report.books.service()), "{}", report.books.service());
+}
+
+#[test]
+fn a_vanished_machine_is_silent_and_comes_back() {
+    let report = played(
+        "vanish",
+        "[[fault]]\nkind = \"vanish\"\nat_s = 1\nfor_s = 1.5\ntier = \"core\"\npart = 0.34\n",
+    );
+    assert!(report.books.service() > 0.5, "{}", report.books.service());
+}
+
+#[test]
+fn a_program_that_does_not_serve_is_named() {
+    let folder = Folder::new("none");
+    for (word, what) in
+        [("/nonexistent/balancer", "/nonexistent/balancer"), ("true", "ended before it served")]
+    {
+        let why = run(&scenario(""), 1, &[word.to_owned()], &folder.0).err().expect(word);
+        assert!(why.contains(what), "{why}");
+    }
+}
+
+#[test]
+fn a_load_that_was_not_kept_makes_the_result_invalid() {
+    let report = |sent_late| Report {
+        books: Books::new(&scenario("")),
+        breaches: Vec::new(),
+        requests: 1000,
+        sent_late,
+        latest: Duration::from_millis(80),
+    };
+    assert_eq!(report(10).invalid(), None);
+    let why = report(11).invalid().expect("it is invalid");
+    assert!(why.contains("11 of 1000") && why.contains("80 ms"), "{why}");
+}
