Configuration in TOML for installations of one's own, checked whole

Need: the platform's file speaks the platform's names and units, and the first fault in it hides the others. Change: crate fernroute-config reads TOML into the terms that the platform's JSON turns into as well; the program takes a file that ends in .toml for one. Unknown names, bounds, units, things that do not go together and names that are there twice are told with line and place, all at once, in one line. Upstreams that such a file names have no version of discovery's, so the whole list is asked for; the platform's file is followed from its version as before. Measured: both kinds of files give the same value, field by field (test).

--- /dev/null
+++ b/crates/fernroute-config/tests/files.rs
@@ -0,0 +1,118 @@
+//! Files that will do, and all that is wrong with those that will not.
+
+use fernroute_config::decode;
+
+const GOOD: &str = r#"name = "n0"
+listen = "127.0.0.1:9000"
+discovery = "127.0.0.1:8500"
+
+[place]
+instances = 4
+number = 3
+
+[list]
+mode = "ask"
+ask_within_s = 2.5
+
+[load]
+reports = ["utilisation", "errors"]
+
+[rules]
+cold_from = 0.3
+warm_within_s = 8
+cold_multiple = 2.5
+cold_window_s = 3
+
+[[method]]
+name = "look"
+effect = "retriable"
+soft_ms = 1_000
+hard_ms = 3000.5
+
+[[method]]
+name = "put"
+effect = "deduped"
+group = "cell"
+window_s = 10
+hard_ms = 3000
+
+[[tenant]]
+name = "acme"
+rate = 12.5
+
+[[upstream]]
+id = "s-1"
+address = "127.0.0.1:9001"
+cell = "7"
+"#;
+
+#[test]
+fn names_and_units_become_terms() {
+    let plan = decode(GOOD).expect("it will do");
+    assert_eq!((plan.name.as_str(), plan.seed, plan.descriptors), ("n0", None, 1024));
+    assert_eq!((plan.upstreams.len(), plan.upstreams[0].cell.as_str()), (1, "7"));
+    for (term, value) in [
+        ("instances", "4"),
+        ("list_mode", "ask"),
+        ("rules.ask_within", "25000"),
+        ("load.names", "utilisation,errors"),
+        ("rules.warm_within", "80000"),
+        ("methods.count", "2"),
+        ("methods.0.soft_deadline", "10000"),
+        ("methods.0.hard_deadline", "30005"),
+        ("methods.1.window", "100000"),
+        ("tenants.count", "1"),
+        ("tenants.0.rate", "12.5"),
+    ] {
+        assert_eq!(plan.terms.get(term).map(String::as_str), Some(value), "{term}");
+    }
+}
+
+#[test]
+fn each_thing_that_will_not_do_is_named_with_its_line_and_place() {
+    for (old, new, told) in [
+        ("name = \"n0\"", "", "line 1: name: is missing"),
+        ("name = \"n0\"", "name = \" \"", "line 1: name: is no text, or empty"),
+        ("name = \"n0\"", "name = \"n0\"\ncolour = 3", "line 2: colour: is not known"),
+        ("name = \"n0\"", "name = \"n0", "line 1: "),
+        ("\"127.0.0.1:9000\"", "\"localhost\"", "line 2: listen: is no address with a port"),
+        ("[place]", "seed = \"xyz\"\n[place]", "line 5: seed: is no text of up to 16"),
+        ("[place]", "descriptors = 10\n[place]", "line 5: descriptors: 10 is not between 64 and 1000000"),
+        ("instances = 4", "instances = 4.5", "line 6: place.instances: 4.5 is not whole"),
+        ("number = 3", "number = 4", "line 7: place.number: 4 of 4: the first is 0"),
+        ("mode = \"ask\"", "mode = \"wait\"", "line 10: list.mode: wait is none of push, ask"),
+        ("ask_within_s = 2.5", "", "line 10: list.ask_within_s: is missing"),
+        ("\"errors\"]", "3]", "line 14: load.reports: is no list of texts"),
+        ("cold_from = 0.3", "cold_from = 0", "line 17: rules.cold_from: 0 is not between"),
+        ("cold_from = 0.3", "cold_from = nan", "line 17: rules.cold_from: NaN is not between"),
+        ("warm_within_s = 8", "warm_within_s = -1", "line 18: rules.warm_within_s: -1 is not between"),
+        ("soft_ms = 1_000", "soft_ms = 9000", "line 25: method[0].soft_ms: is more than hard_ms"),
+        ("soft_ms = 1_000", "group = \"all\"", "line 25: method[0].group: is for deduped methods alone"),
+        ("window_s = 10", "", "line 28: method[1].window_s: is missing"),
+        ("name = \"put\"", "name = \"look\"", "line 29: method[1].name: look is there already, as method[0]"),
+        ("\"deduped\"", "\"idempotent\"", "line 30: method[1].effect: idempotent is none of"),
+        ("rate = 12.5", "rate = -2", "line 37: tenant[0].rate: -2 is not between"),
+        ("id = \"s-1\"", "", "line 39: upstream[0].id: is missing"),
+        ("[[upstream]]", "[upstream]", "upstream: is written [[upstream]]"),
+        ("[place]", "[place.more]\n[place]", "place.more: is not known"),
+    ] {
+        assert!(GOOD.contains(old), "{old}");
+        let faults = decode(&GOOD.replacen(old, new, 1)).expect_err(told);
+        assert_eq!(faults.len(), 1, "{told}: {faults:?}");
+        let line = faults[0].to_string();
+        assert!(line.contains(told) && !line.contains('\n'), "{told}: {line}");
+    }
+}
+
+#[test]
+fn all_that_is_wrong_is_told_at_once_in_the_order_of_the_lines() {
+    let text = GOOD.replace("instances = 4", "instances = 0").replace("cold_from = 0.3", "cold = 1");
+    let text = text.replace("\"retriable\"", "1").replace("rate = 12.5", "rate = inf");
+    let told: Vec<String> = decode(&text).expect_err("four").iter().map(ToString::to_string).collect();
+    let places = ["rules.cold_from", "place.instances", "rules.cold", "method[0].effect", "tenant[0].rate"];
+    assert_eq!(told.len(), places.len(), "{told:?}");
+    for (line, place) in told.iter().zip(places) {
+        assert!(line.contains(&format!(": {place}: ")), "{place}: {told:?}");
+    }
+    assert!(decode("").expect_err("nothing is there").len() > 5);
+}
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -79,7 +79,6 @@
     let board = Switchboard::new(&station.terms, station.seed, upstreams).map_err(|missing| {
         format!("settings: missing or unreadable {}", fernroute_terms::path(&missing.0))
     })?;
-    let version = station.known.as_ref().map(|known| known.version);
     if let Some(known) = &station.known {
         board.take_list(known, false);
     }
@@ -102,6 +101,6 @@
     log::info!("serving on {address}, {} upstreams known", board.lines.borrow().len());
     let asks = station.terms.get("list_mode").is_some_and(|mode| mode == "ask");
     let running = Running { board, server, address, asks, watch: RefCell::default() };
-    running.watch(station.discovery, version);
+    running.watch(station.discovery, station.since);
     Ok(running)
 }
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -1,6 +1,6 @@
 //! Where this balancer stands: its name and addresses, its limits, its terms, the upstreams it knew last.
 
-use crate::protocol::list::{self, List};
+use crate::protocol::list::{self, Entry, List, State};
 use crate::protocol::terms;
 use fernroute::desk::Desk;
 use fernroute::{Balancer, Terms};
@@ -8,6 +8,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 #[derive(Clone, Debug)]
 pub struct Station {
@@ -19,6 +20,8 @@
     pub descriptors: usize,
     /// The list as this balancer had it last, if it ever had one.
     pub known: Option<List>,
+    /// Discovery's version of it, from which on changes are enough; else the whole list is asked for.
+    pub since: Option<u64>,
     pub terms: Terms,
 }
 
@@ -55,7 +58,37 @@
 impl Station {
     pub fn read(path: &Path) -> Result<Self, String> {
         let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        Station::decode(&text).map_err(|e| format!("{}: {e}", path.display()))
+        let own = path.extension().is_some_and(|e| e == "toml");
+        let station = if own { Station::decode_own(&text) } else { Station::decode(&text) };
+        station.map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    /// A file of an installation of its own; all that is wrong with it, in one line.
+    pub fn decode_own(text: &str) -> Result<Self, String> {
+        let plan = fernroute_config::decode(text)
+            .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))?;
+        let entry = |u: fernroute_config::Upstream| Entry {
+            id: u.id,
+            state: State::Ready,
+            address: Some(u.address),
+            zone: u.zone,
+            cell: u.cell,
+            started_ms: 0,
+        };
+        let entries: Vec<Entry> = plan.upstreams.into_iter().map(entry).collect();
+        let known = (!entries.is_empty()).then_some(List { version: 0, full: true, entries });
+        // Another with each start, where the file does not say.
+        let by_clock = || SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
+        Ok(Station {
+            name: plan.name,
+            listen: plan.listen,
+            discovery: plan.discovery,
+            seed: plan.seed.unwrap_or_else(by_clock),
+            descriptors: plan.descriptors,
+            known,
+            since: None,
+            terms: plan.terms,
+        })
     }
 
     pub fn decode(text: &str) -> Result<Self, String> {
@@ -73,6 +106,7 @@
             discovery: page.discovery,
             seed: u64::from_str_radix(&page.seed, 16).map_err(|e| format!("seed: {e}"))?,
             descriptors: page.limits.sockets,
+            since: known.as_ref().map(|known| known.version),
             known,
             terms: terms::decode(&page.settings),
         })
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{ask, balancer, connect, ok, read, rpc, run, send, stand_in, station, until, Deed};
+use fernroute_server::program::station::Station;
 use fernroute_server::program::{serve, shutdown};
 use fernroute_server::protocol::list::{self as lists, State};
 use fernroute_server::protocol::load::{self, Gauges};
@@ -101,6 +102,57 @@
     });
 }
 
+/// Both kinds of files end in one value: an installation's own says by other names what the platform's says.
+#[test]
+fn a_file_of_ones_own_and_the_platforms_make_the_same_station() {
+    let theirs = r#"{"name":"n0","listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","seed":"1f",
+        "limits":{"sockets":512},
+        "known":{"version":0,"full":true,"servers":[
+            {"id":"s-1","addr":"127.0.0.1:9001","zone":"a","cell":"2","state":"SERVING","started_ms":0}]},
+        "settings":{"n-instances":2,"me":1,"layer":1,"zone":"a","quantum-s":0.005,"orgs":[{"name":"acme","quota-per-s":7.5}],
+        "methods":[{"name":"put","effect":"idempotency_key","group":"zone","window-s":5,"soft-deadline-s":1.5,
+            "hard-deadline-s":3.0,"gain":2}],
+        "feedback":{"names":["cpu","err_rps"]},"membership-mode":"subscribe",
+        "ceilings":{"max-transmissions":3,"cancel":true,"retry-after":true,"connect-timeout-s":0.25,"keepalive-s":30.0,
+            "max-retry-after-s":2.0},
+        "contract":{"must-ask-in-s":4,"drain-grace-s":0.3,"cold-from":0.3,"warm-within-s":8,"tip-multiple":2.5,
+            "overload-for-s":3}}}"#;
+    let ours = r#"
+        name = "n0"
+        listen = "127.0.0.1:9000"
+        discovery = "127.0.0.1:8500"
+        seed = "1f"
+        descriptors = 512
+        place = { instances = 2, number = 1, tier = 1, zone = "a", tick_ms = 5 }
+        list = { mode = "ask", ask_within_s = 4 }
+        load = { reports = ["utilisation", "errors"] }
+        limits = { transmissions = 3, cancel = true, retry_after = true, connect_ms = 250, keep_alive_s = 30, retry_after_s = 2 }
+        rules = { drain_grace_ms = 300, cold_from = 0.3, warm_within_s = 8, cold_multiple = 2.5, cold_window_s = 3 }
+        [[method]]
+        name = "put"
+        effect = "deduped"
+        group = "zone"
+        window_s = 5
+        soft_ms = 1500
+        hard_ms = 3000
+        gain = 2
+        [[tenant]]
+        name = "acme"
+        rate = 7.5
+        [[upstream]]
+        id = "s-1"
+        address = "127.0.0.1:9001"
+        zone = "a"
+        cell = "2""#;
+    let (mut theirs, ours) =
+        (Station::decode(theirs).expect("theirs"), Station::decode_own(ours).expect("ours"));
+    assert_eq!(theirs.terms, ours.terms);
+    // What a file of one's own names has no version: the whole list is asked for.
+    assert_eq!((theirs.since.take(), ours.since), (Some(0), None));
+    assert_eq!(format!("{theirs:?}"), format!("{ours:?}"));
+    ours.check().expect("a balancer can start with it");
+}
+
 /// Guards against two entries of one id, of which the later would bring back one that drains.
 #[test]
 fn an_id_that_is_named_twice_counts_as_the_least_ready() {
