--- a/crates/fernroute-lab/src/charts.rs
+++ b/crates/fernroute-lab/src/charts.rs
@@ -2,6 +2,7 @@
 
 use crate::experiment::{Experiment, Row, Summary};
 use crate::player::Variant;
+use plotters::coord::ranged1d::Ranged;
 use plotters::prelude::*;
 use std::path::Path;
 
@@ -53,8 +54,7 @@
         let corners = [(*from, 0.0), (to.min(length as f64), 1.02)];
         Rectangle::new(corners, RGBColor(200, 200, 200).mix(0.25).filled())
     }))?;
-    for variant in &experiment.variants {
-        let these: Vec<&&Row> = rows.iter().filter(|r| r.variant == *variant).collect();
+    lines(experiment, rows, &mut chart, |these| {
         let at = |second: usize| {
             let near = second.saturating_sub(1)..(second + 2).min(length);
             let part = these.iter().flat_map(|r| &r.course[near.clone()]);
@@ -62,13 +62,8 @@
                 part.fold((0.0, 0.0), |(s, o), (served, offered)| (s + served, o + offered));
             (second as f64 + 0.5, if offered > 0.0 { served / offered } else { 1.0 })
         };
-        let style = colour(experiment, *variant).stroke_width(2);
-        let line = LineSeries::new((0..length).map(at), style);
-        chart
-            .draw_series(line)?
-            .label(variant.name())
-            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], style));
-    }
+        (0..length).map(at).collect()
+    })?;
     legend(&mut chart)?;
     root.present()?;
     Ok(())
@@ -86,20 +81,14 @@
         .y_label_area_size(60)
         .build_cartesian_2d(0.0..100.0, (1.0..most * 1.05).log_scale())?;
     chart.configure_mesh().light_line_style(TRANSPARENT).x_desc("percentile").y_desc("ms").draw()?;
-    for variant in &experiment.variants {
-        let these: Vec<&&Row> = rows.iter().filter(|r| r.variant == *variant).collect();
+    lines(experiment, rows, &mut chart, |these| {
         let points = these.first().map_or(0, |r| r.times.len());
         let mean = |n: usize| {
             let sum: f64 = these.iter().map(|r| r.times[n].1).sum();
             (these[0].times[n].0, (sum / these.len() as f64).max(1.0))
         };
-        let style = colour(experiment, *variant).stroke_width(2);
-        let line = LineSeries::new((0..points).map(mean), style);
-        chart
-            .draw_series(line)?
-            .label(variant.name())
-            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], style));
-    }
+        (0..points).map(mean).collect()
+    })?;
     legend(&mut chart)?;
     root.present()?;
     Ok(())
@@ -159,6 +148,28 @@
     Ok(())
 }
 
+/// A line for each variant, drawn through the points that its runs make.
+fn lines<'a, X, Y>(
+    experiment: &Experiment,
+    rows: &[&Row],
+    chart: &mut ChartContext<'a, SVGBackend<'a>, Cartesian2d<X, Y>>,
+    points: impl Fn(&[&Row]) -> Vec<(f64, f64)>,
+) -> Drawn
+where
+    X: Ranged<ValueType = f64>,
+    Y: Ranged<ValueType = f64>,
+{
+    for variant in &experiment.variants {
+        let these: Vec<&Row> = rows.iter().filter(|r| r.variant == *variant).copied().collect();
+        let style = colour(experiment, *variant).stroke_width(2);
+        chart
+            .draw_series(LineSeries::new(points(&these), style))?
+            .label(variant.name())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], style));
+    }
+    Ok(())
+}
+
 fn legend<'a, C>(chart: &mut ChartContext<'a, SVGBackend<'a>, C>) -> Drawn
 where
     C: CoordTranslate,
