Reread: simulator and real runs share victims, rates, seeds and settings

What the change had written twice serves once now: a run's victims of a fault, a balancer's seed, what an upstream can do, the longest deadline, how long reports are kept and drains linger, whether a state serves. The simulator's balancers get their terms by the platform's settings and the server's reader of them, as real ones do, in place of a second mapping. The clock's conversions, the command line's reading and refusing, the bounds on descriptors are those that stood elsewhere already. No test's assertion changed.

--- a/crates/fernroute-config/src/lib.rs
+++ b/crates/fernroute-config/src/lib.rs
@@ -68,8 +68,9 @@
 const MANY: f64 = 1e6;
 const DAY: f64 = 86_400.0;
 /// Below this there is no room for callers and upstreams beside the program's own descriptors.
-const LEAST_DESCRIPTORS: f64 = 64.0;
-const USUAL_DESCRIPTORS: usize = 1024;
+pub const LEAST_DESCRIPTORS: usize = 64;
+/// What a process commonly gets where nothing is said.
+pub const USUAL_DESCRIPTORS: usize = 1024;
 
 const EFFECTS: &[&str] = &["retriable", "deduped", "non_retriable"];
 const GROUPS: &[&str] = &["all", "zone", "cell"];
@@ -82,7 +83,7 @@
     ("listen", "", Address, true),
     ("discovery", "", Address, true),
     ("seed", "", Hex, false),
-    ("descriptors", "", Count(LEAST_DESCRIPTORS, MANY), false),
+    ("descriptors", "", Count(LEAST_DESCRIPTORS as f64, MANY), false),
     ("place.instances", "instances", Count(1.0, MANY), false),
     ("place.number", "number", Count(0.0, MANY), false),
     ("place.tier", "tier", Count(0.0, 100.0), false),
--- a/crates/fernroute-lab/src/books.rs
+++ b/crates/fernroute-lab/src/books.rs
@@ -3,9 +3,8 @@
 use crate::scenario::{seconds, Scenario};
 use fernroute::Time;
 use hdrhistogram::Histogram;
-use serde::Serialize;
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Second {
     pub offered: f64,
     pub served: f64,
@@ -15,7 +14,7 @@
 }
 
 /// RPCs of callers and calls between tiers alike: each arrival has exactly one end.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Ends {
     pub arrived: u64,
     pub completed: u64,
@@ -34,7 +33,7 @@
 }
 
 /// One method's requests, by their first tries.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ByMethod {
     pub name: String,
     pub offered: u64,
@@ -48,7 +47,7 @@
     pub times: Histogram<u64>,
     pub ends: Ends,
     pub transmissions: u64,
-    /// Time that RPCs of callers spent in the first tier, summed; and work that upstreams did, in core time.
+    /// Time that RPCs of callers spent in the first tier, summed.
     pub in_system: u128,
 }
 
--- a/crates/fernroute-lab/src/demand.rs
+++ b/crates/fernroute-lab/src/demand.rs
@@ -1,7 +1,8 @@
 //! What callers want, drawn by chance: the same for the simulator and for real processes, and whoever decides.
 
-use crate::scenario::{millis, seconds, Kind, Scenario, Spread};
+use crate::scenario::{millis, seconds, Fault, Kind, Scenario, Spread};
 use fernroute::Time;
+use rand::seq::SliceRandom as _;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution as _, Exp1, StandardNormal};
@@ -18,6 +19,25 @@
     rng
 }
 
+/// A drained upstream ends when it has been told for so long, in seconds: longer than most RPCs take.
+pub const LINGER: f64 = 6.0;
+
+/// What a run's balancer starts its own chance from.
+pub fn balancer_seed(seed: u64, node: usize) -> u64 {
+    seed ^ (node as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+/// Whom fault `i` hits, of these upstreams and their zones. It does not depend on who decides.
+pub fn victims(fault: &Fault, i: usize, seed: u64, mut up: Vec<(usize, usize)>) -> Vec<usize> {
+    if fault.kind == Kind::ZoneLoss {
+        up.retain(|(_, zone)| *zone == fault.size as usize);
+    } else {
+        up.shuffle(&mut stream(seed, (i as u64 + 1) << 16));
+        up.truncate((up.len() as f64 * fault.part).round() as usize);
+    }
+    up.into_iter().map(|(n, _)| n).collect()
+}
+
 /// One request of a caller, over all its tries.
 #[derive(Clone, Debug)]
 pub struct Want {
@@ -82,7 +102,7 @@
     }
 
     pub fn next(&mut self, scenario: &Scenario) -> Option<Time> {
-        let on = |f: &&crate::scenario::Fault| {
+        let on = |f: &&Fault| {
             f.kind == Kind::Surge && (seconds(f.at_s)..seconds(f.at_s + f.for_s)).contains(&self.now)
         };
         let surge: f64 = scenario.fault.iter().filter(on).map(|f| f.size).product();
--- a/crates/fernroute-lab/src/experiment.rs
+++ b/crates/fernroute-lab/src/experiment.rs
@@ -48,11 +48,10 @@
         let mut scenarios: Vec<(Scenario, String)> = Vec::new();
         for file in &page.scenarios {
             let file = folder.join(file);
-            let scenario = Scenario::read(&file)?;
+            let (scenario, text) = Scenario::read_with_text(&file)?;
             if scenarios.iter().any(|(other, _)| other.name == scenario.name) {
                 return Err(place(format!("scenarios: {} is there twice", scenario.name)));
             }
-            let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
             scenarios.push((scenario, text));
         }
         Ok(Experiment { name: page.name, scenarios, variants: variants.map_err(place)?, seeds: page.seeds })
--- a/crates/fernroute-lab/src/live.rs
+++ b/crates/fernroute-lab/src/live.rs
@@ -3,14 +3,15 @@
 //! from the intended moment, so that a stall of the laboratory or of the program is not hidden.
 
 use crate::books::Books;
-use crate::demand::{stream, Arrivals, Want, CHANCE};
+use crate::demand::{balancer_seed, stream, victims, Arrivals, Want, CHANCE, LINGER};
 use crate::http::{answer, Message, Peer};
+use crate::player::Post;
 use crate::referee::{Breach, Referee};
-use crate::scenario::{millis, seconds, zone_name, Effect, Fault, Group, Kind, Scenario};
+use crate::scenario::{millis, seconds, zone_name, Effect, Fault, Kind, Scenario};
 use crate::trace::{Event, Final, Told, Witness as _};
 use crate::upstream::{Affliction, State, Upstream};
 use fernroute::{Outcome, Time};
-use rand::seq::SliceRandom as _;
+use fernroute_server::routing::clock::{duration, tenths};
 use rand::RngExt as _;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{json, Value};
@@ -57,10 +58,6 @@
 /// What the real clock and sockets add to any limit.
 const SLACK_MS: f64 = 50.0;
 
-fn duration(time: Time) -> Duration {
-    Duration::from_micros(time * 100)
-}
-
 /// A discovery agent of one balancer: what it has been told, and who waits.
 struct Agent {
     address: SocketAddr,
@@ -205,8 +202,7 @@
         }
         while callers.join_next().await.is_some() {}
         // Calls of upstreams whose callers were answered otherwise are open for as long as their deadlines, at most.
-        let longest = self.scenario.method.iter().map(|m| millis(m.hard_ms)).max().unwrap_or(0);
-        let last = self.now() + longest + seconds(1.5);
+        let last = self.now() + self.scenario.longest() + seconds(1.5);
         while !self.open.borrow().is_empty() && self.now() < last {
             sleep(Duration::from_millis(20)).await;
         }
@@ -221,7 +217,7 @@
     }
 
     fn now(&self) -> Time {
-        (self.start.elapsed().as_micros() / 100) as Time
+        tenths(self.start.elapsed())
     }
 
     fn see(&self, event: &Event) {
@@ -257,9 +253,7 @@
                 sleep(Duration::from_secs_f64(period / 1000.0)).await;
                 let stand = lab.stand(number);
                 let of = &lab.scenario.tier[tier];
-                // As long as the latest fault may delay them.
-                let keep = seconds(60.0);
-                stand.model.borrow_mut().report(lab.now(), millis(period), keep, of.choke.as_ref());
+                stand.model.borrow_mut().report(lab.now(), millis(period), of.choke.as_ref());
             }
         });
         Ok(number)
@@ -297,13 +291,9 @@
             }
         });
         stand.tasks.borrow_mut().push(accept.abort_handle());
-        let of = &self.scenario.tier[tier];
-        let shares: f64 = self.scenario.method.iter().map(|m| m.share).sum();
-        let mean: f64 =
-            self.scenario.method.iter().map(|m| m.share * m.work_ms).sum::<f64>() / shares * of.work;
         let model = stand.model.borrow();
         let (zone, cell, cold) = (model.zone, model.cell, model.cold);
-        let rate = cores as f64 * model.speed / mean * 1000.0;
+        let rate = self.scenario.rate(tier, model.speed);
         self.see(&Event::Started { upstream: number, zone, cell, rate, cold });
         Ok(())
     }
@@ -331,15 +321,12 @@
         };
         let known: Vec<usize> = (0..self.stands.borrow().len()).filter(up).collect();
         let known: Vec<Value> = known.into_iter().map(|n| self.entry(n, Told::Ready)).collect();
-        let instances = match tier {
-            0 => self.scenario.tier[0].balancers,
-            below => self.scenario.tier[below - 1].upstreams,
-        };
-        let seed = self.seed ^ (node as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let post = Post { tier, number, instances: self.scenario.instances(tier), zone };
+        let seed = balancer_seed(self.seed, node);
         let page = json!({
             "name": format!("b{node}"), "listen": "127.0.0.1:0", "discovery": agent.address, "seed": format!("{seed:016x}"),
             "limits": {"sockets": 1024}, "known": {"version": 0, "full": true, "servers": known},
-            "settings": settings(&self.scenario, tier, number, instances, zone),
+            "settings": self.scenario.settings(post),
         });
         let file = self.folder.join(format!("b{node}.json"));
         std::fs::write(&file, page.to_string()).map_err(|e| format!("{}: {e}", file.display()))?;
@@ -677,7 +664,7 @@
     async fn request(self: Rc<Self>, number: u64, want: Want, intended: Instant, asked: Time) {
         let m = &self.scenario.method[want.method];
         self.books.borrow_mut().offered(asked, want.method, m.gain);
-        let from = (intended - self.start).as_micros() as Time / 100;
+        let from = tenths(intended - self.start);
         let hard = from + millis(m.hard_ms);
         let calls = want.calls.iter().map(u32::to_string).collect::<Vec<_>>().join(",");
         for n in 0..=self.scenario.load.retries {
@@ -788,8 +775,6 @@
     // ----------------------------------------------------------------------------------------------- faults
 
     async fn fault(self: Rc<Self>, i: usize, fault: &Fault, from: Time) {
-        /// A drained upstream ends when it has been told for so long: longer than most RPCs take.
-        const LINGER: f64 = 6.0;
         let at = |s: f64| self.start + duration(from + seconds(s));
         sleep_until(at(fault.at_s)).await;
         let tier = self.scenario.tier_of(fault);
@@ -799,13 +784,9 @@
             let model = stand.model.borrow();
             model.tier == tier && model.state == State::Up
         };
-        let mut all: Vec<usize> = (0..self.stands.borrow().len()).filter(up).collect();
-        if fault.kind == Kind::ZoneLoss {
-            all.retain(|n| self.stand(*n).model.borrow().zone == fault.size as usize);
-        } else {
-            all.shuffle(&mut stream(self.seed, (i as u64 + 1) << 16));
-            all.truncate((all.len() as f64 * fault.part).round() as usize);
-        }
+        let all = (0..self.stands.borrow().len()).filter(up);
+        let all = all.map(|n| (n, self.stand(n).model.borrow().zone)).collect();
+        let all = victims(fault, i, self.seed, all);
         for n in &all {
             let afflict = |a| {
                 self.stand(*n).model.borrow_mut().afflicted.insert(i, a);
@@ -874,7 +855,7 @@
                     sleep_until(at(fault.at_s + fault.every_s * n as f64)).await;
                     for u in &all {
                         let state = self.stand(*u).model.borrow().state;
-                        if n.is_multiple_of(2) && matches!(state, State::Up | State::Draining) {
+                        if n.is_multiple_of(2) && state.serves() {
                             self.die(*u, State::Dead);
                             self.announce(*u, Told::Gone, d.late_ms);
                         } else if !n.is_multiple_of(2) && state == State::Dead {
@@ -911,9 +892,7 @@
             self.stand(n).model.borrow_mut().afflicted.remove(&i);
             let state = self.stand(n).model.borrow().state;
             match fault.kind {
-                Kind::Crash | Kind::Vanish | Kind::ZoneLoss | Kind::Flap
-                    if matches!(state, State::Dead | State::Silent) =>
-                {
+                Kind::Crash | Kind::Vanish | Kind::ZoneLoss | Kind::Flap if !state.serves() => {
                     self.revive(n).await;
                 }
                 Kind::Drain if state == State::Draining => {
@@ -960,34 +939,3 @@
         }
     }
 }
-
-/// The platform's settings of a balancer, with its names and units.
-fn settings(scenario: &Scenario, tier: usize, number: usize, instances: usize, zone: usize) -> Value {
-    let r = &scenario.rules;
-    let methods: Vec<Value> = scenario
-        .method
-        .iter()
-        .map(|m| {
-            let effect = match m.effect {
-                Effect::Retriable => "read_like",
-                Effect::Deduped => "idempotency_key",
-                Effect::NonRetriable => "non_idempotent",
-            };
-            let group = match m.group {
-                Group::All => "all",
-                Group::Zone => "zone",
-                Group::Cell => "cell",
-            };
-            json!({"name": m.name, "effect": effect, "group": group, "window-s": m.window_s,
-                "soft-deadline-s": m.soft_ms / 1000.0, "hard-deadline-s": m.hard_ms / 1000.0, "gain": m.gain})
-        })
-        .collect();
-    json!({
-        "n-instances": instances, "me": number, "layer": tier, "zone": zone_name(zone), "quantum-s": 0.0001,
-        "methods": methods, "feedback": {"names": ["cpu"]}, "membership-mode": "automatic",
-        "ceilings": {"max-transmissions": r.max_transmissions, "cancel": true, "connect-timeout-s": 0.25,
-            "keepalive-s": 30, "retry-after": true, "max-retry-after-s": r.max_stay_away_ms / 1000.0},
-        "contract": {"cold-from": r.cold_from, "warm-within-s": r.warm_within_s, "tip-multiple": r.cold_multiple,
-            "overload-for-s": r.cold_window_s, "drain-grace-s": r.drain_grace_ms / 1000.0},
-    })
-}
--- a/crates/fernroute-lab/src/main.rs
+++ b/crates/fernroute-lab/src/main.rs
@@ -8,9 +8,12 @@
 use fernroute_lab::referee::Breach;
 use fernroute_lab::run;
 use fernroute_lab::scenario::Scenario;
+use fernroute_server::program::commands;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+const NAME: &str = "fernroute-lab";
+
 /// Plays fleets of fernroute balancers in virtual time.
 #[derive(FromArgs)]
 struct Line {
@@ -97,14 +100,9 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let words: Vec<&str> = arguments.iter().skip(1).map(String::as_str).collect();
-    let line = match Line::from_args(&["fernroute-lab"], &words) {
+    let line: Line = match commands::parse(NAME, &arguments) {
         Ok(line) => line,
-        Err(early) if early.status.is_ok() => {
-            println!("{}", early.output);
-            return ExitCode::SUCCESS;
-        }
-        Err(early) => return refuse(&early.output),
+        Err(code) => return code,
     };
     let done = match line.command {
         Command::Check(check) => check.scenarios.iter().try_for_each(|path| {
@@ -118,7 +116,7 @@
             Err(why) => Err(why),
         },
         Command::Experiment(compare) => {
-            let command = format!("fernroute-lab {}", words.join(" "));
+            let command = format!("{NAME} {}", arguments[1..].join(" "));
             Experiment::read(&compare.experiment).and_then(|experiment| {
                 // Before the work, not after it.
                 experiment::claim(&compare.out)?;
@@ -134,10 +132,10 @@
         },
         Command::Balancer(one) => {
             let words = ["fernroute", "serve", "--config", &one.config];
-            return fernroute_server::program::commands::run(words.map(str::to_owned).to_vec());
+            return commands::run(words.map(str::to_owned).to_vec());
         }
     };
-    done.map_or_else(|why| refuse(&why), |()| ExitCode::SUCCESS)
+    done.map_or_else(|why| commands::refuse(NAME, &why), |()| ExitCode::SUCCESS)
 }
 
 /// Tells whether all rules were kept.
@@ -213,8 +211,3 @@
         None => u8::from(!report.breaches.is_empty()),
     })
 }
-
-fn refuse(why: &str) -> ExitCode {
-    eprintln!("fernroute-lab: {}", why.split_whitespace().collect::<Vec<_>>().join(" "));
-    ExitCode::from(2)
-}
--- a/crates/fernroute-lab/src/player.rs
+++ b/crates/fernroute-lab/src/player.rs
@@ -4,6 +4,7 @@
 use crate::trace::Told;
 use fernroute::desk::Desk;
 use fernroute::{Balancer, Host as _, Outcome, Time};
+use fernroute_server::protocol::terms;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -116,7 +117,7 @@
         if self != Variant::Fernroute {
             return Box::new(Baseline::new(scenario, self, desk, seed));
         }
-        let terms = scenario.terms(post.tier, post.number, post.instances, post.zone);
+        let terms = terms::decode(&scenario.settings(post));
         match Balancer::new(desk, now, seed, &terms) {
             Ok(balancer) => Box::new(balancer),
             Err(missing) => unreachable!("a scenario that was checked gives all terms: {missing}"),
--- a/crates/fernroute-lab/src/scenario.rs
+++ b/crates/fernroute-lab/src/scenario.rs
@@ -1,7 +1,9 @@
 //! What a scenario file says, checked whole before anything runs: the fleet, the load, the methods, the faults.
 
-use fernroute::{Terms, Time};
+use crate::player::Post;
+use fernroute::Time;
 use serde::Deserialize;
+use serde_json::{json, Value};
 use std::path::Path;
 
 /// A file as it is written; unknown names are refused.
@@ -293,8 +295,14 @@
 
 impl Scenario {
     pub fn read(path: &Path) -> Result<Self, String> {
+        Scenario::read_with_text(path).map(|(scenario, _)| scenario)
+    }
+
+    /// The file's text beside what it says, for whoever keeps it.
+    pub fn read_with_text(path: &Path) -> Result<(Self, String), String> {
         let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        Scenario::decode(&text).map_err(|why| format!("{}: {why}", path.display()))
+        let scenario = Scenario::decode(&text).map_err(|why| format!("{}: {why}", path.display()))?;
+        Ok((scenario, text))
     }
 
     /// The first thing that will not do, with its place.
@@ -412,57 +420,56 @@
         name.and_then(|name| self.tier.iter().position(|t| t.name == *name)).unwrap_or(0)
     }
 
-    /// What a balancer of this tier is told at its start.
-    pub fn terms(&self, tier: usize, number: usize, instances: usize, zone: usize) -> Terms {
-        let r = &self.rules;
-        let mut all = Terms::new();
-        let mut put = |name: String, value: String| {
-            all.insert(name, value);
-        };
-        for (name, value) in [
-            ("instances", instances.to_string()),
-            ("number", number.to_string()),
-            ("tier", tier.to_string()),
-            ("zone", zone_name(zone)),
-            ("tick", "1".to_owned()),
-            ("list_mode", "push".to_owned()),
-            ("load.names", "utilisation".to_owned()),
-            ("limits.max_transmissions", r.max_transmissions.to_string()),
-            ("limits.cancel", "true".to_owned()),
-            ("limits.stay_away", "true".to_owned()),
-            ("limits.max_stay_away", millis(r.max_stay_away_ms).to_string()),
-            ("rules.cold_from", r.cold_from.to_string()),
-            ("rules.warm_within", seconds(r.warm_within_s).to_string()),
-            ("rules.cold_multiple", r.cold_multiple.to_string()),
-            ("rules.cold_window", seconds(r.cold_window_s).to_string()),
-            ("methods.count", self.method.len().to_string()),
-        ] {
-            put(name.to_owned(), value);
-        }
-        for (i, m) in self.method.iter().enumerate() {
-            let effect = match m.effect {
-                Effect::Retriable => "retriable",
-                Effect::Deduped => "deduped",
-                Effect::NonRetriable => "non_retriable",
-            };
-            let group = match m.group {
-                Group::All => "all",
-                Group::Zone => "zone",
-                Group::Cell => "cell",
-            };
-            for (name, value) in [
-                ("name", m.name.clone()),
-                ("effect", effect.to_owned()),
-                ("group", group.to_owned()),
-                ("window", seconds(m.window_s).to_string()),
-                ("soft_deadline", millis(m.soft_ms).to_string()),
-                ("hard_deadline", millis(m.hard_ms).to_string()),
-                ("gain", m.gain.to_string()),
-            ] {
-                put(format!("methods.{i}.{name}"), value);
-            }
+    /// How many balancers call on a tier.
+    pub fn instances(&self, tier: usize) -> usize {
+        match tier {
+            0 => self.tier[0].balancers,
+            below => self.tier[below - 1].upstreams,
         }
-        all
+    }
+
+    /// What a warm upstream of this tier and speed can do, RPCs a second.
+    pub fn rate(&self, tier: usize, speed: f64) -> f64 {
+        let of = &self.tier[tier];
+        let shares: f64 = self.method.iter().map(|m| m.share).sum();
+        let mean: f64 = self.method.iter().map(|m| m.share * m.work_ms).sum::<f64>() / shares * of.work;
+        of.cores as f64 * speed / mean * 1000.0
+    }
+
+    /// The longest that any RPC may take.
+    pub fn longest(&self) -> Time {
+        self.method.iter().map(|m| millis(m.hard_ms)).max().unwrap_or(0)
+    }
+
+    /// The platform's settings of a balancer, with its names and units.
+    pub fn settings(&self, post: Post) -> Value {
+        let r = &self.rules;
+        let methods: Vec<Value> = self
+            .method
+            .iter()
+            .map(|m| {
+                let effect = match m.effect {
+                    Effect::Retriable => "read_like",
+                    Effect::Deduped => "idempotency_key",
+                    Effect::NonRetriable => "non_idempotent",
+                };
+                let group = match m.group {
+                    Group::All => "all",
+                    Group::Zone => "zone",
+                    Group::Cell => "cell",
+                };
+                json!({"name": m.name, "effect": effect, "group": group, "window-s": m.window_s,
+                    "soft-deadline-s": m.soft_ms / 1000.0, "hard-deadline-s": m.hard_ms / 1000.0, "gain": m.gain})
+            })
+            .collect();
+        json!({
+            "n-instances": post.instances, "me": post.number, "layer": post.tier, "zone": zone_name(post.zone), "quantum-s": 0.0001,
+            "methods": methods, "feedback": {"names": ["cpu"]}, "membership-mode": "automatic",
+            "ceilings": {"max-transmissions": r.max_transmissions, "cancel": true, "connect-timeout-s": 0.25,
+                "keepalive-s": 30, "retry-after": true, "max-retry-after-s": r.max_stay_away_ms / 1000.0},
+            "contract": {"cold-from": r.cold_from, "warm-within-s": r.warm_within_s, "tip-multiple": r.cold_multiple,
+                "overload-for-s": r.cold_window_s, "drain-grace-s": r.drain_grace_ms / 1000.0},
+        })
     }
 }
 
--- a/crates/fernroute-lab/src/upstream.rs
+++ b/crates/fernroute-lab/src/upstream.rs
@@ -16,6 +16,15 @@
     Silent,
 }
 
+impl State {
+    pub fn serves(self) -> bool {
+        matches!(self, State::Up | State::Draining)
+    }
+}
+
+/// Reports are kept for as long as the latest fault may delay them.
+pub const KEEP: f64 = 60.0;
+
 /// One transmission, as the upstream has it.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -115,10 +124,6 @@
         }
     }
 
-    pub fn serves(&self) -> bool {
-        matches!(self.state, State::Up | State::Draining)
-    }
-
     /// Starts again from nothing, cold.
     pub fn restart(&mut self, now: Time) {
         let afflicted = std::mem::take(&mut self.afflicted);
@@ -166,12 +171,12 @@
     }
 
     /// Makes a report, and judges by it whether the upstream chokes or has recovered.
-    pub fn report(&mut self, now: Time, period: Time, keep: Time, choke: Option<&Choke>) {
+    pub fn report(&mut self, now: Time, period: Time, choke: Option<&Choke>) {
         self.account(now);
         let used = (self.used - self.used_at_report) as f64 / (period as f64 * self.cores as f64);
         self.used_at_report = self.used;
         self.reports.push_back((now, used.min(1.0)));
-        while self.reports.len() > 1 && self.reports[1].0 + keep < now {
+        while self.reports.len() > 1 && self.reports[1].0 + seconds(KEEP) < now {
             self.reports.pop_front();
         }
         let Some(c) = choke else { return };
--- a/crates/fernroute-lab/src/world.rs
+++ b/crates/fernroute-lab/src/world.rs
@@ -1,14 +1,13 @@
 //! A fleet in virtual time. Events that fall on one instant happen in the order in which they were set down.
 
-use crate::books::{Books, Ends};
-use crate::demand::{stream, Arrivals, Want, CHANCE};
+use crate::books::Books;
+use crate::demand::{balancer_seed, stream, victims, Arrivals, Want, CHANCE, LINGER};
 use crate::player::{Entry, Maker, Player, Post};
 use crate::scenario::{millis, seconds, Fault, Kind, Scenario};
 use crate::trace::{Event, Final, Told, Witness};
-use crate::upstream::{Affliction, Job, State, Upstream};
+use crate::upstream::{Affliction, Job, State, Upstream, KEEP};
 use fernroute::desk::{Act, Desk};
 use fernroute::{Outcome, Time};
-use rand::seq::SliceRandom as _;
 use rand::RngExt as _;
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -19,11 +18,10 @@
 #[derive(Debug)]
 enum Due {
     Arrival,
-    Try { request: u64, balancer: Option<usize> },
+    Try { request: u64 },
     Reach { node: usize, upstream: usize, life: u32, job: Box<Job> },
     CoreDone { upstream: usize, life: u32, job: u64 },
     Back { node: usize, rpc: Rc<str>, tx: usize, outcome: Outcome, load: f64 },
-    TimeOut { node: usize, rpc: Rc<str>, tx: usize },
     Stopped { node: usize, rpc: Rc<str>, tx: usize, outcome: Outcome },
     Timer { node: usize, token: String },
     Leave { node: usize, rpc: Rc<str> },
@@ -141,7 +139,7 @@
         };
         for (tier, of) in scenario.tier.iter().enumerate() {
             for place in 0..of.upstreams {
-                world.new_upstream(tier, place);
+                world.new_upstream(tier, place % of.zones, place / of.cell);
             }
         }
         for upstream in 0..world.upstreams.len() {
@@ -172,7 +170,7 @@
 
     /// Plays to the end of the last RPC that may still be answered.
     pub fn play(mut self) -> (Books, usize) {
-        let longest = self.scenario.method.iter().map(|m| millis(m.hard_ms)).max().unwrap_or(0);
+        let longest = self.scenario.longest();
         let tries = u64::from(self.scenario.load.retries) + 1;
         let last = self.end + tries * (longest + millis(self.scenario.rules.max_stay_away_ms)) + seconds(1.0);
         while let Some(Reverse((at, place))) = self.queue.pop() {
@@ -191,21 +189,16 @@
         (self.books, self.most_held)
     }
 
-    pub fn ends(&self) -> Ends {
-        self.books.ends
-    }
-
     fn happen(&mut self, due: Due) {
         match due {
             Due::Arrival => {
                 self.arrive();
                 self.next_arrival();
             }
-            Due::Try { request, balancer } => self.ask(request, balancer),
+            Due::Try { request } => self.ask(request, None),
             Due::Reach { node, upstream, life, job } => self.reach(node, upstream, life, *job),
             Due::CoreDone { upstream, life, job } => self.core_done(upstream, life, job),
             Due::Back { node, rpc, tx, outcome, load } => self.ended(node, &rpc, tx, outcome, load),
-            Due::TimeOut { node, rpc, tx } => self.give_up(node, &rpc, tx, Outcome::TimedOut),
             Due::Stopped { node, rpc, tx, outcome } => self.give_up(node, &rpc, tx, outcome),
             Due::Timer { node, token } => {
                 let now = self.now;
@@ -229,13 +222,12 @@
 
     // ------------------------------------------------------------------------------------------------ fleet
 
-    fn new_upstream(&mut self, tier: usize, place: usize) -> usize {
+    fn new_upstream(&mut self, tier: usize, zone: usize, cell: usize) -> usize {
         let of = &self.scenario.tier[tier];
         let number = self.upstreams.len();
         let name: Rc<str> = Rc::from(format!("{}-{number}", of.name));
         let speed = 1.0 + of.unlike * (2.0 * self.chance.random::<f64>() - 1.0);
-        let at = (place % of.zones, place / of.cell);
-        self.upstreams.push(Upstream::new(Rc::clone(&name), tier, of, at, speed, self.now));
+        self.upstreams.push(Upstream::new(Rc::clone(&name), tier, of, (zone, cell), speed, self.now));
         self.by_name.insert(name, number);
         self.started(number);
         // Reports of a fleet are not in step.
@@ -246,11 +238,7 @@
 
     fn started(&mut self, number: usize) {
         let u = &self.upstreams[number];
-        let of = &self.scenario.tier[u.tier];
-        let shares: f64 = self.scenario.method.iter().map(|m| m.share).sum();
-        let mean: f64 =
-            self.scenario.method.iter().map(|m| m.share * m.work_ms).sum::<f64>() / shares * of.work;
-        let rate = of.cores as f64 * u.speed / mean * 1000.0;
+        let rate = self.scenario.rate(u.tier, u.speed);
         let (zone, cell, cold) = (u.zone, u.cell, u.cold);
         self.tell(&Event::Started { upstream: number, zone, cell, rate, cold });
     }
@@ -265,12 +253,9 @@
     }
 
     fn new_node(&mut self, tier: usize, number: usize, zone: usize) -> usize {
-        let instances = match tier {
-            0 => self.scenario.tier[0].balancers,
-            below => self.scenario.tier[below - 1].upstreams,
-        };
-        let (desk, post) = (Desk::default(), Post { tier, number, instances, zone });
-        let seed = self.seed ^ (self.nodes.len() as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let (desk, instances) = (Desk::default(), self.scenario.instances(tier));
+        let post = Post { tier, number, instances, zone };
+        let seed = balancer_seed(self.seed, self.nodes.len());
         let player = (self.make)(self.scenario, post, desk.clone(), self.now, seed);
         let node = self.nodes.len();
         self.nodes.push(Node { tier, zone, alive: true, player, desk, open: BTreeMap::new() });
@@ -316,17 +301,22 @@
     }
 
     fn report(&mut self, upstream: usize) {
-        /// Reports are kept for as long as the latest fault may delay them.
-        const KEEP: f64 = 60.0;
         let of = &self.scenario.tier[self.upstreams[upstream].tier];
         let period = millis(of.report_ms);
         let u = &mut self.upstreams[upstream];
-        u.report(self.now, period, seconds(KEEP), of.choke.as_ref());
+        u.report(self.now, period, of.choke.as_ref());
         if self.now < self.end + seconds(KEEP) {
             self.set(self.now + period, Due::Report { upstream });
         }
     }
 
+    /// The report that an answer of this upstream carries now.
+    fn load(&self, upstream: usize) -> f64 {
+        let u = &self.upstreams[upstream];
+        let late = millis(self.scenario.tier[u.tier].report_late_ms);
+        u.reported(self.now, late + self.reports_late.values().sum::<Time>())
+    }
+
     fn delay(&mut self, a: usize, b: usize) -> Time {
         let n = &self.scenario.network;
         let ms = if a == b { n.same_zone_ms } else { n.cross_zone_ms };
@@ -444,7 +434,8 @@
             void: false,
         };
         self.set(now + delay, Due::Reach { node, upstream, life, job: Box::new(job) });
-        self.set(now + time_out, Due::TimeOut { node, rpc: Rc::clone(rpc), tx });
+        let outcome = Outcome::TimedOut;
+        self.set(now + time_out, Due::Stopped { node, rpc: Rc::clone(rpc), tx, outcome });
     }
 
     /// A transmission that its balancer gives up, if it is still out.
@@ -512,7 +503,7 @@
             }
             Final::Exhausted if request.tries <= self.scenario.load.retries => {
                 let wait = if stay_away > 0 { stay_away } else { millis(self.scenario.load.backoff_ms) };
-                self.set(self.now + wait.max(1), Due::Try { request: number, balancer: None });
+                self.set(self.now + wait.max(1), Due::Try { request: number });
             }
             Final::Exhausted => {
                 self.requests.remove(&number);
@@ -561,9 +552,7 @@
         let back = self.delay(self.upstreams[upstream].zone, self.nodes[node].zone);
         let u = &self.upstreams[upstream];
         let (rpc, tx) = (Rc::clone(&job.rpc), job.tx);
-        let late =
-            millis(self.scenario.tier[u.tier].report_late_ms) + self.reports_late.values().sum::<Time>();
-        let load = u.reported(self.now, late);
+        let load = self.load(upstream);
         let say = |outcome, load| Due::Back { node, rpc, tx, outcome, load };
         let at = self.now + back;
         if u.state == State::Silent {
@@ -665,10 +654,8 @@
 
     fn done(&mut self, upstream: usize, number: u64, outcome: Outcome) {
         let Some((_, job)) = self.jobs.remove(&number) else { return };
-        let u = &self.upstreams[upstream];
-        let of = &self.scenario.tier[u.tier];
-        let late = millis(of.report_late_ms) + self.reports_late.values().sum::<Time>();
-        let (load, zone) = (u.reported(self.now, late), u.zone);
+        let of = &self.scenario.tier[self.upstreams[upstream].tier];
+        let (load, zone) = (self.load(upstream), self.upstreams[upstream].zone);
         let back = self.delay(zone, self.nodes[job.node].zone);
         let (node, rpc, tx) = (job.node, job.rpc, job.tx);
         self.set(self.now + back, Due::Back { node, rpc, tx, outcome, load });
@@ -720,14 +707,8 @@
         let fault = &self.scenario.fault[i];
         let tier = self.scenario.tier_of(fault);
         let up = |n: &usize| self.upstreams[*n].tier == tier && self.upstreams[*n].state == State::Up;
-        let mut all: Vec<usize> = (0..self.upstreams.len()).filter(up).collect();
-        if fault.kind == Kind::ZoneLoss {
-            all.retain(|n| self.upstreams[*n].zone == fault.size as usize);
-        } else {
-            // Who is hit does not depend on who decides.
-            all.shuffle(&mut stream(self.seed, (i as u64 + 1) << 16));
-            all.truncate((all.len() as f64 * fault.part).round() as usize);
-        }
+        let all = (0..self.upstreams.len()).filter(up).map(|n| (n, self.upstreams[n].zone)).collect();
+        let all = victims(fault, i, self.seed, all);
         let steps = match fault.kind {
             Kind::Replace => all.len(),
             Kind::BalancerRestart => self.first.len(),
@@ -786,8 +767,6 @@
     }
 
     fn fault_step(&mut self, i: usize, n: usize) {
-        /// A drained upstream ends when it has been told for so long: longer than most RPCs take.
-        const LINGER: f64 = 6.0;
         let fault = &self.scenario.fault[i];
         let d = &self.scenario.discovery;
         let hit = self.victims.get(&i).cloned().unwrap_or_default();
@@ -801,20 +780,18 @@
                 self.announce(old, Told::Drains, millis(d.late_ms));
                 let life = self.upstreams[old].life;
                 self.set(self.now + millis(d.late_ms) + seconds(LINGER), Due::Retire { upstream: old, life });
-                // In the place of the old one: zone and cell go by place.
+                // In the place of the old one.
                 let (tier, zone, cell) = {
                     let u = &self.upstreams[old];
                     (u.tier, u.zone, u.cell)
                 };
-                let new = self.new_upstream(tier, zone);
-                (self.upstreams[new].zone, self.upstreams[new].cell) = (zone, cell);
-                self.started(new);
+                let new = self.new_upstream(tier, zone, cell);
                 self.new_balancer_of(new);
                 self.announce(new, Told::Ready, millis(d.late_ms));
             }
             Kind::Flap => {
                 for u in hit {
-                    if n.is_multiple_of(2) && self.upstreams[u].serves() {
+                    if n.is_multiple_of(2) && self.upstreams[u].state.serves() {
                         self.die(u, State::Dead);
                         self.announce(u, Told::Gone, millis(d.late_ms));
                     } else if !n.is_multiple_of(2) && self.upstreams[u].state == State::Dead {
@@ -844,7 +821,9 @@
         for n in self.victims.remove(&i).unwrap_or_default() {
             self.upstreams[n].afflicted.remove(&i);
             match fault.kind {
-                Kind::Crash | Kind::Vanish | Kind::ZoneLoss | Kind::Flap if !self.upstreams[n].serves() => {
+                Kind::Crash | Kind::Vanish | Kind::ZoneLoss | Kind::Flap
+                    if !self.upstreams[n].state.serves() =>
+                {
                     self.revive(n);
                 }
                 Kind::Drain if self.upstreams[n].state == State::Draining => {
--- a/crates/fernroute-lab/tests/common/mod.rs
+++ b/crates/fernroute-lab/tests/common/mod.rs
@@ -43,6 +43,29 @@
     ))
 }
 
+/// A folder of a test's own, gone with it.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("fernroute-lab-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+
+    pub fn put(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("it is written");
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 pub fn decode(text: &str) -> Scenario {
     Scenario::decode(text).expect("the scenario will do")
 }
--- a/crates/fernroute-lab/tests/files.rs
+++ b/crates/fernroute-lab/tests/files.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
+use common::Folder;
 use fernroute_lab::scenario::Scenario;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Command, Output};
 
 const GOOD: &str = r#"name = "good"
@@ -55,27 +56,6 @@
     }
 }
 
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("fernroute-lab-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&path).expect("a folder");
-        Folder(path)
-    }
-    fn put(&self, name: &str, text: &str) -> PathBuf {
-        let path = self.0.join(name);
-        std::fs::write(&path, text).expect("it is written");
-        path
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn lab(words: &[&Path]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_fernroute-lab")).args(words).output().expect("it runs")
 }
--- a/crates/fernroute-lab/tests/live.rs
+++ b/crates/fernroute-lab/tests/live.rs
@@ -2,11 +2,10 @@
 
 mod common;
 
-use common::decode;
+use common::{decode, Folder};
 use fernroute_lab::books::Books;
 use fernroute_lab::live::{run, Report};
 use fernroute_lab::scenario::Scenario;
-use std::path::PathBuf;
 use std::time::Duration;
 
 /// Two tiers, and room enough that a slow machine changes no verdict.
@@ -27,22 +26,6 @@
     ))
 }
 
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("fernroute-live-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&path).expect("a folder");
-        Folder(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn played(name: &str, faults: &str) -> Report {
     let folder = Folder::new(name);
     let program = [env!("CARGO_BIN_EXE_fernroute-lab").to_owned(), "balancer".to_owned()];
--- a/crates/fernroute-server/src/program/commands.rs
+++ b/crates/fernroute-server/src/program/commands.rs
@@ -45,14 +45,9 @@
 
 /// Runs one command. Bad use and bad files are one line on standard error and exit with 2.
 pub fn run(arguments: Vec<String>) -> ExitCode {
-    let words: Vec<&str> = arguments.iter().skip(1).map(String::as_str).collect();
-    let line = match Line::from_args(&["fernroute"], &words) {
+    let line: Line = match parse("fernroute", &arguments) {
         Ok(line) => line,
-        Err(early) if early.status.is_ok() => {
-            println!("{}", early.output);
-            return ExitCode::SUCCESS;
-        }
-        Err(early) => return refuse(&early.output),
+        Err(code) => return code,
     };
     match line.command {
         Command::Version(Version {}) => {
@@ -68,14 +63,15 @@
                 );
                 ExitCode::SUCCESS
             }
-            Err(why) => refuse(&why),
+            Err(why) => refuse("fernroute", &why),
         },
         Command::Serve(Serve { config }) => match read(config) {
             Ok((station, path)) => {
                 log::start(&station.name);
-                serve::serve(station, &path).map_or_else(|why| refuse(&why), |()| ExitCode::SUCCESS)
+                serve::serve(station, &path)
+                    .map_or_else(|why| refuse("fernroute", &why), |()| ExitCode::SUCCESS)
             }
-            Err(why) => refuse(&why),
+            Err(why) => refuse("fernroute", &why),
         },
     }
 }
@@ -86,7 +82,19 @@
     Ok((Station::read(&path)?, path))
 }
 
-fn refuse(why: &str) -> ExitCode {
-    eprintln!("fernroute: {}", why.split_whitespace().collect::<Vec<_>>().join(" "));
+/// The words after a program's name, or the code to end with where it has said all there is to say.
+pub fn parse<L: FromArgs>(program: &str, arguments: &[String]) -> Result<L, ExitCode> {
+    let words: Vec<&str> = arguments.iter().skip(1).map(String::as_str).collect();
+    L::from_args(&[program], &words).map_err(|early| {
+        if early.status.is_err() {
+            return refuse(program, &early.output);
+        }
+        println!("{}", early.output);
+        ExitCode::SUCCESS
+    })
+}
+
+pub fn refuse(program: &str, why: &str) -> ExitCode {
+    eprintln!("{program}: {}", why.split_whitespace().collect::<Vec<_>>().join(" "));
     ExitCode::from(2)
 }
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -4,6 +4,7 @@
 use crate::protocol::terms;
 use fernroute::desk::Desk;
 use fernroute::{Balancer, Terms};
+use fernroute_config::{LEAST_DESCRIPTORS, USUAL_DESCRIPTORS};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -46,15 +47,10 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        /// What a process commonly gets where nothing is said.
-        const USUAL: usize = 1024;
-        Limits { sockets: USUAL }
+        Limits { sockets: USUAL_DESCRIPTORS }
     }
 }
 
-/// Below this there is no room for callers and upstreams beside the program's own descriptors.
-const LEAST_DESCRIPTORS: usize = 64;
-
 impl Station {
     pub fn read(path: &Path) -> Result<Self, String> {
         let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
