Operators' door with figures and drain; drain and SIGTERM are phases of one value

Change: a listener at ops or $NODE_OPS with eight places of its own, one call to a connection; figures counted once each as RPCs are taken and end, the rest read from the tables and, by a read-only call, from the decisions; draining and leaving are states of one value without I/O that says how far the closing of connections has come.

Ruled out: a second library server for the door (keeps connections, has time-outs of its own).

--- a/crates/fernroute-config/src/lib.rs
+++ b/crates/fernroute-config/src/lib.rs
@@ -14,6 +14,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators are answered, if anywhere.
+    pub ops: Option<SocketAddr>,
     /// None where the file names none: then each start has another.
     pub seed: Option<u64>,
     pub descriptors: usize,
@@ -82,6 +84,7 @@
     ("name", "", Text, true),
     ("listen", "", Address, true),
     ("discovery", "", Address, true),
+    ("ops", "", Address, false),
     ("seed", "", Hex, false),
     ("descriptors", "", Count(LEAST_DESCRIPTORS as f64, MANY), false),
     ("place.instances", "instances", Count(1.0, MANY), false),
@@ -302,6 +305,10 @@
         let of = |place: &str| self.values.get(place).cloned();
         let number = |place: &str| of(place).and_then(|(v, line)| Some((v.parse::<f64>().ok()?, line)));
         let mut found: Vec<(usize, String, String)> = Vec::new();
+        if let Some((ops, line)) = of("ops").filter(|(ops, _)| of("listen").is_some_and(|(at, _)| at == *ops))
+        {
+            found.push((line, "ops".to_owned(), format!("{ops} is where callers are served")));
+        }
         if let Some((me, line)) = number("place.number") {
             let told = number("place.instances").map(|(all, _)| all);
             let all = told.unwrap_or(1.0);
@@ -382,6 +389,7 @@
             name: text("name").unwrap_or_default(),
             listen: address("listen"),
             discovery: address("discovery"),
+            ops: text("ops").and_then(|t| t.parse().ok()),
             seed: text("seed").and_then(|t| u64::from_str_radix(&t, 16).ok()),
             descriptors: text("descriptors").and_then(|t| t.parse().ok()).unwrap_or(USUAL_DESCRIPTORS),
             upstreams: (0..self.lists.get("upstream").map_or(0, Vec::len)).map(upstream).collect(),
--- a/crates/fernroute-config/tests/files.rs
+++ b/crates/fernroute-config/tests/files.rs
@@ -77,6 +77,12 @@
         ("name = \"n0\"", "name = \"n0", "line 1: "),
         ("\"127.0.0.1:9000\"", "\"localhost\"", "line 2: listen: is no address with a port"),
         ("[place]", "seed = \"xyz\"\n[place]", "line 5: seed: is no text of up to 16"),
+        ("[place]", "ops = 9600\n[place]", "line 5: ops: is no address with a port"),
+        (
+            "[place]",
+            "ops = \"127.0.0.1:9000\"\n[place]",
+            "line 5: ops: 127.0.0.1:9000 is where callers are served",
+        ),
         ("[place]", "descriptors = 10\n[place]", "line 5: descriptors: 10 is not between 64 and 1000000"),
         ("instances = 4", "instances = 4.5", "line 6: place.instances: 4.5 is not whole"),
         ("number = 3", "number = 4", "line 7: place.number: 4 of 4: the first is 0"),
--- a/crates/fernroute-server/src/program/mod.rs
+++ b/crates/fernroute-server/src/program/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod commands;
 pub mod log;
+pub mod ops;
 pub mod reload;
 pub mod serve;
 pub mod shutdown;
--- /dev/null
+++ b/crates/fernroute-server/src/program/ops.rs
@@ -0,0 +1,42 @@
+//! What operators' calls do.
+
+use crate::protocol::ops::{Call, Reply};
+use crate::routing::switchboard::Switchboard;
+use crate::transport::door;
+use actix_http::StatusCode;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+
+/// Opens the door; returns where it is.
+pub async fn open(at: SocketAddr, board: &Rc<Switchboard>) -> Result<SocketAddr, String> {
+    let trouble = |e| format!("operators' door at {at}: {e}");
+    let listener = TcpListener::bind(at).await.map_err(trouble)?;
+    let address = listener.local_addr().map_err(trouble)?;
+    let board = Rc::clone(board);
+    actix_rt::spawn(door::run(listener, move |call| answer(&board, call)));
+    Ok(address)
+}
+
+fn answer(board: &Rc<Switchboard>, call: Call) -> Reply {
+    match call {
+        Call::Ready if board.is_ready() => Reply::plain(StatusCode::OK, "ready"),
+        Call::Ready => Reply::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+        Call::Metrics => Reply::figures(&board.figures()),
+        Call::Drain => {
+            if board.phase_change(|phase, now| phase.drain(now)) {
+                log::info!("told to drain");
+            }
+            Reply::plain(StatusCode::OK, "draining")
+        }
+        Call::Resume => {
+            if board.phase_change(|phase, now| phase.resume(now)) {
+                log::info!("told to resume");
+            }
+            match board.phase.get().is_ready() {
+                true => Reply::plain(StatusCode::OK, "serving"),
+                false => Reply::plain(StatusCode::CONFLICT, "told to stop"),
+            }
+        }
+    }
+}
--- a/crates/fernroute-server/src/program/shutdown.rs
+++ b/crates/fernroute-server/src/program/shutdown.rs
@@ -1,5 +1,6 @@
-//! The orderly end of a balancer.
+//! The orderly end of a balancer; its times stand with the other ways out of service, in `routing/phase.rs`.
 
+use crate::routing::phase::Closing;
 use crate::routing::switchboard::Switchboard;
 use crate::transport::server::Server;
 use futures_util::future::select;
@@ -9,16 +10,8 @@
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 
-/// For so long clients may still be sent here after it stopped to be ready.
-const NOTICE: Duration = Duration::from_millis(500);
-
-/// A balancer is killed no sooner than the longest deadline, of this at most, and 0.7 s more after it was told to
-/// stop; two tenths are left for a busy machine.
-const LONGEST: Duration = Duration::from_secs(3);
-const LAST: Duration = Duration::from_millis(500);
-
-/// Callers are kept as long as there is this much time for their RPCs: few take longer.
-const ROOM: Duration = Duration::from_millis(1800);
+/// How often the phase is looked at: its times are to a twentieth of a second.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// Ends when the program is told to stop.
 pub fn signals() -> Result<impl Future<Output = ()>, String> {
@@ -31,18 +24,21 @@
 }
 
 /// Not ready any more; serves on while clients still come and those that are here may be served, then ends each
-/// connection with its answer. Guards against clients with nowhere to go, as when the balancer that was restarted
-/// before this one is not back yet, and against an RPC that is open when the balancer is killed.
+/// connection with its answer. Guards against an RPC that is open when the balancer is killed.
 pub async fn leave(board: &Rc<Switchboard>, server: &Server) {
     log::info!("told to stop");
-    board.leaving.set(true);
-    let last = board.longest_deadline.min(LONGEST) + LAST;
-    let notice = last.saturating_sub(ROOM).max(NOTICE);
-    actix_rt::time::sleep(notice).await;
-    board.last_answers.set(true);
+    board.phase_change(|phase, now| phase.leave(now));
+    until(board, Closing::Idle).await;
     let mut end = pin!(server.end());
-    if actix_rt::time::timeout(last.saturating_sub(notice), &mut end).await.is_err() {
+    let errored = until(board, Closing::Open);
+    if let futures_util::future::Either::Right(_) = select(&mut end, pin!(errored)).await {
         board.error_all();
         end.await;
     }
 }
+
+async fn until(board: &Switchboard, closing: Closing) {
+    while board.closing() < closing {
+        actix_rt::time::sleep(LOOK).await;
+    }
+}
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -16,6 +16,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators are answered, if anywhere.
+    pub ops: Option<SocketAddr>,
     pub seed: u64,
     /// The most descriptors that the program may hold.
     pub descriptors: usize,
@@ -32,6 +34,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    ops: Option<SocketAddr>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -56,7 +59,19 @@
         let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
         let own = path.extension().is_some_and(|e| e == "toml");
         let station = if own { Station::decode_own(&text) } else { Station::decode(&text) };
-        station.map_err(|e| format!("{}: {e}", path.display()))
+        let station = station.map_err(|e| format!("{}: {e}", path.display()))?;
+        station.with_door(std::env::var("NODE_OPS").ok().as_deref())
+    }
+
+    /// The operators' address from the environment comes before the file's: a tool sets it for one start.
+    fn with_door(mut self, named: Option<&str>) -> Result<Self, String> {
+        if let Some(named) = named.filter(|named| !named.is_empty()) {
+            self.ops = Some(named.parse().map_err(|e| format!("$NODE_OPS: {named}: {e}"))?);
+        }
+        if self.ops == Some(self.listen) && self.listen.port() != 0 {
+            return Err(format!("ops and listen are both {}", self.listen));
+        }
+        Ok(self)
     }
 
     /// A file of an installation of its own; all that is wrong with it, in one line.
@@ -79,6 +94,7 @@
             name: plan.name,
             listen: plan.listen,
             discovery: plan.discovery,
+            ops: plan.ops,
             seed: plan.seed.unwrap_or_else(by_clock),
             descriptors: plan.descriptors,
             known,
@@ -100,6 +116,7 @@
             name: page.name,
             listen: page.listen,
             discovery: page.discovery,
+            ops: page.ops,
             seed: u64::from_str_radix(&page.seed, 16).map_err(|e| format!("seed: {e}"))?,
             descriptors: page.limits.sockets,
             since: known.as_ref().map(|known| known.version),
@@ -115,6 +132,7 @@
         let mut note = |differs: bool, name: &str| what.extend(differs.then(|| name.to_owned()));
         note(self.name != new.name, "name");
         note(self.listen != new.listen, "listen");
+        note(self.ops != new.ops, "ops");
         note(self.descriptors != new.descriptors, "limits.sockets");
         for name in self.terms.keys().chain(new.terms.keys().filter(|n| !self.terms.contains_key(*n))) {
             let path = format!("settings.{}", fernroute_terms::path(name));
--- a/crates/fernroute-server/src/protocol/mod.rs
+++ b/crates/fernroute-server/src/protocol/mod.rs
@@ -5,5 +5,6 @@
 pub mod list;
 pub mod load;
 pub mod names;
+pub mod ops;
 pub mod request;
 pub mod terms;
--- a/crates/fernroute-server/src/routing/admit.rs
+++ b/crates/fernroute-server/src/routing/admit.rs
@@ -1,6 +1,7 @@
 //! Puts an RPC before the decisions, and waits for its final answer.
 
 use super::switchboard::{Open, Switchboard};
+use super::tally::End;
 use crate::protocol::answer::Final;
 use crate::protocol::request::{Request, Unfit};
 use actix_http::StatusCode;
@@ -31,10 +32,13 @@
         let request = Rc::new(request);
         let open = Open { request: Rc::clone(&request), answer: Some(answer), made: 0, out: BTreeMap::new() };
         self.open.borrow_mut().insert(Rc::clone(&rpc), open);
+        let mut taken = self.tally.take(&request.method);
         let _caller = Caller { board: Rc::clone(self), rpc: Rc::clone(&rpc) };
         self.decide(Some(&rpc), |b, now| {
             b.rpc_arrived(now, &rpc, &request.method, &request.tenant, request.time_left);
         });
-        Ok(waiting.await.unwrap_or(Final::Errored))
+        let last = waiting.await.unwrap_or(Final::Errored);
+        taken.end(End::of(&last));
+        Ok(last)
     }
 }
--- a/crates/fernroute-server/src/routing/mod.rs
+++ b/crates/fernroute-server/src/routing/mod.rs
@@ -3,9 +3,11 @@
 pub mod admit;
 pub mod book;
 pub mod clock;
+pub mod phase;
 pub mod relay;
 pub mod route;
 pub mod send;
 pub mod switchboard;
 pub mod take_in;
+pub mod tally;
 pub mod timers;
--- a/crates/fernroute-server/src/routing/relay.rs
+++ b/crates/fernroute-server/src/routing/relay.rs
@@ -1,5 +1,6 @@
 //! The final answer, on its way to the caller.
 
+use super::phase::Closing;
 use super::switchboard::Switchboard;
 use crate::protocol::answer::Final;
 use actix_http::body::BoxBody;
@@ -18,9 +19,9 @@
     }
 }
 
-/// When the program ends, each answer is the last on its connection.
+/// On the way out of service each answer is the last on its connection.
 pub fn close_if_last(board: &Switchboard, mut response: Response<BoxBody>) -> Response<BoxBody> {
-    if board.last_answers.get() {
+    if board.closing() >= Closing::Answered {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -41,7 +41,7 @@
         let Some(line) = line else { return Err(Outcome::Moot) };
         let (verb, uri, headers) = request.encode(line.address, time_out);
         let call = Call { verb, uri, headers, body: request.body.clone(), fresh: request.once };
-        let course = Rc::<Course>::default();
+        let course = Course::counted(&self.tally.written);
         let result = {
             let call = pin!(line.call(call, &course));
             // Dropping the call at the end of this block closes its connection.
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -1,10 +1,13 @@
 //! What the stages share: the balancer, the open RPCs, the addresses, the timers.
 
 use super::clock::{self, Clock};
+use super::phase::{Closing, Phase};
+use super::tally::Tally;
 use super::timers::{Due, Timers};
 use crate::protocol::answer::{Final, MOST_ANSWER};
 use crate::protocol::list::{List, State};
 use crate::protocol::load::Gauges;
+use crate::protocol::ops::Figures;
 use crate::protocol::request::{Request, Shape};
 use crate::transport::client::{Client, Line};
 use fernroute::desk::{Act, Desk};
@@ -50,12 +53,9 @@
     pub client: Client,
     pub methods: Vec<Shape>,
     pub gauges: Gauges,
-    /// The longest that the terms give any RPC; without end where they do not tell.
-    pub longest_deadline: Duration,
-    /// Told to stop: not ready any more.
-    pub leaving: Cell<bool>,
-    /// Answers end their connections.
-    pub last_answers: Cell<bool>,
+    /// In service, or on the way out of it.
+    pub phase: Cell<Phase>,
+    pub tally: Rc<Tally>,
 }
 
 impl Switchboard {
@@ -72,15 +72,19 @@
             let term = |what: &str| terms.get(&format!("methods.{i}.{what}"));
             Some(Shape::new(term("name")?.clone(), term("effect")?))
         };
+        let methods: Vec<Shape> = (0..count).filter_map(method).collect();
         let gauges = terms.get("load.names").map_or("", String::as_str);
-        let time = |name: &str| terms.get(name).and_then(|t| t.parse::<Time>().ok()).map(clock::duration);
+        let term_time = |name: &str| terms.get(name).and_then(|t| t.parse::<Time>().ok());
+        let time = |name: &str| term_time(name).map(clock::duration);
         let client = Client::new(
             time("limits.connect_time_out").unwrap_or(CONNECT),
             time("limits.keep_alive").unwrap_or(KEEP),
             connections,
             MOST_ANSWER,
         );
-        let deadline = |i: usize| time(&format!("methods.{i}.hard_deadline")).unwrap_or(Duration::MAX);
+        // Without end where the terms do not tell.
+        let deadline = |i: usize| term_time(&format!("methods.{i}.hard_deadline")).unwrap_or(Time::MAX);
+        let longest = (0..count).map(deadline).max().unwrap_or(Time::MAX);
         let board = Rc::new(Switchboard {
             clock,
             balancer: RefCell::new(balancer),
@@ -90,18 +94,43 @@
             timers: Timers::default(),
             follow: Rc::default(),
             client,
-            methods: (0..count).filter_map(method).collect(),
+            tally: Tally::new(methods.iter().map(|m| &m.name)),
+            methods,
             gauges: Gauges(gauges.split(',').map(str::to_owned).collect()),
-            longest_deadline: (0..count).map(deadline).max().unwrap_or(Duration::MAX),
-            leaving: Cell::new(false),
-            last_answers: Cell::new(false),
+            phase: Cell::new(Phase::new(longest)),
         });
         board.act();
         Ok(board)
     }
 
     pub fn is_ready(&self) -> bool {
-        !self.leaving.get() && !self.lines.borrow().is_empty()
+        self.phase.get().is_ready() && !self.lines.borrow().is_empty()
+    }
+
+    /// Tells whether that made a difference.
+    pub fn phase_change(&self, change: impl FnOnce(&mut Phase, Time)) -> bool {
+        let (before, mut phase) = (self.phase.get(), self.phase.get());
+        change(&mut phase, self.clock.now());
+        self.phase.set(phase);
+        phase != before
+    }
+
+    /// How far the closing of callers' connections has come.
+    pub fn closing(&self) -> Closing {
+        self.phase.get().closing(self.clock.now())
+    }
+
+    pub fn figures(&self) -> Figures {
+        let (listed, avoided) = self.balancer.borrow().standing();
+        Figures {
+            ends: self.tally.ends.borrow().clone(),
+            taken: self.tally.taken.get(),
+            left: self.tally.left.get(),
+            outstanding: self.open.borrow().values().filter(|rpc| rpc.answer.is_some()).count(),
+            transmissions: self.tally.written.get(),
+            listed,
+            avoided,
+        }
     }
 
     /// Calls the balancer, then does what it asked for. A panic in there stops at the RPC that met it.
--- a/crates/fernroute-server/src/transport/inbound.rs
+++ b/crates/fernroute-server/src/transport/inbound.rs
@@ -85,7 +85,12 @@
 
     /// Closes the connection as soon as nothing is open on it and nothing more has come.
     pub fn end(&self) {
-        self.ending.set(true);
+        self.set_ending(true);
+    }
+
+    /// The same, or takes it back.
+    pub fn set_ending(&self, ending: bool) {
+        self.ending.set(ending);
         self.wake.notify_one();
     }
 
--- a/crates/fernroute-server/src/transport/mod.rs
+++ b/crates/fernroute-server/src/transport/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod discovery;
+pub mod door;
 mod framing;
 pub mod inbound;
 pub mod outbound;
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -35,6 +35,8 @@
     /// It never left, for want of connections here.
     held_back: Cell<bool>,
     seat: RefCell<Option<Rc<Seat>>>,
+    /// Counts transmissions whose last byte is out.
+    written: Rc<Cell<u64>>,
 }
 
 tokio::task_local! {
@@ -43,6 +45,10 @@
 }
 
 impl Course {
+    pub fn counted(written: &Rc<Cell<u64>>) -> Rc<Self> {
+        Rc::new(Course { written: Rc::clone(written), ..Course::default() })
+    }
+
     pub fn reached(&self) -> Reached {
         self.reached.get()
     }
@@ -67,6 +73,9 @@
     }
 
     fn come_to(&self, reached: Reached) {
+        if self.reached.get() < Reached::Written && reached >= Reached::Written {
+            self.written.set(self.written.get() + 1);
+        }
         self.reached.set(self.reached.get().max(reached));
     }
 }
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -177,8 +177,13 @@
         }
     }
 
-    pub fn sweep(&self) {
+    /// `ending`: connections that are idle go, and those that become idle, until it is said otherwise.
+    pub fn sweep(&self, ending: bool) {
+        let changed = self.ending.replace(ending) != ending;
         for visit in self.visits.borrow().iter() {
+            if changed {
+                visit.set_ending(ending);
+            }
             let for_long = |time| visit.since().elapsed() >= time;
             if visit.is_partial() && for_long(COMING) || visit.is_ending() && for_long(IDLE + COMING) {
                 visit.cut();
--- a/crates/fernroute-server/tests/common/mod.rs
+++ b/crates/fernroute-server/tests/common/mod.rs
@@ -121,6 +121,7 @@
     };
     let mut text = format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "ops":"127.0.0.1:0",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
         "known":{{"version":7,"full":true,"servers":[{}]}},
         "settings":{{"n-instances":1,"me":0,"layer":0,"zone":"z","quantum-s":0.005,"orgs":[],
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -556,6 +556,13 @@
         (self.cold.from + (1.0 - self.cold.from) * age / self.cold.warm_within).min(1.0)
     }
 
+    /// How many upstreams the list names, and how many of them are avoided now.
+    pub fn standing(&self) -> (usize, usize) {
+        let listed = self.upstreams.values().filter(|u| !u.gone);
+        let avoided = listed.clone().filter(|u| u.leaving || u.breaker.state != State::Closed);
+        (listed.clone().count(), avoided.count())
+    }
+
     /// How many upstreams are in use, warm or cold.
     fn ready(&self) -> f64 {
         self.list.order.len().max(1) as f64
