Upgrade under load: the old process hands its listening socket and list to the new one

Change: over a Unix socket in $TMPDIR the new process gets the listening socket, the list as the old one has it and part of the descriptors; it accepts once it can serve, the old one closes each connection with its next answer and ends. Whoever dies, the other serves on; where handing over fails both listen (SO_REUSEPORT) and the new one waits for discovery's list, 3 s at most.

--- a/crates/fernroute-server/src/program/mod.rs
+++ b/crates/fernroute-server/src/program/mod.rs
@@ -5,5 +5,7 @@
 pub mod ops;
 pub mod reload;
 pub mod serve;
+pub mod share;
 pub mod shutdown;
 pub mod station;
+pub mod upgrade;
--- a/crates/fernroute-server/src/program/ops.rs
+++ b/crates/fernroute-server/src/program/ops.rs
@@ -30,13 +30,14 @@
             Reply::plain(StatusCode::OK, "draining")
         }
         Call::Resume => {
-            if board.phase_change(|phase, now| phase.resume(now)) {
+            if board.phase_change(|phase, _| phase.resume()) {
                 log::info!("told to resume");
             }
-            match board.phase.get().is_ready() {
-                true => Reply::plain(StatusCode::OK, "serving"),
-                false => Reply::plain(StatusCode::CONFLICT, "told to stop"),
+            let phase = board.phase.get();
+            if phase.is_leaving() || phase.is_handing_over() {
+                return Reply::plain(StatusCode::CONFLICT, "told to stop, or a successor serves");
             }
+            Reply::plain(StatusCode::OK, "serving")
         }
     }
 }
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -1,41 +1,46 @@
 //! Puts the layers together and runs them on one thread.
 
+use super::share::Share;
 use super::station::Station;
+use super::upgrade::{self, Before};
 use super::{ops, reload, shutdown};
+use crate::protocol::handover::Known;
 use crate::routing::phase::Closing;
 use crate::routing::switchboard::Switchboard;
 use crate::routing::take_in;
 use crate::transport::discovery::Watch;
-use crate::transport::door;
+use crate::transport::handover;
 use crate::transport::server::Server;
 use actix_rt::task::JoinHandle;
 use futures_util::future::{select, Either};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
-
-/// Descriptors for everything but callers and upstreams: standard streams, the listener, discovery, signals; and the
-/// operators' door, if there is one.
-const OWN_DESCRIPTORS: usize = 32;
-const DOOR_DESCRIPTORS: usize = door::PLACES + 1;
+use tokio::net::{TcpListener, TcpSocket};
 
 /// How often connections are looked over: their times are to a tenth.
 const SWEEP: Duration = Duration::from_millis(200);
 
 /// Serves until told to stop; `path` is the file that the station was read from.
 pub fn serve(station: Station, path: &Path) -> Result<(), String> {
+    station.check()?;
     let runtime = actix_rt::Runtime::new().map_err(|e| format!("runtime: {e}"))?;
     runtime.block_on(async {
         // Both before all else: a signal that comes early is kept, and ends nothing.
         let (again, stop) = (reload::signals()?, shutdown::signals()?);
-        let running = start(station.clone()).await?;
+        let before = upgrade::look(&station.name, station.listen).await?;
+        let running = Rc::new(start_after(station.clone(), before).await?);
+        // Goes on while the program stops: a successor may still be told what is left to it.
+        let handed_over = actix_rt::spawn(upgrade::follow(Rc::clone(&running)));
+        let mut stop = pin!(stop);
+        let stop = select(&mut stop, handed_over);
         // What is read again while the program stops would change nothing any more.
-        match select(pin!(reload::follow(again, path, &running, station)), pin!(stop)).await {
-            Either::Left(((), stop)) => stop.await,
+        match select(pin!(reload::follow(again, path, &running, station)), stop).await {
+            Either::Left(((), stop)) => drop(stop.await),
             Either::Right(_) => {}
         }
         shutdown::leave(&running.board, &running.server).await;
@@ -51,6 +56,12 @@
     pub address: SocketAddr,
     /// Where operators are answered, if anywhere.
     pub door: Option<SocketAddr>,
+    /// The process that serves callers until this one does, and hands them over, if there is one.
+    pub before: RefCell<Before>,
+    name: String,
+    listen: SocketAddr,
+    share: Cell<Share>,
+    discovery: Cell<SocketAddr>,
     /// Where each watch waits for the decisions to ask.
     asks: bool,
     watch: RefCell<Option<JoinHandle<()>>>,
@@ -65,37 +76,109 @@
     }
 
     fn watch(&self, discovery: SocketAddr, version: Option<u64>) {
+        self.discovery.set(discovery);
+        self.board.since.set(version);
         let told = Rc::clone(&self.board);
         let begin = self.asks.then(|| Rc::clone(&self.board.follow));
         let watch = Watch::new(discovery).run(version, begin, move |news| match news {
-            Some(list) => told.take_list(&list, true),
+            Some(list) => {
+                told.since.set(Some(list.version));
+                told.take_list(&list, true);
+            }
             None => told.list_failed(),
         });
         if let Some(old) = self.watch.replace(Some(actix_rt::spawn(watch))) {
             old.abort();
         }
     }
+
+    /// Where a successor comes to.
+    pub fn meeting(&self) -> Result<PathBuf, String> {
+        handover::path(&self.name, self.listen)
+    }
+
+    /// The list as this process has it.
+    pub fn known(&self) -> Known {
+        let lines = self.board.lines.borrow();
+        Known::of(self.discovery.get(), self.board.since.get(), lines.values().map(|(entry, _)| entry))
+    }
+
+    pub fn connections(&self) -> usize {
+        self.server.connections() + self.board.client.connections()
+    }
+
+    pub fn share(&self) -> Share {
+        self.share.get()
+    }
+
+    /// Changes what this process may hold; who is idle beyond that goes.
+    pub fn set_share(&self, change: impl FnOnce(&mut Share)) {
+        let mut share = self.share.get();
+        change(&mut share);
+        self.share.set(share);
+        let (callers, upstreams) = share.connections();
+        self.server.set_most(callers);
+        self.board.client.set_most(upstreams);
+    }
 }
 
-/// Starts a balancer on the running thread.
+/// Another process may come to listen here as well, where handing the socket over fails.
+fn listen(at: SocketAddr) -> io::Result<TcpListener> {
+    /// As many as the machine lets wait by default.
+    const WAITING: u32 = 1024;
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    // Not where the machine finds a port: it would find one that another process has.
+    if let Err(why) = socket.set_reuseport(at.port() != 0) {
+        log::debug!("no second process can listen at {at}: {why}");
+    }
+    socket.bind(at)?;
+    socket.listen(WAITING)
+}
+
+/// Starts a balancer on the running thread, the only process of it.
 pub async fn start(station: Station) -> Result<Running, String> {
-    // An RPC holds one connection on each side, and callers keep theirs between RPCs: they get the larger part.
-    let room = station.descriptors - OWN_DESCRIPTORS - station.ops.map_or(0, |_| DOOR_DESCRIPTORS);
-    let (callers, upstreams) = (room * 3 / 5, room * 2 / 5);
+    start_after(station, Before::Nobody).await
+}
+
+/// The same, in the place of the process that was there before.
+pub async fn start_after(mut station: Station, mut before: Before) -> Result<Running, String> {
+    let mut share = Share::new(station.descriptors, station.ops.is_some());
+    if let Before::Serving(other) = &before {
+        share.part = other.descriptors;
+    }
+    let (callers, upstreams) = share.connections();
     let board = Switchboard::new(&station.terms, station.seed, upstreams).map_err(|missing| {
         format!("settings: missing or unreadable {}", fernroute_terms::path(&missing.0))
     })?;
+    if !matches!(before, Before::Nobody) {
+        board.phase_change(|phase, _| phase.wait());
+    }
+    if let Before::Unknown = &before {
+        // All there is, at once: a call for what is newer waits until there is something.
+        station.since = None;
+    }
+    if let Before::Serving(other) = &before {
+        // What the other process was told last is newer than what this one's file says.
+        station.since = other.list.since.filter(|_| other.list.discovery == station.discovery);
+        station.known = Some(other.list.list());
+    }
     if let Some(known) = &station.known {
         board.take_list(known, false);
     }
     let trouble = |e| format!("listen on {}: {e}", station.listen);
-    let listener = TcpListener::bind(station.listen).await.map_err(trouble)?;
+    let listener = match &mut before {
+        Before::Serving(other) => other.listener.take().map_or_else(|| listen(station.listen), Ok),
+        _ => listen(station.listen),
+    };
+    let listener = listener.map_err(trouble)?;
     let address = listener.local_addr().map_err(trouble)?;
     let door = match station.ops {
         Some(at) => Some(ops::open(at, &board).await?),
         None => None,
     };
     let server = Server::new(listener, callers);
+    server.set_accepting(matches!(before, Before::Nobody));
     actix_rt::spawn(Rc::clone(&board).keep_time());
     let (swept, visited) = (Rc::clone(&board), Rc::clone(&server));
     actix_rt::spawn(async move {
@@ -112,8 +195,19 @@
     if let Some(door) = door {
         log::info!("operators are answered on {door}");
     }
-    let asks = station.terms.get("list_mode").is_some_and(|mode| mode == "ask");
-    let running = Running { board, server, address, door, asks, watch: RefCell::default() };
+    let running = Running {
+        board,
+        server,
+        address,
+        door,
+        before: RefCell::new(before),
+        name: station.name,
+        listen: station.listen,
+        share: Cell::new(share),
+        discovery: Cell::new(station.discovery),
+        asks: station.terms.get("list_mode").is_some_and(|mode| mode == "ask"),
+        watch: RefCell::default(),
+    };
     running.watch(station.discovery, station.since);
     Ok(running)
 }
--- a/crates/fernroute-server/src/program/shutdown.rs
+++ b/crates/fernroute-server/src/program/shutdown.rs
@@ -28,17 +28,20 @@
 pub async fn leave(board: &Rc<Switchboard>, server: &Server) {
     log::info!("told to stop");
     board.phase_change(|phase, now| phase.leave(now));
-    until(board, Closing::Idle).await;
+    // Whoever comes where a successor serves is its own: nothing is left to wait for once nobody is here.
+    while board.closing() < Closing::Idle
+        && !(board.phase.get().is_handing_over() && server.connections() == 0)
+    {
+        actix_rt::time::sleep(LOOK).await;
+    }
     let mut end = pin!(server.end());
-    let errored = until(board, Closing::Open);
+    let errored = async {
+        while board.closing() < Closing::Open {
+            actix_rt::time::sleep(LOOK).await;
+        }
+    };
     if let futures_util::future::Either::Right(_) = select(&mut end, pin!(errored)).await {
         board.error_all();
         end.await;
     }
 }
-
-async fn until(board: &Switchboard, closing: Closing) {
-    while board.closing() < closing {
-        actix_rt::time::sleep(LOOK).await;
-    }
-}
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -144,6 +144,8 @@
     /// Whether a balancer can start with these terms.
     pub fn check(&self) -> Result<(), String> {
         let balancer = Balancer::new(Desk::default(), 0, self.seed, &self.terms);
-        balancer.map(drop).map_err(|missing| format!("settings: {}", fernroute_terms::path(&missing.0)))
+        balancer.map(drop).map_err(|missing| {
+            format!("settings: missing or unreadable {}", fernroute_terms::path(&missing.0))
+        })
     }
 }
--- a/crates/fernroute-server/src/protocol/mod.rs
+++ b/crates/fernroute-server/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 //! stand on the wire are known in this layer alone.
 
 pub mod answer;
+pub mod handover;
 pub mod list;
 pub mod load;
 pub mod names;
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -5,7 +5,7 @@
 use super::tally::Tally;
 use super::timers::{Due, Timers};
 use crate::protocol::answer::{Final, MOST_ANSWER};
-use crate::protocol::list::{List, State};
+use crate::protocol::list::{Entry, List, State};
 use crate::protocol::load::Gauges;
 use crate::protocol::ops::Figures;
 use crate::protocol::request::{Request, Shape};
@@ -36,8 +36,8 @@
     pub out: BTreeMap<usize, Out>,
 }
 
-/// By id: when an upstream had last started, and the way to it.
-type Lines = BTreeMap<Rc<str>, (u64, Rc<Line>)>;
+/// By id: what the list says of an upstream that serves, and the way to it.
+type Lines = BTreeMap<Rc<str>, (Entry, Rc<Line>)>;
 
 pub struct Switchboard {
     pub clock: Clock,
@@ -47,6 +47,10 @@
     pub open: RefCell<BTreeMap<Rc<str>, Open>>,
     /// Emptied by the list.
     pub lines: RefCell<Lines>,
+    /// Discovery's version of the list, where it has told one.
+    pub since: Cell<Option<u64>>,
+    /// Discovery has told the list to this process.
+    pub heard: Cell<bool>,
     pub timers: Timers,
     /// The decisions ask for a watch on the list.
     pub follow: Rc<Notify>,
@@ -91,6 +95,8 @@
             desk,
             open: RefCell::default(),
             lines: RefCell::default(),
+            since: Cell::new(None),
+            heard: Cell::new(false),
             timers: Timers::default(),
             follow: Rc::default(),
             client,
@@ -178,6 +184,7 @@
 
     /// Hands on what discovery told. `fresh` is false for the list that this balancer held before its start.
     pub fn take_list(self: &Rc<Self>, list: &List, fresh: bool) {
+        self.heard.set(self.heard.get() || fresh);
         {
             let mut lines = self.lines.borrow_mut();
             if list.full {
@@ -190,12 +197,11 @@
                     continue;
                 };
                 // One that started again, or elsewhere, gets no connection of before.
-                let same = |(started, line): &(u64, Rc<Line>)| {
-                    *started == entry.started_ms && line.address == address
-                };
-                if !lines.get(id).is_some_and(same) {
-                    lines.insert(Rc::from(id), (entry.started_ms, Rc::new(self.client.line(address))));
-                }
+                let same = lines.remove(id).filter(|(before, line)| {
+                    before.started_ms == entry.started_ms && line.address == address
+                });
+                let line = same.map_or_else(|| Rc::new(self.client.line(address)), |(_, line)| line);
+                lines.insert(Rc::from(id), (entry.clone(), line));
             }
         }
         self.decide(None, |b, now| {
--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -91,6 +91,14 @@
             .finish()
     }
 
+    pub fn connections(&self) -> usize {
+        self.seats.count()
+    }
+
+    pub fn set_most(&self, most: usize) {
+        self.seats.set_most(most);
+    }
+
     pub fn sweep(&self) {
         self.seats.sweep(self.idle);
     }
--- a/crates/fernroute-server/src/transport/mod.rs
+++ b/crates/fernroute-server/src/transport/mod.rs
@@ -4,6 +4,7 @@
 pub mod discovery;
 pub mod door;
 mod framing;
+pub mod handover;
 pub mod inbound;
 pub mod outbound;
 pub mod server;
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -96,14 +96,19 @@
     all: RefCell<Vec<Weak<Seat>>>,
     /// How many are being made.
     coming: Cell<usize>,
-    most: usize,
+    most: Cell<usize>,
     /// The longest body of an answer.
     most_body: u64,
 }
 
 impl Seats {
     pub fn new(most: usize, most_body: usize) -> Self {
-        Seats { all: RefCell::default(), coming: Cell::new(0), most, most_body: most_body as u64 }
+        Seats {
+            all: RefCell::default(),
+            coming: Cell::new(0),
+            most: Cell::new(most),
+            most_body: most_body as u64,
+        }
     }
 
     /// Connects, if there is room; at the limit the longest idle connection goes.
@@ -137,14 +142,34 @@
         })
     }
 
+    /// How many there are, those that are being made with them.
+    pub fn count(&self) -> usize {
+        self.all
+            .borrow()
+            .iter()
+            .filter(|seat| seat.upgrade().is_some_and(|s| s.stream.borrow().is_some()))
+            .count()
+            + self.coming.get()
+    }
+
+    /// From now on there are this many at the most; idle ones beyond that go at once.
+    pub fn set_most(&self, most: usize) {
+        self.most.set(most);
+        while self.count() > most && self.end_idlest() {}
+    }
+
     fn make_room(&self) -> bool {
         self.clear();
-        let all = self.all.borrow();
-        if all.len() + self.coming.get() < self.most {
+        if self.all.borrow().len() + self.coming.get() < self.most.get() {
             return true;
         }
+        self.end_idlest()
+    }
+
+    fn end_idlest(&self) -> bool {
+        let all = self.all.borrow();
         let idle = all.iter().filter_map(Weak::upgrade).filter(|s| s.idle_since.get().is_some());
-        let oldest = idle.min_by_key(|s| s.idle_since.get());
+        let oldest = idle.filter(|s| s.stream.borrow().is_some()).min_by_key(|s| s.idle_since.get());
         oldest.is_some_and(|s| s.stream.take().is_some())
     }
 
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -11,6 +11,7 @@
 use std::fmt::{Debug, Display};
 use std::future::Future;
 use std::net::SocketAddr;
+use std::os::fd::{AsFd as _, OwnedFd};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -65,9 +66,12 @@
     listener: RefCell<Option<TcpListener>>,
     /// Emptied as connections end.
     visits: RefCell<Vec<Rc<Visit>>>,
-    most: usize,
+    most: Cell<usize>,
     left: Notify,
     ending: Cell<bool>,
+    /// Who comes is taken in; else the machine keeps callers waiting, for this process or another.
+    accepting: Cell<bool>,
+    accepts: Notify,
 }
 
 impl Server {
@@ -75,9 +79,11 @@
         Rc::new(Server {
             listener: RefCell::new(Some(listener)),
             visits: RefCell::default(),
-            most,
+            most: Cell::new(most),
             left: Notify::new(),
             ending: Cell::new(false),
+            accepting: Cell::new(true),
+            accepts: Notify::new(),
         })
     }
 
@@ -94,11 +100,19 @@
         let service = Rc::new(service);
         loop {
             self.make_room().await;
+            if !self.accepting.get() && self.listener.borrow().is_some() {
+                self.accepts.notified().await;
+                continue;
+            }
             let stream = std::future::poll_fn(|cx| match &*self.listener.borrow() {
                 Some(listener) => listener.poll_accept(cx).map(Some),
                 None => std::task::Poll::Ready(None),
             });
-            match stream.await {
+            let accepted = match select(pin!(stream), pin!(self.accepts.notified())).await {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(_) => continue,
+            };
+            match accepted {
                 None => return,
                 Some(Ok((stream, _))) => {
                     actix_rt::spawn(Rc::clone(&self).host(Rc::clone(&service), stream));
@@ -161,12 +175,36 @@
 
     /// Waits while the connections are at their most; the longest idle one goes.
     async fn make_room(&self) {
-        while self.visits.borrow().len() >= self.most {
+        while self.visits.borrow().len() >= self.most.get() {
             self.end_idlest();
             self.left.notified().await;
         }
     }
 
+    pub fn connections(&self) -> usize {
+        self.visits.borrow().len()
+    }
+
+    /// From now on there are this many at the most; idle ones beyond that go now.
+    pub fn set_most(&self, most: usize) {
+        self.most.set(most);
+        for _ in most..self.connections() {
+            self.end_idlest();
+        }
+        self.left.notify_waiters();
+    }
+
+    /// Whether who comes is taken in here; who is here stays.
+    pub fn set_accepting(&self, accepting: bool) {
+        self.accepting.set(accepting);
+        self.accepts.notify_one();
+    }
+
+    /// The socket at which callers come, for another process of this balancer; none once it is closed.
+    pub fn listener(&self) -> Option<OwnedFd> {
+        self.listener.borrow().as_ref().and_then(|listener| listener.as_fd().try_clone_to_owned().ok())
+    }
+
     /// One that is about to be closed goes first.
     fn end_idlest(&self) {
         let visits = self.visits.borrow();
@@ -200,6 +238,7 @@
         // The accepting task has had its turn for all that was waiting once this one is woken again.
         actix_rt::time::sleep(Duration::from_millis(20)).await;
         self.listener.replace(None);
+        self.accepts.notify_one();
         self.visits.borrow().iter().for_each(|visit| visit.end());
         while !self.visits.borrow().is_empty() {
             self.left.notified().await;
--- a/crates/fernroute-server/tests/common/mod.rs
+++ b/crates/fernroute-server/tests/common/mod.rs
@@ -1,5 +1,8 @@
 //! Stand-ins on loopback: upstreams and discovery that follow a script, callers that write plain bytes.
 
+// Each file of tests uses a part of these.
+#![allow(dead_code)]
+
 use fernroute_server::program::serve::{self, Running};
 use fernroute_server::program::station::Station;
 use std::cell::{Cell, RefCell};
--- /dev/null
+++ b/crates/fernroute-server/tests/common/process.rs
@@ -0,0 +1,100 @@
+//! The program itself, as operators start it.
+
+#![allow(dead_code)]
+
+use crate::common::until;
+use std::io::{BufRead as _, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// A folder of the test's own, for files and as `$TMPDIR`.
+pub fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("fernroute-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+/// A running program; its addresses stand in its log.
+pub struct Program {
+    child: Child,
+    path: PathBuf,
+    pub address: SocketAddr,
+    pub door: SocketAddr,
+    pub log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Program {
+    pub fn start(folder: &Path, page: &str) -> Self {
+        static FILES: AtomicUsize = AtomicUsize::new(0);
+        let path = folder.join(format!("{}.json", FILES.fetch_add(1, Ordering::Relaxed)));
+        std::fs::write(&path, page).expect("a file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_fernroute"))
+            .args(["serve", "--config"])
+            .arg(&path)
+            .env("TMPDIR", folder)
+            .env_remove("NODE_OPS")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let mut told = |what: &str| {
+            let line = lines.find_map(|line| {
+                let line = line.ok()?;
+                log.lock().expect("the log").push(line.clone());
+                line.contains(what).then_some(line)
+            });
+            let line = line.unwrap_or_else(|| panic!("{what}: {:?}", log.lock()));
+            let rest = line.split_once(what).expect("it is there").1.to_owned();
+            rest.split(',').next().and_then(|address| address.parse().ok()).expect("an address")
+        };
+        let (address, door) = (told("serving on "), told("operators are answered on "));
+        let kept = Arc::clone(&log);
+        std::thread::spawn(move || {
+            lines.map_while(Result::ok).for_each(|line| kept.lock().expect("the log").push(line));
+        });
+        Program { child, path, address, door, log }
+    }
+
+    pub fn says(&self, what: &str) -> bool {
+        self.log.lock().expect("the log").iter().any(|line| line.contains(what))
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("a signal").success());
+    }
+
+    /// Has it read this instead of its file.
+    pub fn reload(&self, page: &str) {
+        std::fs::write(&self.path, page).expect("a file");
+        self.signal("-HUP");
+    }
+
+    pub async fn ends_well(self) {
+        let code = self.ends().await;
+        assert_eq!(code, Some(0));
+    }
+
+    /// Its code, or none where a signal ended it.
+    pub async fn ends(mut self) -> Option<i32> {
+        let mut status = None;
+        until(|| {
+            status = self.child.try_wait().expect("its state");
+            status.is_some()
+        })
+        .await;
+        status.and_then(|status| status.code())
+    }
+}
+
+/// A test that fails leaves nothing behind that runs.
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -1,16 +1,17 @@
 //! Starting, following the list, and ending.
 
 mod common;
+#[path = "common/process.rs"]
+mod process;
 
 use common::{ask, balancer, connect, ok, read, rpc, run, send, stand_in, station, until, Deed};
 use fernroute_server::program::station::Station;
 use fernroute_server::program::{serve, shutdown};
 use fernroute_server::protocol::list::{self as lists, State};
 use fernroute_server::protocol::load::{self, Gauges};
-use std::io::{BufRead as _, BufReader};
-use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use process::{folder, Program};
+use std::net::TcpListener;
+use std::process::Command;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -277,58 +278,11 @@
     });
 }
 
-/// The program itself, started with a file of its own; its address stands in its log.
-struct Program {
-    child: Child,
-    path: PathBuf,
-    address: SocketAddr,
-}
-
-impl Program {
-    fn start(name: &str, page: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("fernroute-{name}-{}.json", std::process::id()));
-        std::fs::write(&path, page).expect("a file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_fernroute"))
-            .args(["serve", "--config"])
-            .arg(&path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("it starts");
-        let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
-        let serving = lines.find_map(|line| Some(line.ok()?.split_once("serving on ")?.1.to_owned()));
-        let address = serving.and_then(|l| l.split_once(',')?.0.parse().ok()).expect("its address");
-        std::thread::spawn(move || lines.for_each(drop));
-        Program { child, path, address }
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().expect("a signal").success());
-    }
-
-    /// Has it read this instead of its file.
-    fn reload(&self, page: &str) {
-        std::fs::write(&self.path, page).expect("a file");
-        self.signal("-HUP");
-    }
-
-    async fn ends_well(mut self) {
-        let mut code = None;
-        until(|| {
-            code = self.child.try_wait().expect("its state");
-            code.is_some()
-        })
-        .await;
-        assert!(code.is_some_and(|code| code.success()), "{code:?}");
-        std::fs::remove_file(self.path).expect("it was there");
-    }
-}
-
 #[test]
 fn a_signal_ends_it_with_code_0() {
     run(async {
         let up = stand_in(|_, _| ok("whole")).await;
-        let program = Program::start("signal", &common::page(&[up.address], up.address, &[]));
+        let program = Program::start(&folder("signal"), &common::page(&[up.address], up.address, &[]));
         let mut kept = connect(program.address).await;
         for n in 0..2 {
             kept.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
@@ -353,7 +307,7 @@
         let entry = format!(r#"{{"id":"s-2","addr":"{}","state":"SERVING"}}"#, two.address);
         let new = stand_in(move |n, _| if n == 1 { list(3, true, &entry) } else { Deed::Silence }).await;
         let page = |discovery| common::page(&[one.address], discovery, &[]);
-        let program = Program::start("reload", &page(old.address));
+        let program = Program::start(&folder("reload"), &page(old.address));
         let body = || async { ask(program.address, rpc("GET", "/look", "")).await.body };
         until(|| old.seen.borrow().len() == 1).await;
         program.reload("no page at all");
--- /dev/null
+++ b/crates/fernroute-server/tests/upgrade.rs
@@ -0,0 +1,356 @@
+//! A new process of the balancer takes over under load, and all that can go wrong with it. Real processes; what is
+//! asserted are counts and states, not times.
+
+mod common;
+#[path = "common/process.rs"]
+mod process;
+
+use common::{ask, ok, page, read, rpc, run, stand_in, until, Deed, StandIn};
+use process::{folder, Program};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpSocket, TcpStream, UnixListener, UnixStream};
+
+async fn told(at: SocketAddr, verb: &str, path: &str) -> u16 {
+    ask(at, format!("{verb} {path} HTTP/1.1\r\nHost: n0\r\n\r\n")).await.status()
+}
+
+async fn is_ready(at: SocketAddr) -> bool {
+    told(at, "GET", "/-/ready").await == 200
+}
+
+async fn until_ready(at: SocketAddr) {
+    while !is_ready(at).await {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Where the processes of a balancer with the tests' file meet.
+fn meeting(folder: &Path) -> PathBuf {
+    folder.join("fernroute-n0-127.0.0.1_0.sock")
+}
+
+async fn upstream() -> Rc<StandIn> {
+    stand_in(|_, message| if message.head.contains("/silent") { Deed::Silence } else { ok("whole") }).await
+}
+
+/// Callers that ask one RPC after another on kept connections, for as long as they are told to.
+#[derive(Default)]
+struct Load {
+    stop: Cell<bool>,
+    answered: Cell<usize>,
+    /// Connections that were closed as an RPC was written to them; it is sent once more, as callers do.
+    crossed: Cell<usize>,
+    failed: RefCell<Vec<String>>,
+    running: Cell<usize>,
+}
+
+impl Load {
+    fn start(callers: usize, at: SocketAddr) -> Rc<Self> {
+        let load = Rc::new(Load { running: Cell::new(callers), ..Load::default() });
+        for _ in 0..callers {
+            let load = Rc::clone(&load);
+            actix_rt::spawn(async move {
+                let mut kept: Option<TcpStream> = None;
+                while !load.stop.get() {
+                    kept = load.one(at, kept).await;
+                    actix_rt::time::sleep(Duration::from_millis(3)).await;
+                }
+                load.running.set(load.running.get() - 1);
+            });
+        }
+        load
+    }
+
+    async fn one(&self, at: SocketAddr, kept: Option<TcpStream>) -> Option<TcpStream> {
+        let fail = |what: String| self.failed.borrow_mut().push(what);
+        let request = rpc("POST", "/pay", "Content-Length: 0\r\n");
+        let again = kept.is_some();
+        let mut stream = match kept {
+            Some(stream) => stream,
+            None => match TcpStream::connect(at).await {
+                Ok(stream) => stream,
+                Err(why) => {
+                    fail(format!("connect: {why}"));
+                    return None;
+                }
+            },
+        };
+        let answer = match stream.write_all(request.as_bytes()).await {
+            Ok(()) => read(&mut stream).await,
+            Err(_) => None,
+        };
+        match answer {
+            Some(answer) if answer.status() == 200 && answer.body == b"whole" => {
+                self.answered.set(self.answered.get() + 1);
+                let close = answer.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+                (!close).then_some(stream)
+            }
+            Some(answer) => {
+                fail(answer.head);
+                None
+            }
+            None if again => {
+                self.crossed.set(self.crossed.get() + 1);
+                None
+            }
+            None => {
+                fail("a fresh connection ended with no whole answer".to_owned());
+                None
+            }
+        }
+    }
+
+    /// Waits for so many more answers.
+    async fn more(&self, answers: usize) {
+        let goal = self.answered.get() + answers;
+        until(|| self.answered.get() >= goal || !self.failed.borrow().is_empty()).await;
+    }
+
+    async fn end(&self) {
+        self.stop.set(true);
+        until(|| self.running.get() == 0).await;
+        assert!(self.failed.borrow().is_empty(), "{:?}", self.failed.borrow());
+    }
+}
+
+/// Guards against callers refused, reset or unanswered as one process takes over from another, twice in a row; the list
+/// that discovery has not told the new process comes from the old one.
+#[test]
+fn callers_notice_nothing_of_an_upgrade() {
+    run(async {
+        let (up, dead) = (upstream().await, stand_in(|_, _| Deed::Silence).await);
+        let folder = folder("upgrade");
+        let mut old = Program::start(&folder, &page(&[up.address], dead.address, &[]));
+        let load = Load::start(16, old.address);
+        load.more(200).await;
+        for _ in 0..2 {
+            // Its file knows no upstream, and discovery says nothing.
+            let new = Program::start(&folder, &page(&[], dead.address, &[]));
+            assert_eq!(new.address, old.address);
+            until_ready(new.door).await;
+            old.signal("-TERM");
+            load.more(200).await;
+            old.ends_well().await;
+            assert!(is_ready(new.address).await);
+            old = new;
+            load.more(200).await;
+        }
+        load.end().await;
+        // Of each caller's connection the one that was idle may be closed as it writes.
+        assert!(load.crossed.get() <= 2, "{}", load.crossed.get());
+        old.signal("-TERM");
+        old.ends_well().await;
+        assert!(!meeting(&folder).exists());
+        std::fs::remove_dir_all(folder).expect("it was there");
+    });
+}
+
+/// Guards against answers that are lost with the old process, and against an old process that stays for its own sake.
+#[test]
+fn the_old_process_answers_what_it_took_and_ends_by_itself() {
+    run(async {
+        let up = upstream().await;
+        let folder = folder("early");
+        let text = page(&[up.address], up.address, &[]);
+        let old = Program::start(&folder, &text);
+        let mut open = common::send(old.address, rpc("GET", "/look/silent", "").replace("4000", "900")).await;
+        until(|| up.seen.borrow().iter().any(|m| m.head.contains("/silent"))).await;
+        let new = Program::start(&folder, &text);
+        until_ready(new.door).await;
+        until(|| old.says("a successor serves")).await;
+        assert!(!is_ready(old.door).await && told(old.door, "POST", "/-/resume").await == 409);
+        let last = read(&mut open).await.expect("an answer");
+        assert_eq!((last.status(), last.header("connection")), (503, Some("close")));
+        // Nobody tells it to.
+        old.ends_well().await;
+        until(|| new.says("the old process has ended")).await;
+        assert!(is_ready(new.address).await);
+    });
+}
+
+/// Guards against a balancer that nobody serves because its successor died: before it could serve, and after.
+#[test]
+fn a_successor_that_dies_gives_back_what_it_got() {
+    run(async {
+        let up = upstream().await;
+        let folder = folder("dies");
+        let text = page(&[up.address], up.address, &[]);
+        let old = Program::start(&folder, &text);
+        until(|| meeting(&folder).exists()).await;
+        let load = Load::start(4, old.address);
+        let mut early = UnixStream::connect(meeting(&folder)).await.expect("it is there");
+        early.write_all(b"{\"take\":{\"version\":1}}\n").await.expect("it reads");
+        until(|| old.says("a successor comes")).await;
+        drop(early);
+        until(|| old.says("the successor ended before it could serve")).await;
+        load.more(50).await;
+        let new = Program::start(&folder, &text);
+        until(|| old.says("a successor serves")).await;
+        new.signal("-KILL");
+        assert_eq!(new.ends().await, None);
+        until(|| old.says("the successor has ended, serving again")).await;
+        // What the dead process had taken is lost; who comes now is served.
+        load.failed.borrow_mut().clear();
+        load.more(50).await;
+        load.end().await;
+        assert!(is_ready(old.address).await && is_ready(old.door).await);
+        // And it may have another.
+        let new = Program::start(&folder, &text);
+        until_ready(new.door).await;
+        old.ends_well().await;
+        assert!(is_ready(new.address).await);
+    });
+}
+
+/// Guards against two that take over at once: together they would hold more than one process may.
+#[test]
+fn a_second_successor_is_refused_while_the_first_comes() {
+    run(async {
+        let up = upstream().await;
+        let folder = folder("two");
+        let text = page(&[up.address], up.address, &[]);
+        let old = Program::start(&folder, &text);
+        until(|| meeting(&folder).exists()).await;
+        let mut first = UnixStream::connect(meeting(&folder)).await.expect("it is there");
+        first.write_all(b"{\"take\":{\"version\":1}}\n").await.expect("it reads");
+        let mut given = String::new();
+        tokio::io::BufReader::new(&mut first).read_line(&mut given).await.expect("a line");
+        assert!(given.contains("\"given\"") && given.contains(&up.address.to_string()), "{given}");
+        let path = folder.join("second.json");
+        std::fs::write(&path, &text).expect("a file");
+        let mut second = Command::new(env!("CARGO_BIN_EXE_fernroute"));
+        second.args(["serve", "--config"]).arg(&path).env("TMPDIR", &folder).env_remove("NODE_OPS");
+        let mut second = second.stderr(Stdio::piped()).spawn().expect("it starts");
+        until(|| second.try_wait().expect("its state").is_some()).await;
+        let out = second.wait_with_output().expect("it has ended");
+        let text = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert_eq!((out.status.code(), text.lines().count()), (Some(2), 1), "{text}");
+        assert!(text.contains("another process takes over already"), "{text}");
+        // Strangers of another version, or who speak something else, get nothing.
+        drop(first);
+        until(|| old.says("the successor ended before it could serve")).await;
+        for (word, answer) in [("{\"take\":{\"version\":9}}\n", "refused"), ("GET / HTTP/1.1\r\n\r\n", "")] {
+            let mut stranger = UnixStream::connect(meeting(&folder)).await.expect("it is there");
+            stranger.write_all(word.as_bytes()).await.expect("it reads");
+            let mut said = String::new();
+            stranger.read_to_string(&mut said).await.expect("an end");
+            assert!(said.contains(answer) && !said.contains("given"), "{said}");
+        }
+        assert!(is_ready(old.address).await);
+    });
+}
+
+/// Guards against a start that fails because of what lies in the folder: left by a killed process, a foreign file, a
+/// process that answers nothing, a folder too deep. Nobody's file is removed but a dead process's own.
+#[test]
+fn whatever_lies_in_the_way_a_process_starts_and_serves() {
+    run(async {
+        let up = upstream().await;
+        let text = page(&[up.address], up.address, &[]);
+        let killed = folder("killed");
+        let old = Program::start(&killed, &text);
+        until(|| meeting(&killed).exists()).await;
+        old.signal("-KILL");
+        assert_eq!(old.ends().await, None);
+        assert!(meeting(&killed).exists());
+        let new = Program::start(&killed, &text);
+        until_ready(new.address).await;
+        assert!(new.says("left by a process that is no more"));
+        // It is where the next one comes to.
+        until(|| std::os::unix::net::UnixStream::connect(meeting(&killed)).is_ok()).await;
+        let next = Program::start(&killed, &text);
+        until_ready(next.door).await;
+        assert_eq!(next.address, new.address);
+
+        let foreign = folder("foreign");
+        std::fs::write(meeting(&foreign), "somebody's").expect("a file");
+        let alone = Program::start(&foreign, &text);
+        until_ready(alone.address).await;
+        until(|| alone.says("no successor can be handed over to")).await;
+        assert_eq!(std::fs::read(meeting(&foreign)).expect("it is there"), b"somebody's");
+
+        let dumb = folder("dumb");
+        let silent = UnixListener::bind(meeting(&dumb)).expect("a place");
+        let alone = Program::start(&dumb, &text);
+        until_ready(alone.address).await;
+        assert!(alone.says("no process hands over, starting as if alone: no answer"));
+        assert!(silent.accept().await.is_ok() && meeting(&dumb).exists());
+
+        let long = folder(&"long".repeat(30));
+        let alone = Program::start(&long, &text);
+        until_ready(alone.address).await;
+        assert!(alone.says("is too long a path"));
+    });
+}
+
+/// Where nothing can be handed over both listen at the address; the new process serves by a list that discovery told.
+#[test]
+fn two_listen_at_one_address_where_handing_over_fails() {
+    run(async {
+        let up = upstream().await;
+        let folder = folder("beside");
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_reuseport(true).expect("it may be shared");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        let old = socket.listen(8).expect("it listens");
+        let at = old.local_addr().expect("an address");
+        let listen = format!("\"listen\":\"{at}\"");
+        let list = format!(
+            r#"{{"version":9,"full":true,"servers":[{{"id":"s-0","addr":"{}","zone":"z","cell":0,"state":"SERVING"}}]}}"#,
+            up.address
+        );
+        let discovery = stand_in(move |n, _| if n == 0 { ok(&list) } else { Deed::Silence }).await;
+        let text = page(&[], discovery.address, &[("\"listen\":\"127.0.0.1:0\"", listen.as_str())]);
+        let file = format!("fernroute-n0-{}.sock", at.to_string().replace(':', "_"));
+        std::fs::write(folder.join(file), "somebody's").expect("a file");
+        let new = Program::start(&folder, &text);
+        assert_eq!(new.address, at);
+        until_ready(new.door).await;
+        drop(old);
+        let load = Load::start(4, new.address);
+        load.more(50).await;
+        load.end().await;
+    });
+}
+
+/// Guards against a drain that outlives the process that was drained, a reload that unsettles an upgrade, and an end
+/// without a successor that is not what it was.
+#[test]
+fn an_upgrade_within_a_drain_a_reload_at_either_and_a_killed_old_process() {
+    run(async {
+        let up = upstream().await;
+        let folder = folder("drained");
+        let text = page(&[up.address], up.address, &[]);
+        let old = Program::start(&folder, &text);
+        until(|| meeting(&folder).exists()).await;
+        assert_eq!(told(old.door, "POST", "/-/drain").await, 200);
+        assert!(!is_ready(old.address).await);
+        let new = Program::start(&folder, &text);
+        until_ready(new.door).await;
+        old.reload(&text);
+        new.reload(&text);
+        until(|| new.says("read again")).await;
+        assert!(is_ready(new.address).await);
+        // Killed in the middle: its file is the new process's by now.
+        old.signal("-KILL");
+        old.ends().await;
+        until(|| new.says("the old process has ended")).await;
+        until(|| meeting(&folder).exists()).await;
+        let load = Load::start(4, new.address);
+        load.more(50).await;
+        let last = Program::start(&folder, &text);
+        until_ready(last.door).await;
+        new.signal("-TERM");
+        load.more(50).await;
+        new.ends_well().await;
+        load.end().await;
+        last.signal("-TERM");
+        last.ends_well().await;
+    });
+}
