--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -173,11 +173,11 @@
     };
     let listener = listener.map_err(trouble)?;
     let address = listener.local_addr().map_err(trouble)?;
+    let server = Server::new(listener, callers);
     let door = match station.ops {
-        Some(at) => Some(ops::open(at, &board).await?),
+        Some(at) => Some(ops::open(at, &board, &server).await?),
         None => None,
     };
-    let server = Server::new(listener, callers);
     server.set_accepting(matches!(before, Before::Nobody));
     actix_rt::spawn(Rc::clone(&board).keep_time());
     let (swept, visited) = (Rc::clone(&board), Rc::clone(&server));
--- a/crates/fernroute-server/src/protocol/answer.rs
+++ b/crates/fernroute-server/src/protocol/answer.rs
@@ -3,15 +3,18 @@
 use super::load::{self, Gauges};
 use super::names;
 use super::request::Unfit;
-use actix_http::body::BoxBody;
+use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 use actix_http::{ConnectionType, Response, ResponseHead, StatusCode};
 use bytes::Bytes;
 use fernroute::{Outcome, Time};
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::sync::mpsc;
 
-/// The most bytes that the body of an answer holds. Some upstreams answer with more than the 64 KiB that are agreed;
-/// a few score such answers at once still fit into the least memory that a balancer has.
-pub const MOST_ANSWER: usize = 1 << 20;
+/// The most bytes that the body of an answer holds. Longer ones have no end.
+pub const MOST_ANSWER: usize = 32 << 20;
 
 /// A whole answer of an upstream.
 #[derive(Debug)]
@@ -21,9 +24,82 @@
     pub loads: Vec<f64>,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// What follows `body` as it comes; none where that is all.
+    pub flow: Option<Flow>,
+}
+
+/// An answer that broke off: its caller has to see that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut;
+
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer broke off")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+type AtEnd = Box<dyn FnOnce(bool)>;
+
+/// The body of an answer that is handed on while it comes.
+pub struct Flow {
+    pub coming: mpsc::Receiver<Result<Bytes, Cut>>,
+    /// What it says to be in all, if it does.
+    pub length: Option<u64>,
+    first: Bytes,
+    at_end: Vec<AtEnd>,
+}
+
+impl fmt::Debug for Flow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Flow").field("length", &self.length).finish_non_exhaustive()
+    }
+}
+
+impl Flow {
+    pub fn new(coming: mpsc::Receiver<Result<Bytes, Cut>>, length: Option<u64>) -> Self {
+        Flow { coming, length, first: Bytes::new(), at_end: Vec::new() }
+    }
+
+    fn end(&mut self, whole: bool) {
+        self.at_end.drain(..).for_each(|at_end| at_end(whole));
+    }
+}
+
+impl MessageBody for Flow {
+    type Error = Cut;
+
+    fn size(&self) -> BodySize {
+        self.length.map_or(BodySize::Stream, BodySize::Sized)
+    }
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
+        if !self.first.is_empty() {
+            return Poll::Ready(Some(Ok(std::mem::take(&mut self.first))));
+        }
+        let next = std::task::ready!(self.coming.poll_recv(cx));
+        match next {
+            Some(Ok(_)) => {}
+            None => self.end(true),
+            Some(Err(Cut)) => self.end(false),
+        }
+        Poll::Ready(next)
+    }
 }
 
 impl Answer {
+    /// One that has gone to its caller already.
+    pub fn handed_on(loads: Vec<f64>) -> Self {
+        Answer {
+            outcome: Outcome::Completed,
+            loads,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            flow: None,
+        }
+    }
+
     pub fn decode(head: ResponseHead, body: Bytes, gauges: &Gauges) -> Self {
         let declined = head.headers.get(names::DECLINED).is_some_and(|v| v.as_bytes() == b"1");
         let outcome = match head.status {
@@ -36,7 +112,7 @@
         let loads = report.map(|text| load::decode(text, gauges)).unwrap_or_default();
         let mut headers = head.headers;
         names::keep_end_to_end(&mut headers, &[names::LOAD, names::DECLINED]);
-        Answer { outcome, loads, headers, body }
+        Answer { outcome, loads, headers, body, flow: None }
     }
 }
 
@@ -63,10 +139,26 @@
         }
     }
 
+    /// Has this called with whether the answer was handed on whole, where that is not known yet; gives it back where
+    /// all of it is there. Dropped uncalled, the caller has gone.
+    pub fn at_end<F: FnOnce(bool) + 'static>(&mut self, at_end: F) -> Option<F> {
+        match self {
+            Final::Completed(Answer { flow: Some(flow), .. }) => {
+                flow.at_end.push(Box::new(at_end));
+                None
+            }
+            _ => Some(at_end),
+        }
+    }
+
     pub fn encode(self) -> Response<BoxBody> {
         match self {
             Final::Completed(answer) => {
-                let mut response = Response::with_body(StatusCode::OK, BoxBody::new(answer.body));
+                let body = match answer.flow {
+                    Some(flow) => BoxBody::new(Flow { first: answer.body, ..flow }),
+                    None => BoxBody::new(answer.body),
+                };
+                let mut response = Response::with_body(StatusCode::OK, body);
                 *response.headers_mut() = answer.headers;
                 response
             }
--- a/crates/fernroute-server/src/protocol/request.rs
+++ b/crates/fernroute-server/src/protocol/request.rs
@@ -2,14 +2,19 @@
 
 use super::names;
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{Method, RequestHead, StatusCode, Uri};
+use actix_http::{Method, Payload, RequestHead, StatusCode, Uri};
 use bytes::Bytes;
 use fernroute::Time;
+use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// A body of up to so many bytes is held whole, and may be sent again.
+pub const MOST_HELD: usize = 64 * 1024;
+
 /// The most bytes that a body holds.
-pub const MOST_BODY: usize = 64 * 1024;
+pub const MOST_BODY: u64 = 32 << 20;
 
 /// Longer ids and deadlines are no caller's of ours: a day, and what a header line may reasonably hold.
 const MOST_ID: usize = 128;
@@ -45,13 +50,55 @@
     /// End-to-end headers, the deadline left out: each transmission has one of its own.
     headers: HeaderMap,
     pub body: Bytes,
+    /// What follows `body` as it comes; none where that is all.
+    pub upload: Option<Rc<Upload>>,
+}
+
+/// The part of a body that still comes.
+pub struct Upload {
+    pub coming: RefCell<Payload>,
+    /// What the body says to be in all, if it does.
+    pub length: Option<u64>,
+    /// Something of it has been sent on, and is not held any more.
+    pub gone: Cell<bool>,
+    /// Its last byte has come, at this moment.
+    pub whole_at: Cell<Option<Time>>,
+    /// Its caller broke it off, or stopped to send, or sends too much.
+    pub broken: Cell<bool>,
+    pub too_large: Cell<bool>,
+}
+
+impl fmt::Debug for Upload {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Upload").field("length", &self.length).finish_non_exhaustive()
+    }
+}
+
+impl Upload {
+    pub fn new(coming: Payload, length: Option<u64>) -> Rc<Self> {
+        Rc::new(Upload {
+            coming: RefCell::new(coming),
+            length,
+            gone: Cell::new(false),
+            whole_at: Cell::new(None),
+            broken: Cell::new(false),
+            too_large: Cell::new(false),
+        })
+    }
 }
 
 /// Why a message is not an RPC, as the status that says so.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Unfit(pub StatusCode, pub &'static str);
 
+/// One that is safe to repeat has no body; it may come in chunks, of which there is none.
+pub const BODIED: Unfit = Unfit(StatusCode::BAD_REQUEST, "a body where there is none");
+
 impl Request {
+    pub fn takes_body(&self) -> bool {
+        self.verb != Method::GET
+    }
+
     /// Reads the head of a message. What says anything twice, or differs from the shape of its method, is no RPC:
     /// upstreams could read it in another way.
     pub fn decode(head: &RequestHead, shapes: &[Shape]) -> Result<Self, Unfit> {
@@ -80,9 +127,12 @@
         if head.headers.contains_key(names::KEY) != shape.keyed || shape.keyed && one(names::KEY).is_none() {
             return Err(bad("a key that the method has not, or the other way round"));
         }
+        if head.headers.contains_key(CONTENT_LENGTH) && head.headers.contains_key(TRANSFER_ENCODING) {
+            return Err(bad("two readings of its length"));
+        }
         let bodied = head.headers.get(CONTENT_LENGTH).is_some_and(|n| n.as_bytes() != b"0");
-        if shape.verb == Method::GET && (bodied || head.headers.contains_key(TRANSFER_ENCODING)) {
-            return Err(bad("a body where there is none"));
+        if shape.verb == Method::GET && bodied {
+            return Err(BODIED);
         }
         let mut headers = head.headers.clone();
         names::keep_end_to_end(&mut headers, &[names::DEADLINE]);
@@ -96,9 +146,15 @@
             uri: head.uri.clone(),
             headers,
             body: Bytes::new(),
+            upload: None,
         })
     }
 
+    /// Whether its last byte has come.
+    pub fn is_whole(&self) -> bool {
+        self.upload.as_ref().is_none_or(|upload| upload.whole_at.get().is_some())
+    }
+
     /// What goes to an upstream at this address that is given this long: the verb, the address, the headers.
     pub fn encode(&self, address: SocketAddr, time_left: Time) -> (Method, String, HeaderMap) {
         let path = self.uri.path_and_query().map_or("/", |p| p.as_str());
--- a/crates/fernroute-server/src/routing/admit.rs
+++ b/crates/fernroute-server/src/routing/admit.rs
@@ -30,15 +30,24 @@
         }
         let (answer, waiting) = oneshot::channel();
         let request = Rc::new(request);
-        let open = Open { request: Rc::clone(&request), answer: Some(answer), made: 0, out: BTreeMap::new() };
+        let open = Open {
+            request: Rc::clone(&request),
+            answer: Some(answer),
+            streaming: false,
+            made: 0,
+            out: BTreeMap::new(),
+        };
         self.open.borrow_mut().insert(Rc::clone(&rpc), open);
         let mut taken = self.tally.take(&request.method);
         let _caller = Caller { board: Rc::clone(self), rpc: Rc::clone(&rpc) };
         self.decide(Some(&rpc), |b, now| {
             b.rpc_arrived(now, &rpc, &request.method, &request.tenant, request.time_left);
         });
-        let last = waiting.await.unwrap_or(Final::Errored);
-        taken.end(End::of(&last));
+        let mut last = waiting.await.unwrap_or(Final::Errored);
+        let end = End::of(&last);
+        if let Some(at_end) = last.at_end(move |whole| taken.end(if whole { end } else { End::Errored })) {
+            at_end(true);
+        }
         Ok(last)
     }
 }
--- a/crates/fernroute-server/src/routing/book.rs
+++ b/crates/fernroute-server/src/routing/book.rs
@@ -6,11 +6,24 @@
 use std::rc::Rc;
 
 impl Switchboard {
+    /// An answer is handed on while it comes: from here on nothing is sent, and no time-out ends it. Tells whether its
+    /// caller is still there.
+    pub(super) fn begin(self: &Rc<Self>, rpc: &str, tx: usize, answer: Answer) -> bool {
+        if let Some(entry) = self.open.borrow_mut().get_mut(rpc) {
+            entry.streaming = true;
+            let out = entry.out.get_mut(&tx);
+            out.and_then(|out| out.time_out.take()).iter().for_each(|time_out| self.timers.drop(time_out));
+        }
+        self.decide(Some(rpc), |b, now| b.stream_started(now, rpc));
+        self.give(rpc, Final::Completed(answer))
+    }
+
     pub(super) fn book(self: &Rc<Self>, rpc: &str, tx: usize, result: Result<Answer, Outcome>, took: Time) {
         if let Some(entry) = self.open.borrow_mut().get_mut(rpc) {
+            entry.streaming = false;
             // One that was stopped is off the table already.
             if let Some(out) = entry.out.remove(&tx) {
-                self.timers.drop(&out.time_out);
+                out.time_out.iter().for_each(|time_out| self.timers.drop(time_out));
             }
         }
         let (outcome, loads, answer) = match result {
--- a/crates/fernroute-server/src/routing/mod.rs
+++ b/crates/fernroute-server/src/routing/mod.rs
@@ -11,3 +11,4 @@
 pub mod take_in;
 pub mod tally;
 pub mod timers;
+pub mod upload;
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -1,17 +1,28 @@
 //! One transmission, from its first byte to its outcome.
 
 use super::switchboard::Switchboard;
-use crate::protocol::answer::Answer;
+use super::upload::Sent;
+use crate::protocol::answer::{Answer, Cut, Flow};
 use crate::protocol::request::Request;
-use crate::transport::client::{Call, Line};
+use crate::transport::client::{Body, Call, Line, Rest};
 use crate::transport::outbound::{Course, Reached};
+use actix_http::body::BoxBody;
 use fernroute::{Outcome, Time};
 use futures_util::future::{select, Either};
 use futures_util::FutureExt as _;
 use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::rc::Rc;
-use tokio::sync::oneshot;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+/// An upstream that has begun an answer and gives nothing more for so long is silent for good. Any that still gives,
+/// however little, is waited for.
+const SILENT: Duration = Duration::from_secs(10);
+
+/// Pieces of an answer that wait for the caller to take them; each is no more than some sixteen kilobytes.
+const WINDOW: usize = 2;
 
 impl Switchboard {
     pub(super) async fn transmission(
@@ -26,22 +37,39 @@
         let sent = self.clock.now();
         let made = self.make(&request, line, time_out, stopped);
         let result = AssertUnwindSafe(made).catch_unwind().await.unwrap_or(Err(Outcome::Unknown));
-        self.book(&rpc, tx, result, self.clock.now() - sent);
+        // An RPC that was sent on while it came is worked on from its last byte on.
+        let whole = request.upload.as_ref().and_then(|upload| upload.whole_at.get());
+        let took = self.clock.now() - whole.map_or(sent, |whole| whole.max(sent));
+        let result = match result {
+            Ok((answer, None)) => Ok(answer),
+            Ok((answer, Some(rest))) => {
+                let handed_on = self.hand_on(&rpc, tx, answer, rest);
+                AssertUnwindSafe(handed_on).catch_unwind().await.unwrap_or(Err(Outcome::Unknown))
+            }
+            Err(outcome) => Err(outcome),
+        };
+        self.book(&rpc, tx, result, took);
     }
 
-    /// A whole answer, or how it ended without one.
+    /// A whole answer or its beginning, or how it ended without one.
     async fn make(
-        &self,
+        self: &Rc<Self>,
         request: &Request,
         line: Option<Rc<Line>>,
         time_out: Time,
         stopped: oneshot::Receiver<Outcome>,
-    ) -> Result<Answer, Outcome> {
+    ) -> Result<(Answer, Option<Rest>), Outcome> {
         // Left the list after it was drawn: nothing was sent.
         let Some(line) = line else { return Err(Outcome::Moot) };
         let (verb, uri, headers) = request.encode(line.address, time_out);
-        let call = Call { verb, uri, headers, body: request.body.clone(), fresh: request.once };
         let course = Course::counted(&self.tally.written);
+        let body = match &request.upload {
+            // What an earlier transmission took of it is nowhere any more: this one can't be made.
+            Some(upload) if upload.gone.get() || upload.broken.get() => return Err(Outcome::Moot),
+            Some(upload) => Body::Coming(BoxBody::new(Sent::new(self, request, upload, &course))),
+            None => Body::Whole(request.body.clone()),
+        };
+        let call = Call { verb, uri, headers, body, fresh: request.once };
         let result = {
             let call = pin!(line.call(call, &course));
             // Dropping the call at the end of this block closes its connection.
@@ -51,12 +79,23 @@
             }
         };
         match result {
-            Ok(Ok((head, body))) => Ok(Answer::decode(head, body, &self.gauges)),
+            Ok(Ok(answered)) => {
+                let answer = Answer::decode(answered.head, answered.first, &self.gauges);
+                // Of no other answer is the body passed on.
+                Ok((answer, answered.rest)).map(|(answer, rest)| match answer.outcome {
+                    Outcome::Completed => (answer, rest),
+                    _ => (answer, None),
+                })
+            }
             Ok(Err(broken)) => {
                 log::debug!("RPC {} at {}: {broken}", request.id, line.address);
+                let caller_broke = request.upload.as_ref().is_some_and(|upload| upload.broken.get());
                 Err(match broken.reached {
-                    // For want of connections here: that says nothing of the upstream.
+                    // For want of connections here, or of the RPC: that says nothing of the upstream.
                     Reached::Nothing if course.held_back() => Outcome::Moot,
+                    Reached::Nothing | Reached::Connected if caller_broke => Outcome::Moot,
+                    // Turned away before it was there.
+                    Reached::Nothing | Reached::Connected if course.early.get() => Outcome::Exhausted,
                     Reached::Nothing | Reached::Connected => Outcome::ConnectFailed,
                     Reached::Written | Reached::AnswerBegun => Outcome::Reset,
                 })
@@ -66,4 +105,41 @@
             Err(why) => Err(why),
         }
     }
+
+    /// Hands an answer on as it comes and as its caller takes it.
+    async fn hand_on(
+        self: &Rc<Self>,
+        rpc: &str,
+        tx: usize,
+        mut answer: Answer,
+        mut rest: Rest,
+    ) -> Result<Answer, Outcome> {
+        let (passed, coming) = mpsc::channel(WINDOW);
+        let loads = std::mem::take(&mut answer.loads);
+        answer.flow = Some(Flow::new(coming, rest.length));
+        if !self.begin(rpc, tx, answer) {
+            return Err(Outcome::Cancelled);
+        }
+        loop {
+            let next = match select(pin!(timeout(SILENT, rest.next())), pin!(passed.closed())).await {
+                Either::Left((next, _)) => next.unwrap_or_else(|_| Err("silent".to_owned())),
+                Either::Right(_) => return Err(Outcome::Cancelled),
+            };
+            match next {
+                Ok(Some(more)) => {
+                    if passed.send(Ok(more)).await.is_err() {
+                        return Err(Outcome::Cancelled);
+                    }
+                }
+                Ok(None) => break,
+                Err(why) => {
+                    log::debug!("RPC {rpc}, its answer begun: {why}");
+                    // Should the caller have gone: it needs no word.
+                    let _ = passed.send(Err(Cut)).await;
+                    return Err(Outcome::Reset);
+                }
+            }
+        }
+        Ok(Answer::handed_on(loads))
+    }
 }
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -23,7 +23,9 @@
 /// One transmission that is out: how to end it, and the timer that will.
 pub struct Out {
     pub stop: oneshot::Sender<Outcome>,
-    pub time_out: Key,
+    /// None until the RPC's last byte has come, and once the answer has begun.
+    pub time_out: Option<Key>,
+    pub lasts: Time,
 }
 
 /// An RPC that waits for its final answer, or for the end of a transmission.
@@ -31,11 +33,20 @@
     pub request: Rc<Request>,
     /// None once the final answer is given, or the caller has gone.
     pub answer: Option<oneshot::Sender<Final>>,
+    /// Its answer is being handed on.
+    pub streaming: bool,
     /// How many transmissions were made; those that are out, by number.
     pub made: usize,
     pub out: BTreeMap<usize, Out>,
 }
 
+impl Open {
+    /// It is taken and not ended. One whose last byte has not come is not taken yet.
+    fn is_outstanding(&self) -> bool {
+        self.answer.is_some() && self.request.is_whole() || self.streaming
+    }
+}
+
 /// By id: what the list says of an upstream that serves, and the way to it.
 type Lines = BTreeMap<Rc<str>, (Entry, Rc<Line>)>;
 
@@ -132,7 +143,7 @@
             ends: self.tally.ends.borrow().clone(),
             taken: self.tally.taken.get(),
             left: self.tally.left.get(),
-            outstanding: self.open.borrow().values().filter(|rpc| rpc.answer.is_some()).count(),
+            outstanding: self.open.borrow().values().filter(|rpc| rpc.is_outstanding()).count(),
             transmissions: self.tally.written.get(),
             listed,
             avoided,
--- a/crates/fernroute-server/src/routing/take_in.rs
+++ b/crates/fernroute-server/src/routing/take_in.rs
@@ -2,7 +2,7 @@
 
 use super::relay;
 use super::switchboard::Switchboard;
-use crate::protocol::request::{self, Unfit, MOST_BODY};
+use crate::protocol::request::{self, Unfit, Upload, MOST_BODY, MOST_HELD};
 use crate::protocol::{answer, names};
 use crate::transport::inbound::Visit;
 use actix_http::body::BoxBody;
@@ -14,6 +14,8 @@
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 
+const TOO_LARGE: Unfit = Unfit(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+
 /// Answers one message of a connection. A panic on the way costs this message alone.
 pub async fn handle(board: Rc<Switchboard>, message: Request, visit: Rc<Visit>) -> Response<BoxBody> {
     if visit.is_last() {
@@ -35,17 +37,31 @@
     }
     let decoded = request::Request::decode(message.head(), &board.methods);
     let body = match &decoded {
-        Ok(_) => whole_body(&mut message).await,
-        Err(_) => Ok(Bytes::new()),
+        Ok(_) => take_body(&mut message, visit).await,
+        Err(_) => Ok((Bytes::new(), None)),
+    };
+    let body = match (&decoded, body) {
+        (Ok(request), Ok((body, _))) if !request.takes_body() && !body.is_empty() => Err(request::BODIED),
+        (_, body) => body,
     };
-    let _stay = visit.taken();
+    let stay = visit.taken();
     match (decoded, body) {
-        (Ok(mut request), Ok(body)) => {
-            request.body = body;
-            match board.admit(request).await {
-                Ok(last) => last.encode(),
-                Err(unfit) => turn_away(&unfit, visit),
+        (Ok(mut request), Ok((body, upload))) => {
+            (request.body, request.upload) = (body, upload.clone());
+            let mut last = match board.admit(request).await {
+                Ok(last) => last,
+                Err(unfit) => return turn_away(&unfit, visit),
+            };
+            if let Some(upload) = upload.filter(|upload| upload.whole_at.get().is_none()) {
+                if upload.too_large.get() {
+                    return turn_away(&TOO_LARGE, visit);
+                }
+                // What still comes of it is no RPC.
+                visit.last_answer();
             }
+            // The connection is between RPCs once all of the answer is on its way.
+            last.at_end(move |_| drop(stay));
+            last.encode()
         }
         (Err(unfit), _) | (_, Err(unfit)) => turn_away(&unfit, visit),
     }
@@ -58,20 +74,20 @@
     answer::unfit(unfit)
 }
 
-async fn whole_body(message: &mut Request) -> Result<Bytes, Unfit> {
-    let too_large = Unfit(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+/// The body, or as much of it as is held and the rest as it comes.
+async fn take_body(message: &mut Request, visit: &Visit) -> Result<(Bytes, Option<Rc<Upload>>), Unfit> {
     let length = message.head().headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
-    if length.is_some_and(|n: usize| n > MOST_BODY) {
-        return Err(too_large);
+    if length.is_some_and(|n: u64| n > MOST_BODY) {
+        return Err(TOO_LARGE);
     }
     let mut payload: Payload = message.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| Unfit(StatusCode::BAD_REQUEST, "body not whole"))?;
-        if body.len() + chunk.len() > MOST_BODY {
-            return Err(too_large);
+        visit.progress();
+        body.extend_from_slice(&chunk.map_err(|_| Unfit(StatusCode::BAD_REQUEST, "body not whole"))?);
+        if body.len() > MOST_HELD {
+            return Ok((body.freeze(), Some(Upload::new(payload, length))));
         }
-        body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
+    Ok((body.freeze(), None))
 }
--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -1,16 +1,19 @@
 //! Calls on upstreams. Nothing here sends twice, follows a redirect or gives up by itself.
 
 use super::outbound::{Course, Reached, Seats, COURSE};
-use actix_http::header::HeaderMap;
+use actix_http::body::BoxBody;
+use actix_http::header::{HeaderMap, CONTENT_LENGTH};
 use actix_http::{Method, ResponseHead, Uri};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
-use bytes::Bytes;
+use awc::ClientResponse;
+use bytes::{Bytes, BytesMut};
+use futures_util::{FutureExt as _, StreamExt as _};
 use std::fmt;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio::time::timeout_at;
 
 /// A call that brought no whole answer, and how far it had come.
 #[derive(Debug)]
@@ -47,7 +50,7 @@
     pub verb: Method,
     pub uri: String,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Body,
     /// On a connection of its own, closed after the answer. A kept one may end as the call is written, and then
     /// nobody knows whether it has run.
     pub fresh: bool,
@@ -104,32 +107,148 @@
     }
 }
 
+/// What goes with a call: bytes that are there, or a body that still comes.
+pub enum Body {
+    Whole(Bytes),
+    Coming(BoxBody),
+}
+
+/// How much of an answer comes before it is handed on: all, if it is no more than this. A longer one is handed on as it
+/// comes from here on.
+const HELD: usize = 64 * 1024;
+
+/// One that says to be longer need not be waited for so long: its first bytes are what its caller waits for. A moment
+/// still tells most that are spoilt.
+const HELD_FOR: Duration = Duration::from_millis(200);
+
+/// One that does not say how long it is, is most likely short.
+const UNSAID_FOR: Duration = Duration::from_secs(1);
+
+/// An answer's head, and what there is of its body.
+pub struct Answered {
+    pub head: ResponseHead,
+    pub first: Bytes,
+    /// None where `first` is all.
+    pub rest: Option<Rest>,
+}
+
+/// The part of an answer that still comes.
+pub struct Rest {
+    response: ClientResponse,
+    /// What it says to be in all, if it does.
+    pub length: Option<u64>,
+    left: usize,
+    /// Its end or what broke it, met behind bytes that were handed on first.
+    met: Option<Result<(), String>>,
+    course: Rc<Course>,
+}
+
+impl Answered {
+    /// All of it.
+    pub async fn whole(self) -> Result<(ResponseHead, Bytes), String> {
+        let Some(mut rest) = self.rest else { return Ok((self.head, self.first)) };
+        let mut body = BytesMut::from(&self.first[..]);
+        while let Some(more) = rest.next().await? {
+            body.extend_from_slice(&more);
+        }
+        Ok((self.head, body.freeze()))
+    }
+}
+
+impl Rest {
+    /// The next bytes, all that are there up to some; none at its whole end.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, String> {
+        /// Handed on at once; many small pieces cost as much as few large ones.
+        const SOME: usize = 16 * 1024;
+        let course = Rc::clone(&self.course);
+        let response = &mut self.response;
+        let mut met = self.met.take();
+        let next = COURSE.scope(Rc::clone(&course), async move {
+            let mut some = BytesMut::new();
+            while met.is_none() && some.len() < SOME / 2 {
+                let more = if some.is_empty() {
+                    Some(response.next().await)
+                } else {
+                    response.next().now_or_never()
+                };
+                match more {
+                    Some(Some(Ok(more))) => some.extend_from_slice(&more),
+                    Some(Some(Err(why))) => met = Some(Err(why.to_string())),
+                    Some(None) => met = Some(course.whole().map_err(|e| e.to_string())),
+                    None => break,
+                }
+            }
+            (some, met)
+        });
+        let (some, met) = next.await;
+        if some.is_empty() {
+            self.course.over();
+            return met.unwrap_or(Ok(())).map(|()| None);
+        }
+        self.met = met;
+        self.left = self.left.checked_sub(some.len()).ok_or("a body without end")?;
+        Ok(Some(some.freeze()))
+    }
+}
+
 impl Line {
-    /// The whole answer. Dropping the future closes the connection.
-    pub async fn call(&self, call: Call, course: &Rc<Course>) -> Result<(ResponseHead, Bytes), Broken> {
+    /// The whole answer, or its beginning. Dropping the future, or the rest, closes the connection.
+    pub async fn call(&self, call: Call, course: &Rc<Course>) -> Result<Answered, Broken> {
         let result = COURSE.scope(Rc::clone(course), self.answer(call, course)).await;
-        course.over();
+        if !result.as_ref().is_ok_and(|answered| answered.rest.is_some()) {
+            course.over();
+        }
         result.map_err(|why| Broken { reached: course.reached(), why })
     }
 
-    async fn answer(&self, call: Call, course: &Course) -> Result<(ResponseHead, Bytes), String> {
+    async fn answer(&self, call: Call, course: &Rc<Course>) -> Result<Answered, String> {
         let request = if call.fresh {
             self.fresh.request(call.verb.clone(), call.uri).force_close()
         } else {
             self.kept.request(call.verb.clone(), call.uri)
         };
         let mut request = request.no_decompress();
-        // No body at all, or one of stated length, be it none.
-        let bare = call.verb == Method::GET && call.body.is_empty();
         *request.headers_mut() = call.headers;
-        let sent = if bare { request.send() } else { request.send_body(call.body) };
+        let sent = match call.body {
+            // No body at all, or one of stated length, be it none.
+            Body::Whole(body) if call.verb == Method::GET && body.is_empty() => request.send(),
+            Body::Whole(body) => request.send_body(body),
+            Body::Coming(body) => {
+                course.unfinished.set(true);
+                request.send_body(body)
+            }
+        };
         let mut response = sent.await.map_err(|e| e.to_string())?;
-        let body = response.body().limit(self.most_body).await.map_err(|e| e.to_string())?;
         let mut head = ResponseHead::new(response.status());
         head.headers = response.headers().clone();
-        if course.cut() {
-            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).to_string());
+        let length =
+            head.headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
+        let wait = if length.is_some_and(|n| n > HELD as u64) { HELD_FOR } else { UNSAID_FOR };
+        let is_short = length.is_some_and(|n| n <= HELD as u64);
+        let mut first = BytesMut::new();
+        let mut until: Option<Instant> = None;
+        loop {
+            let next = match until {
+                Some(until) if !is_short => match timeout_at(until.into(), response.next()).await {
+                    Ok(next) => next,
+                    Err(_) => break,
+                },
+                _ => response.next().await,
+            };
+            match next {
+                Some(chunk) => first.extend_from_slice(&chunk.map_err(|e| e.to_string())?),
+                None => {
+                    course.whole().map_err(|e| e.to_string())?;
+                    return Ok(Answered { head, first: first.freeze(), rest: None });
+                }
+            }
+            until = until.or_else(|| Some(Instant::now() + wait));
+            if first.len() > HELD.min(self.most_body) {
+                break;
+            }
         }
-        Ok((head, body))
+        let left = self.most_body.checked_sub(first.len()).ok_or("a body too large")?;
+        let rest = Rest { response, length, left, met: None, course: Rc::clone(course) };
+        Ok(Answered { head, first: first.freeze(), rest: Some(rest) })
     }
 }
--- a/crates/fernroute-server/src/transport/discovery.rs
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -1,6 +1,6 @@
 //! The watch on discovery: one call after another, each answer handed on.
 
-use super::client::{Call, Client, Line};
+use super::client::{Body, Call, Client, Line};
 use super::outbound::Course;
 use crate::protocol::list::{self, List};
 use crate::protocol::names;
@@ -9,8 +9,9 @@
 use bytes::Bytes;
 use futures_util::FutureExt as _;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -20,6 +21,11 @@
 /// An agent that is up answers at once after that: a little more is for a busy machine.
 const GRACE: Duration = Duration::from_secs(1);
 
+/// Whatever trickles in, what it says is old by then.
+const LONGEST: Duration = Duration::from_secs(10);
+
+const LOOK: Duration = Duration::from_millis(100);
+
 /// After a call that brought nothing, where news come unasked, or brought what must be asked for again: well within
 /// the 200 ms in which a watch must go on, and within any grace for upstreams that leave.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -45,14 +51,30 @@
             verb: Method::GET,
             uri: format!("http://{}{}{query}", self.line.address, names::LIST_PATH),
             headers: HeaderMap::new(),
-            body: Bytes::new(),
+            body: Body::Whole(Bytes::new()),
             fresh: false,
         };
         let course = Rc::<Course>::default();
         // The whole list is there at once.
         let wait = if version.is_some() { WAIT } else { Duration::ZERO };
-        let answer = timeout(wait + GRACE, self.line.call(call, &course)).await;
-        let (head, body) = answer.map_err(|_| "silent".to_owned())?.map_err(|broken| broken.to_string())?;
+        let mut answer = pin!(async {
+            let answered = self.line.call(call, &course).await.map_err(|broken| broken.to_string())?;
+            answered.whole().await
+        });
+        // Judged by progress: a list that trickles comes whole in the end, and is asked for once.
+        let from = Instant::now();
+        let (head, body) = loop {
+            if let Ok(answer) = timeout(LOOK, &mut answer).await {
+                break answer?;
+            }
+            let silent = match course.heard_at() {
+                Some(at) => at.elapsed() >= GRACE,
+                None => from.elapsed() >= wait + GRACE,
+            };
+            if silent || from.elapsed() >= LONGEST {
+                return Err("silent".to_owned());
+            }
+        };
         if head.status != StatusCode::OK {
             return Err(format!("status {}", head.status.as_u16()));
         }
--- a/crates/fernroute-server/src/transport/framing.rs
+++ b/crates/fernroute-server/src/transport/framing.rs
@@ -12,6 +12,8 @@
 
 const MOST_HEADERS: usize = 96;
 
+const OLDER: &[u8] = b"HTTP/1.0";
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Rest {
     #[default]
@@ -20,6 +22,8 @@
     Length(u64),
     /// The library finds the end of these.
     Chunks,
+    /// All that comes until the connection ends.
+    Close,
     Nothing,
 }
 
@@ -42,7 +46,12 @@
 
     /// Nothing tells where the answer ends but the library's own reading.
     pub fn is_open_ended(&self) -> bool {
-        self.rest == Rest::Chunks
+        matches!(self.rest, Rest::Chunks | Rest::Close)
+    }
+
+    /// The end of the connection is the answer's.
+    pub fn ends_with_connection(&self) -> bool {
+        self.rest == Rest::Close
     }
 
     /// How many of the bytes at the front are the answer's, of all that has come and is not handed on yet. Heads
@@ -58,7 +67,7 @@
         let new = (heard.len() - head) as u64;
         let body = match self.rest {
             Rest::Length(left) => left.min(new),
-            Rest::Chunks => new,
+            Rest::Chunks | Rest::Close => new,
             Rest::Head | Rest::Nothing => 0,
         };
         self.rest = match self.rest {
@@ -80,11 +89,17 @@
                 return if endless { Err(spoilt("a head without end")) } else { Ok(None) };
             };
             if !(100..200).contains(&status) {
-                self.rest = rest(status, answer.headers)?;
-                return match self.rest {
-                    Rest::Length(body) if body > most_body => Err(spoilt(&format!("a body of {body} bytes"))),
-                    _ => Ok(Some(length)),
-                };
+                self.rest = rest(status, answer.version, answer.headers)?;
+                if let Rest::Length(body) = self.rest {
+                    if body > most_body {
+                        return Err(spoilt(&format!("a body of {body} bytes")));
+                    }
+                }
+                if self.rest == Rest::Close {
+                    // The library reads on until the end for answers of the older version alone.
+                    heard[..OLDER.len()].copy_from_slice(OLDER);
+                }
+                return Ok(Some(length));
             }
             self.interim += 1;
             if status == 101 || self.interim > MOST_INTERIM {
@@ -95,8 +110,15 @@
     }
 }
 
+fn closes(headers: &[httparse::Header<'_>]) -> bool {
+    let named = headers.iter().filter(|h| h.name.eq_ignore_ascii_case("connection"));
+    named
+        .flat_map(|h| h.value.split(|b| *b == b','))
+        .any(|word| word.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
+
 /// What follows a head, where there is one reading of it alone.
-fn rest(status: u16, headers: &[httparse::Header<'_>]) -> io::Result<Rest> {
+fn rest(status: u16, version: Option<u8>, headers: &[httparse::Header<'_>]) -> io::Result<Rest> {
     let named = |name: &'static str| headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name));
     let mut lengths = named("content-length").map(|h| std::str::from_utf8(h.value).ok().map(str::trim));
     let mut codings = named("transfer-encoding");
@@ -108,6 +130,8 @@
             length.parse().map(Rest::Length).map_err(|_| spoilt("an unreadable length"))
         }
         (None, None, None, None) if status == 204 || status == 304 => Ok(Rest::Length(0)),
+        // Who says that the connection ends means it; a head that says nothing at all is spoilt.
+        (None, None, None, None) if version == Some(0) || closes(headers) => Ok(Rest::Close),
         _ => Err(spoilt("no length, or several readings of it")),
     }
 }
--- a/crates/fernroute-server/src/transport/inbound.rs
+++ b/crates/fernroute-server/src/transport/inbound.rs
@@ -10,6 +10,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 
+/// The library reads until nothing is left: after so many bytes the others have their turn, and what came is used.
+const TURN: usize = 16 * 1024;
+
 /// What the server knows of a connection.
 #[derive(Debug)]
 pub struct Visit {
@@ -19,10 +22,14 @@
     open: Cell<u32>,
     /// Bytes have come of an RPC that is not whole yet.
     partial: Cell<bool>,
+    /// Bytes of an answer wait for the caller to take them.
+    unsent: Cell<bool>,
     /// It has brought an RPC, or what passes for one.
     asked: Cell<bool>,
     /// Since when it has been idle, or an RPC has been coming.
     since: Cell<Instant>,
+    /// Bytes that were read in this turn of the library.
+    turn: Cell<usize>,
     ending: Cell<bool>,
     /// The last answer is made: nothing that comes is read as an RPC any more.
     last: Cell<bool>,
@@ -39,8 +46,10 @@
             stream: RefCell::default(),
             open: Cell::new(0),
             partial: Cell::new(false),
+            unsent: Cell::new(false),
             asked: Cell::new(false),
             since: Cell::new(Instant::now()),
+            turn: Cell::new(0),
             ending: Cell::new(false),
             last: Cell::new(false),
             done: Cell::new(false),
@@ -56,11 +65,21 @@
     }
 
     pub fn is_idle(&self) -> bool {
-        self.open.get() == 0 && !self.partial.get()
+        self.open.get() == 0 && !self.partial.get() && !self.unsent.get()
+    }
+
+    /// It takes nothing of an answer that is there for it; `since` tells for how long.
+    pub fn is_stuck(&self) -> bool {
+        self.unsent.get()
+    }
+
+    /// More of a body has come.
+    pub fn progress(&self) {
+        self.since.set(Instant::now());
     }
 
     pub fn is_partial(&self) -> bool {
-        self.open.get() == 0 && self.partial.get()
+        self.open.get() == 0 && self.partial.get() && !self.unsent.get()
     }
 
     pub fn is_ending(&self) -> bool {
@@ -144,8 +163,17 @@
         if visit.is_last() {
             return Poll::Pending;
         }
+        if visit.turn.get() >= TURN {
+            visit.turn.set(0);
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
         let read = visit.with(|stream| stream.poll_read(cx, buf));
+        match &read {
+            Poll::Ready(_) => visit.turn.set(visit.turn.get() + buf.filled().len() - before),
+            Poll::Pending => visit.turn.set(0),
+        }
         match &read {
             Poll::Ready(Ok(())) if buf.filled().len() > before => {
                 if visit.is_idle() {
@@ -163,12 +191,20 @@
 
 impl AsyncWrite for Inbound {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.visit.with(|stream| stream.poll_write(cx, buf))
+        let written = self.visit.with(|stream| stream.poll_write(cx, buf));
+        if !self.visit.unsent.replace(true) || written.is_ready() {
+            self.visit.progress();
+        }
+        written
     }
 
     /// The library flushes once it has written all that it has.
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = self.visit.with(|stream| stream.poll_flush(cx));
+        if self.visit.unsent.replace(false) {
+            // Whoever waits for it to be idle may go on.
+            self.visit.wake.notify_one();
+        }
         if self.visit.is_last() && flushed.is_ready() {
             self.visit.cut();
         }
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -7,6 +7,7 @@
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
@@ -32,9 +33,16 @@
     reached: Cell<Reached>,
     /// The upstream ended the connection while it carried this transmission.
     cut: Cell<bool>,
+    /// That end was the answer's, too.
+    to_the_end: Cell<bool>,
+    heard_at: Cell<Option<Instant>>,
     /// It never left, for want of connections here.
     held_back: Cell<bool>,
     seat: RefCell<Option<Rc<Seat>>>,
+    /// More of the body is to come: the last byte is not out.
+    pub unfinished: Cell<bool>,
+    /// The upstream answered before it had the whole body.
+    pub early: Cell<bool>,
     /// Counts transmissions whose last byte is out.
     written: Rc<Cell<u64>>,
 }
@@ -53,8 +61,17 @@
         self.reached.get()
     }
 
-    pub fn cut(&self) -> bool {
-        self.cut.get()
+    /// Whether the answer that the library takes for whole is: it takes one in chunks that is cut short for one.
+    pub fn whole(&self) -> io::Result<()> {
+        if self.cut.get() && !self.to_the_end.get() {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        Ok(())
+    }
+
+    /// When something came last.
+    pub fn heard_at(&self) -> Option<Instant> {
+        self.heard_at.get()
     }
 
     pub fn held_back(&self) -> bool {
@@ -72,6 +89,23 @@
         }
     }
 
+    /// Writes on what the connection has not taken yet: ready once there is room for more of the body. An answer that
+    /// comes meanwhile, or an end, is an error.
+    pub fn poll_room(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(seat) = self.seat.borrow().clone() else { return Poll::Ready(Ok(())) };
+        let mut peeked = [MaybeUninit::uninit(); 1];
+        let mut peeked = ReadBuf::uninit(&mut peeked);
+        if seat.with(|stream| stream.get_mut().poll_peek(cx, &mut peeked)).is_ready() {
+            self.early.set(true);
+            return Poll::Ready(Err(io::Error::other("an answer before the whole body")));
+        }
+        match seat.write_left(cx) {
+            Poll::Pending if seat.left.borrow().len() > WINDOW => Poll::Pending,
+            Poll::Ready(Err(why)) => Poll::Ready(Err(why)),
+            _ => Poll::Ready(Ok(())),
+        }
+    }
+
     fn come_to(&self, reached: Reached) {
         if self.reached.get() < Reached::Written && reached >= Reached::Written {
             self.written.set(self.written.get() + 1);
@@ -80,16 +114,44 @@
     }
 }
 
+/// As much of a body as waits for an upstream to take it.
+const WINDOW: usize = 16 * 1024;
+
 /// A connection's place in the table; it is closed by taking the stream out.
 #[derive(Debug)]
 struct Seat {
     stream: RefCell<Option<TcpStream>>,
+    /// What the socket has not taken yet. The library may stop flushing a long body before its end, so all
+    /// of it is taken here at once; flushing then writes it out.
+    left: RefCell<BytesMut>,
     idle_since: Cell<Option<Instant>>,
     /// Of no further use after the answer that is on it.
     spent: Cell<bool>,
     most_body: u64,
 }
 
+impl Seat {
+    fn with<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        match self.stream.borrow_mut().as_mut() {
+            Some(stream) => act(Pin::new(stream)),
+            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+        }
+    }
+
+    fn write_left(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut left = self.left.borrow_mut();
+        while !left.is_empty() {
+            match std::task::ready!(self.with(|stream| stream.poll_write(cx, &left)))? {
+                0 => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
+                n => left.advance(n),
+            }
+        }
+        // An idle connection keeps no memory for it.
+        *left = BytesMut::new();
+        Poll::Ready(Ok(()))
+    }
+}
+
 /// All connections to upstreams. Emptied as they are closed.
 #[derive(Debug)]
 pub struct Seats {
@@ -131,15 +193,10 @@
         })?;
         without_delay(&stream);
         let (stream, spent) = (RefCell::new(Some(stream)), Cell::new(false));
-        let seat = Rc::new(Seat { stream, idle_since: Cell::new(None), spent, most_body: self.most_body });
+        let (left, idle_since) = (RefCell::default(), Cell::new(None));
+        let seat = Rc::new(Seat { stream, left, idle_since, spent, most_body: self.most_body });
         self.all.borrow_mut().push(Rc::downgrade(&seat));
-        Ok(Outbound {
-            seat,
-            left: BytesMut::new(),
-            framing: Framing::default(),
-            heard: BytesMut::new(),
-            ready: 0,
-        })
+        Ok(Outbound { seat, framing: Framing::default(), heard: BytesMut::new(), ready: 0 })
     }
 
     /// How many there are, those that are being made with them.
@@ -202,9 +259,6 @@
 #[derive(Debug)]
 pub struct Outbound {
     seat: Rc<Seat>,
-    /// What the socket has not taken yet. The library may stop flushing a long body before its end, so all
-    /// of it is taken here at once; flushing then writes it out.
-    left: BytesMut,
     framing: Framing,
     /// What has come and is not handed on yet; the first `ready` bytes are the answer's.
     heard: BytesMut,
@@ -231,12 +285,19 @@
         while self.ready == 0 {
             if std::task::ready!(self.hear(cx))? == 0 {
                 // The library takes an answer in chunks that is cut short for a whole one.
-                self.note(|course| course.cut.set(true));
+                let to_the_end = self.framing.ends_with_connection();
+                self.note(|course| {
+                    course.cut.set(true);
+                    course.to_the_end.set(to_the_end);
+                });
                 let end =
                     if self.framing.is_open_ended() { Ok(()) } else { Err(io::ErrorKind::UnexpectedEof) };
                 return Poll::Ready(end.map_err(io::Error::from));
             }
-            self.note(|course| course.come_to(Reached::AnswerBegun));
+            self.note(|course| {
+                course.heard_at.set(Some(Instant::now()));
+                course.come_to(Reached::AnswerBegun);
+            });
             self.ready = self.framing.count(&mut self.heard, self.seat.most_body)?;
         }
         // Whatever is behind a whole answer belongs to no other; nor does what is behind one whose end the
@@ -250,10 +311,7 @@
     }
 
     fn with<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        match self.seat.stream.borrow_mut().as_mut() {
-            Some(stream) => act(Pin::new(stream)),
-            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
-        }
+        self.seat.with(act)
     }
 
     /// The transmission of the running task, once it has this connection.
@@ -264,17 +322,6 @@
             }
         });
     }
-
-    fn write_left(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        while !self.left.is_empty() {
-            let written = self.with(|stream| stream.poll_write(cx, &self.left));
-            match std::task::ready!(written)? {
-                0 => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
-                n => self.left.advance(n),
-            }
-        }
-        Poll::Ready(Ok(()))
-    }
 }
 
 /// Whoever else still knows of the connection, it is closed: a transmission that is given up must end there.
@@ -318,20 +365,24 @@
             course.seat.replace(Some(Rc::clone(&self.seat)));
             course.come_to(Reached::Connected);
         });
-        if let Poll::Ready(result) = self.write_left(cx) {
+        if let Poll::Ready(result) = self.seat.write_left(cx) {
             result?;
             let written = self.with(|stream| stream.poll_write(cx, buf));
             let n = if let Poll::Ready(n) = written { n? } else { 0 };
-            self.left.extend_from_slice(&buf[n..]);
+            self.seat.left.borrow_mut().extend_from_slice(&buf[n..]);
         } else {
-            self.left.extend_from_slice(buf);
+            self.seat.left.borrow_mut().extend_from_slice(buf);
         }
         Poll::Ready(Ok(buf.len()))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        std::task::ready!(self.write_left(cx))?;
-        self.note(|course| course.come_to(Reached::Written));
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        std::task::ready!(self.seat.write_left(cx))?;
+        self.note(|course| {
+            if !course.unfinished.get() {
+                course.come_to(Reached::Written);
+            }
+        });
         self.with(|stream| stream.poll_flush(cx))
     }
 
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -31,6 +31,9 @@
 /// hold connections with half an RPC, which are never between RPCs and so would never make room.
 const COMING: Duration = Duration::from_millis(2500);
 
+/// Who takes nothing of an answer for this long is not there any more. A caller on a poor line takes a little each second.
+const STUCK: Duration = Duration::from_secs(10);
+
 /// After the last answer what still comes is read and dropped for this long: closing on unread bytes would reset
 /// the connection, and the caller might never see the answer.
 const LINGER: Duration = Duration::from_secs(1);
@@ -223,7 +226,9 @@
                 visit.set_ending(ending);
             }
             let for_long = |time| visit.since().elapsed() >= time;
-            if visit.is_partial() && for_long(COMING) || visit.is_ending() && for_long(IDLE + COMING) {
+            let stuck = visit.is_stuck() && for_long(STUCK);
+            let late = visit.is_partial() && for_long(COMING) || visit.is_ending() && for_long(IDLE + COMING);
+            if stuck || late {
                 visit.cut();
             } else if visit.is_idle() && for_long(if visit.has_asked() { IDLE } else { SILENT }) {
                 visit.end();
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -40,9 +40,7 @@
 enum State {
     #[default]
     Closed,
-    Open {
-        until: Time,
-    },
+    Open(Time),
     HalfOpen,
 }
 
@@ -97,7 +95,7 @@
 
     /// Takes the state that the clock asks for, and tells whether a transmission may pass.
     fn passes(&mut self, now: Time) -> bool {
-        if let State::Open { until } = self.state {
+        if let State::Open(until) = self.state {
             if now < until {
                 return false;
             }
@@ -139,7 +137,7 @@
         let length = (OPEN_FOR << self.openings) as f64;
         // The design's jitter: up to a fifth either way.
         let length = length * (0.8 + 0.4 * rng.generate::<f64>());
-        self.change(State::Open { until: now + length as Time });
+        self.change(State::Open(now + length as Time));
     }
 }
 
@@ -289,7 +287,6 @@
     /// Until when an answer is worth anything.
     until: Time,
     done: bool,
-    streaming: bool,
     waiting: bool,
     txs: Vec<Tx>,
 }
@@ -558,9 +555,8 @@
 
     /// How many upstreams the list names, and how many of them are avoided now.
     pub fn standing(&self) -> (usize, usize) {
-        let listed = self.upstreams.values().filter(|u| !u.gone);
-        let avoided = listed.clone().filter(|u| u.leaving || u.breaker.state != State::Closed);
-        (listed.clone().count(), avoided.count())
+        let listed = || self.upstreams.values().filter(|u| !u.gone);
+        (listed().count(), listed().filter(|u| u.leaving || u.breaker.state != State::Closed).count())
     }
 
     /// How many upstreams are in use, warm or cold.
@@ -604,7 +600,7 @@
         let most = rpc.is_out() || rpc.txs.len() >= self.max_tx;
         // Told that it drains or is gone: nothing new at once, the grace is left unused.
         let shut = u.leaving || (self.now < u.cold_next && self.warmth(u.started) < 1.0);
-        if rpc.done || rpc.streaming || self.now >= rpc.hard || most || shut {
+        if rpc.done || self.now >= rpc.hard || most || shut {
             return false;
         }
         let m = &self.methods[rpc.method];
@@ -857,8 +853,10 @@
         g.answers * fade(self.now - g.at, memory) * SECOND as f64 / memory / seen.max(0.01)
     }
 
-    fn count_answer(&mut self, took: Time) {
-        let memory = self.memory();
+    /// One that comes after the soft deadline counts for nothing.
+    fn count_answer(&mut self, method: usize, arrived: Time) {
+        let (took, memory, soft) = (self.now - arrived, self.memory(), self.methods[method].soft);
+        let Some(took) = Some(took).filter(|took| soft.is_none_or(|soft| *took <= soft)) else { return };
         let (g, took) = (&mut self.gate, took as f64);
         g.from = g.from.or(Some(self.now));
         let age = g.from.map_or(0, |from| self.now - from);
@@ -981,11 +979,11 @@
         self.learn_verdict(&tx, method, outcome, took);
         let Some(rpc) = self.rpcs.get(&id) else { return };
         if ended || rpc.done {
-            if !rpc.done && self.methods[method].soft.is_none_or(|soft| now <= arrived + soft) {
-                self.count_answer(now - arrived);
+            if !rpc.done {
+                self.count_answer(method, arrived);
             }
             self.close(&id);
-        } else if !rpc.is_out() && !rpc.streaming && !self.send_further(&id) {
+        } else if !rpc.is_out() && !self.send_further(&id) {
             self.finish(&id);
         }
     }
@@ -1062,12 +1060,22 @@
         self.close(&Id::from(id));
     }
 
-    /// The answer has begun: it is the client's now, and nothing more is sent for it.
+    /// The last byte has come of an RPC that was sent on while it came: its times count from here.
+    pub fn rpc_whole(&mut self, now: Time, id: &str) {
+        let Some(rpc) = self.rpcs.get_mut(id) else { return };
+        let late = now - rpc.arrived;
+        (rpc.arrived, rpc.soft, rpc.hard, rpc.until) =
+            (now, rpc.soft + late, rpc.hard + late, rpc.until + late);
+    }
+
+    /// The answer has begun: it is the client's now, and nothing more is sent for it. Guards against a gate
+    /// that takes answers which take long to hand on for work that upstreams do not get done.
     pub fn stream_started(&mut self, now: Time, id: &str) {
         self.now = now;
-        if let Some(rpc) = self.rpcs.get_mut(id) {
-            rpc.streaming = true;
-        }
+        let Some(rpc) = self.rpcs.get_mut(id).filter(|rpc| !rpc.done) else { return };
+        rpc.done = true;
+        let (method, arrived) = (rpc.method, rpc.arrived);
+        self.count_answer(method, arrived);
     }
 
     pub fn timer(&mut self, now: Time, token: &str) {
--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -556,3 +556,64 @@
     timers.iter().for_each(|(after, token)| b.timer(START + 8 * SECOND + after, token));
     assert_eq!(notes.0.borrow().asked, 1);
 }
+
+/// Guards against a gate that shuts on answers that take long to hand on: their upstreams have done their work. Nothing
+/// more is sent for an RPC whose answer has begun, and its caller's going calls nothing off.
+#[test]
+fn answers_that_are_handed_on_for_long_do_not_shut_the_gate() {
+    let (mut b, notes) = balancer(6, &[]);
+    let mut begun: VecDeque<String> = VecDeque::new();
+    for i in 0..600 {
+        let now = START + i * 500;
+        let id = format!("long-{i}");
+        assert!(offer(&mut b, &notes, now, &id, "m0").is_some(), "RPC {i} of those that are handed on");
+        b.stream_started(now + 400, &id);
+        begun.push_back(id);
+        // Each is handed on for five seconds, far past its soft deadline.
+        if begun.len() > 100 {
+            let id = begun.pop_front().expect("it has begun");
+            b.tx_ended(now + 450, &id, 0, Outcome::Completed, 400, true, &[0.3]);
+        }
+    }
+    let sent = notes.0.borrow().sent.len();
+    let now = START + 31 * SECOND;
+    let cut = begun.pop_front().expect("it has begun");
+    b.tx_ended(now, &cut, 0, Outcome::Reset, 400, false, &[]);
+    b.rpc_abandoned(now, &begun[0]);
+    let notes = notes.0.borrow();
+    assert_eq!((sent, notes.sent.len()), (600, 600));
+    assert!(notes.cancelled.is_empty() && notes.errored.is_empty() && notes.exhausted.is_empty());
+}
+
+/// Guards against an RPC that is given up because it took long to come: its times count from its last byte.
+#[test]
+fn the_times_of_an_rpc_that_is_sent_on_as_it_comes_count_from_its_last_byte() {
+    for (whole, sends) in [(false, 1), (true, 2)] {
+        let (mut b, notes) = balancer(6, &[]);
+        offer(&mut b, &notes, START, "slow", "m2").expect("it is sent");
+        let late = START + 5 * SECOND;
+        if whole {
+            b.rpc_whole(late, "slow");
+        }
+        b.tx_ended(late + 100, "slow", 0, Outcome::Exhausted, 100, false, &[]);
+        assert_eq!(notes.0.borrow().sent.len(), sends, "{whole}");
+        let left = notes.0.borrow().sent.last().map(|sent| sent.2);
+        assert!(!whole || left == Some(3 * SECOND - 100), "{left:?}");
+        assert_eq!(notes.0.borrow().exhausted.len(), 2 - sends);
+    }
+}
+
+/// Guards against operators who are told less or more than the list names, or that an upstream is in use that gets nothing.
+#[test]
+fn what_is_listed_and_what_is_avoided_is_told() {
+    let (mut b, notes) = balancer(6, &[]);
+    assert_eq!(b.standing(), (6, 0));
+    let bad = upstream(0).0;
+    run(&mut b, &notes, START, 3000, |to| if to == bad { (Outcome::Reset, 100) } else { good(to) });
+    assert_eq!(b.standing(), (6, 1));
+    b.list_begins(START + 40 * SECOND, false);
+    b.upstream_drains(&upstream(1).0);
+    b.upstream_gone(&upstream(2).0);
+    b.list_ends(true);
+    assert_eq!(b.standing(), (5, 2));
+}
