--- a/crates/fernroute-config/src/lib.rs
+++ b/crates/fernroute-config/src/lib.rs
@@ -19,6 +19,7 @@
     /// None where the file names none: then each start has another.
     pub seed: Option<u64>,
     pub descriptors: usize,
+    pub megabytes: usize,
     pub upstreams: Vec<Upstream>,
     pub terms: Terms,
 }
@@ -74,6 +75,11 @@
 /// What a process commonly gets where nothing is said.
 pub const USUAL_DESCRIPTORS: usize = 1024;
 
+/// The least memory that a balancer is ever given, what it takes where nothing is said, and more than any machine has.
+pub const LEAST_MEGABYTES: usize = 16;
+pub const USUAL_MEGABYTES: usize = 192;
+pub const MOST_MEGABYTES: usize = 1 << 20;
+
 const EFFECTS: &[&str] = &["retriable", "deduped", "non_retriable"];
 const GROUPS: &[&str] = &["all", "zone", "cell"];
 const REPORTS: &[&str] = &["utilisation", "service_time", "in_flight", "queued", "rate", "errors"];
@@ -87,6 +93,7 @@
     ("ops", "", Address, false),
     ("seed", "", Hex, false),
     ("descriptors", "", Count(LEAST_DESCRIPTORS as f64, MANY), false),
+    ("memory_mb", "", Count(LEAST_MEGABYTES as f64, MOST_MEGABYTES as f64), false),
     ("place.instances", "instances", Count(1.0, MANY), false),
     ("place.number", "number", Count(0.0, MANY), false),
     ("place.tier", "tier", Count(0.0, 100.0), false),
@@ -392,6 +399,7 @@
             ops: text("ops").and_then(|t| t.parse().ok()),
             seed: text("seed").and_then(|t| u64::from_str_radix(&t, 16).ok()),
             descriptors: text("descriptors").and_then(|t| t.parse().ok()).unwrap_or(USUAL_DESCRIPTORS),
+            megabytes: text("memory_mb").and_then(|t| t.parse().ok()).unwrap_or(USUAL_MEGABYTES),
             upstreams: (0..self.lists.get("upstream").map_or(0, Vec::len)).map(upstream).collect(),
             terms,
         }
--- a/crates/fernroute-config/tests/files.rs
+++ b/crates/fernroute-config/tests/files.rs
@@ -77,6 +77,7 @@
         ("name = \"n0\"", "name = \"n0", "line 1: "),
         ("\"127.0.0.1:9000\"", "\"localhost\"", "line 2: listen: is no address with a port"),
         ("[place]", "seed = \"xyz\"\n[place]", "line 5: seed: is no text of up to 16"),
+        ("[place]", "memory_mb = 1\n[place]", "line 5: memory_mb: 1 is not between 16 and"),
         ("[place]", "ops = 9600\n[place]", "line 5: ops: is no address with a port"),
         (
             "[place]",
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -61,6 +61,7 @@
     name: String,
     listen: SocketAddr,
     share: Cell<Share>,
+    memory: usize,
     discovery: Cell<SocketAddr>,
     /// Where each watch waits for the decisions to ask.
     asks: bool,
@@ -119,6 +120,7 @@
         let (callers, upstreams) = share.connections();
         self.server.set_most(callers);
         self.board.client.set_most(upstreams);
+        self.board.windows.set_memory(share.memory(self.memory));
     }
 }
 
@@ -148,9 +150,10 @@
         share.part = other.descriptors;
     }
     let (callers, upstreams) = share.connections();
-    let board = Switchboard::new(&station.terms, station.seed, upstreams).map_err(|missing| {
-        format!("settings: missing or unreadable {}", fernroute_terms::path(&missing.0))
-    })?;
+    let board = Switchboard::new(&station.terms, station.seed, upstreams, share.memory(station.memory))
+        .map_err(|missing| {
+            format!("settings: missing or unreadable {}", fernroute_terms::path(&missing.0))
+        })?;
     if !matches!(before, Before::Nobody) {
         board.phase_change(|phase, _| phase.wait());
     }
@@ -204,6 +207,7 @@
         name: station.name,
         listen: station.listen,
         share: Cell::new(share),
+        memory: station.memory,
         discovery: Cell::new(station.discovery),
         asks: station.terms.get("list_mode").is_some_and(|mode| mode == "ask"),
         watch: RefCell::default(),
--- a/crates/fernroute-server/src/program/share.rs
+++ b/crates/fernroute-server/src/program/share.rs
@@ -34,6 +34,11 @@
         (room * 3 / 5, room * 2 / 5)
     }
 
+    /// Of this memory, as much as of the descriptors.
+    pub fn memory(&self, whole: usize) -> usize {
+        (whole as u64 * self.part as u64 / self.whole.max(1) as u64) as usize
+    }
+
     /// A successor comes while this process has so many connections. It keeps those that it has and room for a few,
     /// within half of the whole, and a quarter at the least; idle ones go beyond that.
     pub fn keep(&mut self, connections: usize) {
@@ -91,6 +96,8 @@
                 }
             }
         }
+        let half = Share { part: 128, ..Share::new(256, true) };
+        assert_eq!((half.memory(32 << 20), Share::new(256, true).memory(32 << 20)), (16 << 20, 32 << 20));
         let (callers, upstreams) = Share::new(64, true).connections();
         assert!(callers >= 4 && upstreams >= 4);
     }
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -4,7 +4,7 @@
 use crate::protocol::terms;
 use fernroute::desk::Desk;
 use fernroute::{Balancer, Terms};
-use fernroute_config::{LEAST_DESCRIPTORS, USUAL_DESCRIPTORS};
+use fernroute_config::{LEAST_DESCRIPTORS, MOST_MEGABYTES, USUAL_DESCRIPTORS, USUAL_MEGABYTES};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -21,6 +21,8 @@
     pub seed: u64,
     /// The most descriptors that the program may hold.
     pub descriptors: usize,
+    /// The most memory that it may hold, in bytes.
+    pub memory: usize,
     /// The list as this balancer had it last, if it ever had one.
     pub known: Option<List>,
     /// Discovery's version of it, from which on changes are enough; else the whole list is asked for.
@@ -44,13 +46,15 @@
 }
 
 #[derive(Deserialize)]
+#[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: USUAL_DESCRIPTORS }
+        Limits { sockets: USUAL_DESCRIPTORS, memory_mb: USUAL_MEGABYTES as f64 }
     }
 }
 
@@ -97,6 +101,7 @@
             ops: plan.ops,
             seed: plan.seed.unwrap_or_else(by_clock),
             descriptors: plan.descriptors,
+            memory: plan.megabytes << 20,
             known,
             since: None,
             terms: plan.terms,
@@ -108,6 +113,9 @@
         if page.limits.sockets < LEAST_DESCRIPTORS {
             return Err(format!("limits.sockets is under {LEAST_DESCRIPTORS}"));
         }
+        if !(1.0..=MOST_MEGABYTES as f64).contains(&page.limits.memory_mb) {
+            return Err(format!("limits.memory_mb is not between 1 and {MOST_MEGABYTES}"));
+        }
         let known = match page.known {
             Value::Null => None,
             known => Some(list::decode(&known).ok_or("known is not a list of upstreams")?),
@@ -119,6 +127,7 @@
             ops: page.ops,
             seed: u64::from_str_radix(&page.seed, 16).map_err(|e| format!("seed: {e}"))?,
             descriptors: page.limits.sockets,
+            memory: (page.limits.memory_mb * (1 << 20) as f64) as usize,
             since: known.as_ref().map(|known| known.version),
             known,
             terms: terms::decode(&page.settings),
@@ -133,6 +142,7 @@
         note(self.name != new.name, "name");
         note(self.listen != new.listen, "listen");
         note(self.ops != new.ops, "ops");
+        note(self.memory != new.memory, "limits.memory_mb");
         note(self.descriptors != new.descriptors, "limits.sockets");
         for name in self.terms.keys().chain(new.terms.keys().filter(|n| !self.terms.contains_key(*n))) {
             let path = format!("settings.{}", fernroute_terms::path(name));
--- a/crates/fernroute-server/src/routing/mod.rs
+++ b/crates/fernroute-server/src/routing/mod.rs
@@ -12,3 +12,4 @@
 pub mod tally;
 pub mod timers;
 pub mod upload;
+pub mod windows;
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -2,6 +2,7 @@
 
 use super::switchboard::Switchboard;
 use super::upload::Sent;
+use super::windows::PIECES;
 use crate::protocol::answer::{Answer, Cut, Flow};
 use crate::protocol::request::Request;
 use crate::transport::client::{Body, Call, Line, Rest};
@@ -21,9 +22,6 @@
 /// however little, is waited for.
 const SILENT: Duration = Duration::from_secs(10);
 
-/// Pieces of an answer that wait for the caller to take them; each is no more than some sixteen kilobytes.
-const WINDOW: usize = 2;
-
 impl Switchboard {
     pub(super) async fn transmission(
         self: Rc<Self>,
@@ -114,17 +112,19 @@
         mut answer: Answer,
         mut rest: Rest,
     ) -> Result<Answer, Outcome> {
-        let (passed, coming) = mpsc::channel(WINDOW);
+        let (passed, coming) = mpsc::channel(PIECES / 2);
+        let window = self.windows.open();
         let loads = std::mem::take(&mut answer.loads);
         answer.flow = Some(Flow::new(coming, rest.length));
         if !self.begin(rpc, tx, answer) {
             return Err(Outcome::Cancelled);
         }
         loop {
-            let next = match select(pin!(timeout(SILENT, rest.next())), pin!(passed.closed())).await {
-                Either::Left((next, _)) => next.unwrap_or_else(|_| Err("silent".to_owned())),
-                Either::Right(_) => return Err(Outcome::Cancelled),
-            };
+            let next =
+                match select(pin!(timeout(SILENT, rest.next(window.piece()))), pin!(passed.closed())).await {
+                    Either::Left((next, _)) => next.unwrap_or_else(|_| Err("silent".to_owned())),
+                    Either::Right(_) => return Err(Outcome::Cancelled),
+                };
             match next {
                 Ok(Some(more)) => {
                     if passed.send(Ok(more)).await.is_err() {
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -4,6 +4,7 @@
 use super::phase::{Closing, Phase};
 use super::tally::Tally;
 use super::timers::{Due, Timers};
+use super::windows::Windows;
 use crate::protocol::answer::{Final, MOST_ANSWER};
 use crate::protocol::list::{Entry, List, State};
 use crate::protocol::load::Gauges;
@@ -71,11 +72,13 @@
     /// In service, or on the way out of it.
     pub phase: Cell<Phase>,
     pub tally: Rc<Tally>,
+    /// What may wait in here of long bodies.
+    pub windows: Rc<Windows>,
 }
 
 impl Switchboard {
-    /// `connections` is the most that may be open to upstreams.
-    pub fn new(terms: &Terms, seed: u64, connections: usize) -> Result<Rc<Self>, MissingTerm> {
+    /// `connections` is the most that may be open to upstreams, `memory` what the process may hold, in bytes.
+    pub fn new(terms: &Terms, seed: u64, connections: usize, memory: usize) -> Result<Rc<Self>, MissingTerm> {
         /// Where the terms do not tell.
         const CONNECT: Duration = Duration::from_secs(1);
         const KEEP: Duration = Duration::from_secs(10);
@@ -115,6 +118,7 @@
             methods,
             gauges: Gauges(gauges.split(',').map(str::to_owned).collect()),
             phase: Cell::new(Phase::new(longest)),
+            windows: Windows::new(memory),
         });
         board.act();
         Ok(board)
--- a/crates/fernroute-server/src/routing/upload.rs
+++ b/crates/fernroute-server/src/routing/upload.rs
@@ -1,6 +1,7 @@
 //! A body that is sent on while it comes: what is there of it first, then the rest as the upstream takes it.
 
 use super::switchboard::Switchboard;
+use super::windows::Window;
 use crate::protocol::request::{Request, Upload, MOST_BODY};
 use crate::transport::outbound::Course;
 use actix_http::body::{BodySize, MessageBody};
@@ -28,6 +29,7 @@
     first: Bytes,
     upload: Rc<Upload>,
     passed: u64,
+    window: Window,
     /// Comes due where nothing moves; whom it waits for.
     stalled: Pin<Box<Sleep>>,
     for_caller: bool,
@@ -42,6 +44,7 @@
             first: request.body.clone(),
             upload: Rc::clone(upload),
             passed: 0,
+            window: board.windows.open(),
             stalled: Box::pin(sleep(UPSTREAM)),
             for_caller: false,
         }
@@ -92,7 +95,7 @@
     }
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, io::Error>>> {
-        match self.course.poll_room(cx) {
+        match self.course.poll_room(cx, self.window.piece()) {
             Poll::Pending => return self.wait(cx, false),
             Poll::Ready(Err(why)) => return Poll::Ready(Some(Err(why))),
             Poll::Ready(Ok(())) => {}
--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -148,7 +148,7 @@
     pub async fn whole(self) -> Result<(ResponseHead, Bytes), String> {
         let Some(mut rest) = self.rest else { return Ok((self.head, self.first)) };
         let mut body = BytesMut::from(&self.first[..]);
-        while let Some(more) = rest.next().await? {
+        while let Some(more) = rest.next(HELD).await? {
             body.extend_from_slice(&more);
         }
         Ok((self.head, body.freeze()))
@@ -156,38 +156,37 @@
 }
 
 impl Rest {
-    /// The next bytes, all that are there up to some; none at its whole end.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, String> {
-        /// Handed on at once; many small pieces cost as much as few large ones.
-        const SOME: usize = 16 * 1024;
+    /// The next bytes, all that are there up to about `some`; none at its whole end. Many small pieces that are there
+    /// come as one.
+    pub async fn next(&mut self, some: usize) -> Result<Option<Bytes>, String> {
         let course = Rc::clone(&self.course);
         let response = &mut self.response;
         let mut met = self.met.take();
         let next = COURSE.scope(Rc::clone(&course), async move {
-            let mut some = BytesMut::new();
-            while met.is_none() && some.len() < SOME / 2 {
-                let more = if some.is_empty() {
+            let mut piece = BytesMut::new();
+            while met.is_none() && piece.len() < some / 2 {
+                let more = if piece.is_empty() {
                     Some(response.next().await)
                 } else {
                     response.next().now_or_never()
                 };
                 match more {
-                    Some(Some(Ok(more))) => some.extend_from_slice(&more),
+                    Some(Some(Ok(more))) => piece.extend_from_slice(&more),
                     Some(Some(Err(why))) => met = Some(Err(why.to_string())),
                     Some(None) => met = Some(course.whole().map_err(|e| e.to_string())),
                     None => break,
                 }
             }
-            (some, met)
+            (piece, met)
         });
-        let (some, met) = next.await;
-        if some.is_empty() {
+        let (piece, met) = next.await;
+        if piece.is_empty() {
             self.course.over();
             return met.unwrap_or(Ok(())).map(|()| None);
         }
         self.met = met;
-        self.left = self.left.checked_sub(some.len()).ok_or("a body without end")?;
-        Ok(Some(some.freeze()))
+        self.left = self.left.checked_sub(piece.len()).ok_or("a body without end")?;
+        Ok(Some(piece.freeze()))
     }
 }
 
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -89,9 +89,9 @@
         }
     }
 
-    /// Writes on what the connection has not taken yet: ready once there is room for more of the body. An answer that
+    /// Writes on what the connection has not taken yet: ready once no more than `window` of it is left. An answer that
     /// comes meanwhile, or an end, is an error.
-    pub fn poll_room(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    pub fn poll_room(&self, cx: &mut Context<'_>, window: usize) -> Poll<io::Result<()>> {
         let Some(seat) = self.seat.borrow().clone() else { return Poll::Ready(Ok(())) };
         let mut peeked = [MaybeUninit::uninit(); 1];
         let mut peeked = ReadBuf::uninit(&mut peeked);
@@ -100,7 +100,7 @@
             return Poll::Ready(Err(io::Error::other("an answer before the whole body")));
         }
         match seat.write_left(cx) {
-            Poll::Pending if seat.left.borrow().len() > WINDOW => Poll::Pending,
+            Poll::Pending if seat.left.borrow().len() > window => Poll::Pending,
             Poll::Ready(Err(why)) => Poll::Ready(Err(why)),
             _ => Poll::Ready(Ok(())),
         }
@@ -114,9 +114,6 @@
     }
 }
 
-/// As much of a body as waits for an upstream to take it.
-const WINDOW: usize = 16 * 1024;
-
 /// A connection's place in the table; it is closed by taking the stream out.
 #[derive(Debug)]
 struct Seat {
