--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -436,3 +436,46 @@
     assert!(out.status.success() && out.stdout.starts_with(b"fernroute "));
     std::fs::remove_dir_all(folder).expect("it was there");
 }
+
+/// Guards against a list that trickles and never gets through, and against an agent that falls silent in the middle of one
+/// and is waited for while upstreams leave.
+#[test]
+fn a_list_that_trickles_is_heard_out_and_one_that_stalls_is_asked_for_again() {
+    run(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let calls = std::rc::Rc::new(std::cell::Cell::new(0));
+        let counted = std::rc::Rc::clone(&calls);
+        actix_rt::spawn(async move {
+            let entry = r#"{"id":"s-9","addr":"127.0.0.1:1","state":"SERVING"}"#;
+            let body = format!(r#"{{"version":9,"full":true,"servers":[{entry}]}}"#);
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let (body, counted) = (body.clone(), std::rc::Rc::clone(&counted));
+                actix_rt::spawn(async move {
+                    while read(&mut stream).await.is_some() {
+                        counted.set(counted.get() + 1);
+                        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                        stream.write_all(head.as_bytes()).await.unwrap_or(());
+                        if counted.get() == 1 {
+                            // Half of it, and then nothing.
+                            stream.write_all(&body.as_bytes()[..20]).await.unwrap_or(());
+                            std::future::pending::<()>().await;
+                        }
+                        for byte in body.as_bytes() {
+                            stream.write_all(&[*byte]).await.unwrap_or(());
+                            actix_rt::time::sleep(Duration::from_millis(45)).await;
+                        }
+                    }
+                });
+            }
+        });
+        let from = Instant::now();
+        let b = serve::start(station(&[], address, &[])).await.expect("it starts");
+        until(|| calls.get() >= 2).await;
+        assert!(from.elapsed() < Duration::from_millis(2500), "{:?}", from.elapsed());
+        until(|| b.board.is_ready()).await;
+        // Longer in coming than a silent agent is waited for, and asked for no more than once.
+        assert!(from.elapsed() > Duration::from_millis(4000), "{:?}", from.elapsed());
+        assert_eq!(calls.get(), 2);
+    });
+}
