--- a/crates/fernroute-server/src/program/upgrade.rs
+++ b/crates/fernroute-server/src/program/upgrade.rs
@@ -212,15 +212,17 @@
 async fn refuse_others(meeting: &Meeting) {
     loop {
         match meeting.accept().await {
-            Ok(link) => refuse(link, "another process takes over already").await,
+            Ok(link) => {
+                // An end with a word unread would cut off the answer.
+                let _ = timeout(ANSWER, link.hear::<FromNew>()).await;
+                refuse(link, "another process takes over already").await;
+            }
             Err(_) => actix_rt::time::sleep(TELL).await,
         }
     }
 }
 
 async fn refuse(mut link: Link, why: &str) {
-    // An end with a word unread would cut off the answer.
-    let _ = timeout(ANSWER, link.hear::<FromNew>()).await;
     let _ = timeout(ANSWER, link.say(&FromOld::Refused { why: why.to_owned() })).await;
 }
 
@@ -234,8 +236,7 @@
         }
     };
     let Some(socket) = running.server.listener().filter(|_| known) else {
-        let why = "this process can't hand over to one of that version, or is ending".to_owned();
-        let _ = timeout(ANSWER, link.say(&FromOld::Refused { why })).await;
+        refuse(link, "this process can't hand over to one of that version, or is ending").await;
         return None;
     };
     running.set_share(|share| share.keep(running.connections()));
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -307,10 +307,6 @@
         Poll::Ready(Ok(()))
     }
 
-    fn with<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        self.seat.with(act)
-    }
-
     /// The transmission of the running task, once it has this connection.
     fn note(&self, act: impl FnOnce(&Course)) {
         let _ = COURSE.try_with(|course| {
@@ -337,7 +333,7 @@
         if self.ready == 0 {
             if self.framing.is_whole() {
                 // The pool asks whether it is still good: it is, if nothing comes.
-                return self.with(|stream| stream.poll_read(cx, buf));
+                return self.seat.with(|stream| stream.poll_read(cx, buf));
             }
             std::task::ready!(self.listen(cx))?;
         }
@@ -364,7 +360,7 @@
         });
         if let Poll::Ready(result) = self.seat.write_left(cx) {
             result?;
-            let written = self.with(|stream| stream.poll_write(cx, buf));
+            let written = self.seat.with(|stream| stream.poll_write(cx, buf));
             let n = if let Poll::Ready(n) = written { n? } else { 0 };
             self.seat.left.borrow_mut().extend_from_slice(&buf[n..]);
         } else {
@@ -380,20 +376,20 @@
                 course.come_to(Reached::Written);
             }
         });
-        self.with(|stream| stream.poll_flush(cx))
+        self.seat.with(|stream| stream.poll_flush(cx))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.with(|stream| stream.poll_shutdown(cx))
+        self.seat.with(|stream| stream.poll_shutdown(cx))
     }
 }
 
 impl ActixStream for Outbound {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        self.with(|stream| ActixStream::poll_read_ready(&*stream, cx))
+        self.seat.with(|stream| ActixStream::poll_read_ready(&*stream, cx))
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        self.with(|stream| ActixStream::poll_write_ready(&*stream, cx))
+        self.seat.with(|stream| ActixStream::poll_write_ready(&*stream, cx))
     }
 }
