--- a/crates/fernroute-benchlink/src/wire.rs
+++ b/crates/fernroute-benchlink/src/wire.rs
@@ -212,6 +212,7 @@
                 l.need("call")?,
                 l.need("qos")?,
                 l.get("billing").unwrap_or(""),
+                l.get("object").unwrap_or(""),
                 l.time("time-budget-s")?,
             ),
             "reply" => b.tx_ended(
--- a/crates/fernroute-lab/src/player.rs
+++ b/crates/fernroute-lab/src/player.rs
@@ -44,7 +44,7 @@
         self.list_ends(true);
     }
     fn rpc_arrived(&mut self, now: Time, rpc: &str, method: &str, time_left: Time) {
-        Balancer::rpc_arrived(self, now, rpc, method, "", time_left);
+        Balancer::rpc_arrived(self, now, rpc, method, "", "", time_left);
     }
     fn tx_ended(&mut self, now: Time, rpc: &str, tx: usize, end: Outcome, took: Time, over: bool, load: f64) {
         Balancer::tx_ended(self, now, rpc, tx, end, took, over, &[load]);
--- a/crates/fernroute/benches/decision.rs
+++ b/crates/fernroute/benches/decision.rs
@@ -44,7 +44,7 @@
                 rpc += 1;
                 now += gap;
                 let id = format!("r{rpc}");
-                balancer.rpc_arrived(now, &id, "look", "", SECOND);
+                balancer.rpc_arrived(now, &id, "look", "", "", SECOND);
                 balancer.tx_ended(now + 5, &id, 0, Outcome::Completed, 5, true, &[0.5]);
                 while let Some(act) = desk.next() {
                     black_box(act);
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -158,6 +158,8 @@
     breaker: Breaker,
     /// Latest reported utilisation.
     utilisation: Option<f64>,
+    /// What it held beside this balancer's own transmissions by its latest report, and when that came.
+    others: Option<(f64, Time)>,
     /// When each transmission that is out was sent; emptied by outcomes.
     out: Vec<Time>,
     /// When transmissions failed, and of which method where that says nothing of others; at most as many
@@ -280,6 +282,10 @@
 #[derive(Default)]
 struct Rpc {
     method: usize,
+    /// Its key on the circle, where upstreams do less work for a key that they met lately.
+    key: Option<u64>,
+    /// How many upstreams share the key.
+    spread: usize,
     arrived: Time,
     /// Answered in time means before this; the hard deadline where no soft one is told.
     soft: Time,
@@ -314,7 +320,8 @@
     cancel: bool,
     max_stay_away: Time,
     over_share_gain: f64,
-    utilisation_at: Option<usize>,
+    /// Places in a report of the utilisation, of what is held and of what waits.
+    report: [Option<usize>; 3],
     cold: ColdRule,
     methods: Vec<Method>,
     tenants: Vec<Tenant>,
@@ -326,8 +333,14 @@
     gate: Gate,
     /// Retry budget: further transmissions that may be made now.
     spare: f64,
+    warm_keys: bool,
+    near: f64,
+    keys: Vec<f64>,
+    keys_at: Time,
     /// How busy the upstreams it uses report to be of late, if any has reported.
     busy: Option<f64>,
+    /// What they report to hold beside this balancer's own, likewise.
+    crowd: Option<f64>,
     /// Transmissions a second, when that was last brought up to date, and when the first one was.
     rate: f64,
     rate_at: Time,
@@ -406,9 +419,8 @@
             cancel: term(terms, "limits.cancel").unwrap_or(false),
             max_stay_away: if stay_away { term(terms, "limits.max_stay_away").unwrap_or(0) } else { 0 },
             over_share_gain: term(terms, "over_share_gain").unwrap_or(1.0),
-            utilisation_at: terms
-                .get("load.names")
-                .and_then(|names| names.split(',').position(|n| n == "utilisation")),
+            report: ["utilisation", "in_flight", "queued"]
+                .map(|word| terms.get("load.names")?.split(',').position(|n| n == word)),
             tenants: tenants.collect(),
             methods,
             cold,
@@ -421,7 +433,14 @@
             },
             gate: Gate { calm: f64::INFINITY, ..Gate::default() },
             spare: MOST_SPARE,
+            warm_keys: term(terms, "warm_keys").unwrap_or(false),
+            near: term(terms, "prices.cross_zone")
+                .filter(|p| *p > 0.0)
+                .map_or(8.0, |p: f64| (250.0 * p).clamp(1.0, 8.0)),
+            keys: vec![0.0; 256],
+            keys_at: now,
             busy: None,
+            crowd: None,
             rate: 0.0,
             rate_at: now,
             rate_from: None,
@@ -474,7 +493,8 @@
         (u.zone, u.cell) = (zone.to_owned(), cell.to_owned());
         if !known {
             // A process that restarted is a new upstream to the breaker; what is out was the old one's.
-            (u.told, u.started, u.cold_next, u.utilisation) = (told, started, now + phase, None);
+            (u.told, u.started, u.cold_next) = (told, started, now + phase);
+            (u.utilisation, u.others) = (None, None);
             u.breaker = Breaker { epoch: u.breaker.epoch + 1, ..Breaker::default() };
             u.scars.clear();
         }
@@ -515,13 +535,17 @@
         /// Its multiples spread evenly over a circle, whichever of the numbers share a zone.
         const GOLDEN_SECTION: f64 = 0.618_033_988_749_895;
         let number = self.list.number;
-        let place = (number as f64 * GOLDEN_SECTION).fract();
+        self.list.order =
+            self.circle((number / SHARED) as u64, (number as f64 * GOLDEN_SECTION).fract(), true);
+    }
+
+    fn circle(&self, which: u64, place: f64, zoned: bool) -> Vec<Id> {
         let usable = self.upstreams.iter().filter(|(_, u)| !u.leaving);
-        let (mut near, mut far): (Vec<_>, Vec<_>) = usable.partition(|(_, u)| u.zone == self.zone);
+        let (mut near, mut far): (Vec<_>, Vec<_>) = usable.partition(|(_, u)| zoned && u.zone == self.zone);
         for part in [&mut near, &mut far] {
             part.sort_by_cached_key(|(id, _)| {
                 let mut hasher = DefaultHasher::new();
-                (number / SHARED, id).hash(&mut hasher);
+                (which, id).hash(&mut hasher);
                 hasher.finish()
             });
             let start = (part.len() as f64 * place) as usize;
@@ -529,7 +553,7 @@
         }
         let longest = near.len().max(far.len());
         let turns = (0..longest).flat_map(|i| [near.get(i), far.get(i)]);
-        self.list.order = turns.flatten().map(|(id, _)| Id::clone(id)).collect();
+        turns.flatten().map(|(id, _)| Id::clone(id)).collect()
     }
 
     /// How many upstreams this balancer spreads over. Guards against knowing nothing of any: one call a
@@ -622,19 +646,23 @@
         const FLOOR: f64 = 0.05;
         /// Own-zone upstreams weigh this much more: the difference in headroom still outweighs it when they
         /// are nearly full.
-        const NEAR: f64 = 8.0;
+        const HOME: f64 = 0.03;
         /// Steep enough that the draw keeps off a crowded upstream as long as others have room.
         const CROWDED: i32 = 8;
+        const RELAX: f64 = 10.0 * SECOND as f64;
         let now = self.now;
         let m = &self.methods[rpc.method];
-        let (late, steady, reach) = (m.late as Time, m.repeat == Repeat::Never, self.reach());
+        let (late, steady) = (m.late as Time, m.repeat == Repeat::Never);
+        let reach = if rpc.key.is_some() { 2 * (rpc.spread + 4) } else { self.reach() };
+        let order =
+            rpc.key.map_or_else(|| self.list.order.clone(), |key| self.circle(key, 0.0, rpc.spread > 1));
+        let alone = rpc.key.is_some() && rpc.spread <= 1;
         // Closed upstreams from this balancer's place on, as many as it spreads over; the others it passed.
         let (mut near, mut shut): (Vec<Id>, Vec<Id>) = (Vec::new(), Vec::new());
-        for at in 0..self.list.order.len() {
+        for id in order {
             if near.len() >= reach {
                 break;
             }
-            let id = self.list.order[at].clone();
             if !self.may_send(rpc, &id) {
                 continue;
             }
@@ -647,23 +675,37 @@
         // Nothing closed: an answer from an open upstream beats none at all.
         let ids = if near.is_empty() { shut } else { near };
         let us: Vec<&Upstream> = ids.iter().filter_map(|id| self.upstreams.get(id)).collect();
-        let held: Vec<f64> = us.iter().map(|u| u.held(now, late, rpc.method)).collect();
-        let part = mean(held.iter().copied()).unwrap_or(0.0);
+        let crowd = self.crowd.unwrap_or(0.0);
+        let holds = |u: &&Upstream| {
+            let told = u.others.map_or(0.0, |(n, at)| (n - crowd) * fade(now - at, RELAX));
+            u.held(now, late, rpc.method) + crowd + told
+        };
+        let held: Vec<f64> = us.iter().map(holds).collect();
+        let part = if self.crowd.is_some() { 0.0 } else { mean(held.iter().copied()).unwrap_or(0.0) };
         let usual = 1.0 - mean(us.iter().filter_map(|u| u.utilisation)).unwrap_or(0.0);
         // Guards against starved successors: where all stand in one zone a weight that cold ones lack is a loss.
-        let zoned = us.iter().any(|u| u.zone != self.zone);
+        let zoned = !alone && us.iter().any(|u| u.zone != self.zone);
         let weigh = |(u, held): (&&Upstream, &f64)| {
             let warmth = self.warmth(u.started);
             let weight = u.utilisation.map_or(usual, |used| 1.0 - used).max(FLOOR) * warmth;
             // Not while it is cold: the callers near a zone that comes back would all crowd it.
-            let weight = if zoned && u.zone == self.zone && warmth >= 1.0 { weight * NEAR } else { weight };
+            let weight =
+                if zoned && u.zone == self.zone && warmth >= 1.0 { weight * self.near } else { weight };
             // Guards against upstreams that swallow RPCs, stand still or are crowded by what no report shows
             // yet, and against those that fail fast and so look idle: one that holds more than its part of
             // this balancer's transmissions draws less. What is overdue counts twice, and what failed counts
             // for a while as if it were out. Being against the mean, troubles that all share cancel out.
             weight * ((1.0 + part) / (1.0 + held.max(part))).powi(CROWDED)
         };
-        let weights: Vec<f64> = us.iter().zip(&held).map(weigh).collect();
+        let mut weights: Vec<f64> = us.iter().zip(&held).map(weigh).collect();
+        if rpc.key.is_some() {
+            for zone in [true, false] {
+                let places = (0..us.len()).filter(|i| (alone || us[*i].zone == self.zone) == zone);
+                for (rank, i) in places.enumerate() {
+                    weights[i] *= HOME.powi((rank + 1).saturating_sub(rpc.spread) as i32);
+                }
+            }
+        }
         let mut left = self.rng.generate::<f64>() * weights.iter().sum::<f64>();
         let drawn = weights.iter().position(|weight| {
             left -= weight;
@@ -885,7 +927,15 @@
 
     // ----------------------------------------------------------------------------------------------- RPCs
 
-    pub fn rpc_arrived(&mut self, now: Time, id: &str, method: &str, tenant: &str, time_left: Time) {
+    pub fn rpc_arrived(
+        &mut self,
+        now: Time,
+        id: &str,
+        method: &str,
+        tenant: &str,
+        key: &str,
+        time_left: Time,
+    ) {
         self.now = now;
         /// Further transmissions an RPC earns: all tiers together then stay under twice the work.
         const EARNED: f64 = 0.1;
@@ -902,7 +952,9 @@
         }
         let admitted = self.admits(value);
         let until = if self.methods[method].late_gain > 0.0 { hard } else { soft };
-        self.rpcs.insert(id.clone(), Rpc { method, arrived: now, soft, hard, until, ..Rpc::default() });
+        let (key, spread) = self.count_key(key);
+        let rpc = Rpc { method, key, spread, arrived: now, soft, hard, until, ..Rpc::default() };
+        self.rpcs.insert(id.clone(), rpc);
         if admitted {
             self.send_or_hold(&id);
         } else {
@@ -910,6 +962,24 @@
         }
     }
 
+    fn count_key(&mut self, key: &str) -> (Option<u64>, usize) {
+        if !self.warm_keys || key.is_empty() {
+            return (None, 1);
+        }
+        let mut hasher = DefaultHasher::new();
+        key.hash(&mut hasher);
+        let key = hasher.finish();
+        let kept = fade(self.now - self.keys_at, 20.0 * SECOND as f64);
+        self.keys_at = self.now;
+        self.keys.iter_mut().for_each(|n| *n *= kept);
+        let total: f64 = self.keys.iter().sum();
+        let n = &mut self.keys[(key % 256) as usize];
+        let share = (*n - 1.0).max(0.0) / total.max(1.0);
+        *n += 1.0;
+        let near = self.upstreams.values().filter(|u| u.zone == self.zone).count();
+        (Some(key), 1 + (2.0 * share * near as f64) as usize)
+    }
+
     /// Where nothing may be sent to just now, as when all upstreams are cold, looks again shortly.
     fn send_or_hold(&mut self, id: &Id) {
         /// Short against any deadline here, long against a tick.
@@ -999,12 +1069,21 @@
     fn take_report(&mut self, upstream: &str, sent: Time, loads: &[f64]) {
         /// Some dozen reports make the mean.
         const RECENT: f64 = 0.08;
-        let used = self.utilisation_at.and_then(|i| loads.get(i)).filter(|v| v.is_finite());
+        let [used, held, waiting] =
+            self.report.map(|i| i.and_then(|i| loads.get(i)).copied().filter(|v| v.is_finite()));
         // A report of before the last start is the old process's.
-        let u = self.upstreams.get_mut(upstream).filter(|u| sent >= u.started);
-        let (Some(used), Some(u)) = (used.map(|used| used.clamp(0.0, 1.0)), u) else { return };
-        u.utilisation = Some(used);
-        self.busy = Some(self.busy.map_or(used, |busy| busy + RECENT * (used - busy)));
+        let Some(u) = self.upstreams.get_mut(upstream).filter(|u| sent >= u.started) else { return };
+        let step = |of: Option<f64>, to: f64| Some(of.map_or(to, |of| of + RECENT * (to - of)));
+        let used = used.map(|used| used.clamp(0.0, 1.0));
+        if let Some(used) = used {
+            u.utilisation = Some(used);
+            self.busy = step(self.busy, used);
+        }
+        if let Some(held) = held.or(waiting.map(|n| n + used.unwrap_or(1.0))) {
+            let others = (held - (u.out.len() as f64 - 1.0)).max(0.0);
+            u.others = Some((others, self.now));
+            self.crowd = step(self.crowd, others);
+        }
     }
 
     fn learn_verdict(&mut self, tx: &Tx, method: usize, outcome: Outcome, took: Time) {
--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -10,7 +10,7 @@
 /// Offers one RPC and reports where it went, if anywhere.
 fn offer(b: &mut Balancer<Notebook>, notes: &Notebook, now: Time, id: &str, method: &str) -> Option<String> {
     let before = notes.0.borrow().sent.len();
-    b.rpc_arrived(now, id, method, "", 3 * SECOND);
+    b.rpc_arrived(now, id, method, "", "", 3 * SECOND);
     notes.0.borrow().sent.get(before).map(|(_, upstream, _)| upstream.clone())
 }
 
@@ -181,7 +181,7 @@
         // A whole try, then one whose cut time says that its soft deadline is over.
         for (late, left) in [(0, 30_000), (1, 15_000)] {
             let before = notes.0.borrow().exhausted.len();
-            b.rpc_arrived(START + 2 * SECOND + i, &format!("t{i}-{late}"), "m0", "", left);
+            b.rpc_arrived(START + 2 * SECOND + i, &format!("t{i}-{late}"), "m0", "", "", left);
             exhausted[late] += notes.0.borrow().exhausted.len() - before;
         }
     }
@@ -535,7 +535,7 @@
             .take_while(|i| offer(&mut b, &notes, at(*i), &format!("o{i}"), "m0").is_some())
             .count();
         let before = notes.0.borrow().sent.len();
-        b.rpc_arrived(at(passed), "shared", "m0", "t", 3 * SECOND);
+        b.rpc_arrived(at(passed), "shared", "m0", "t", "", 3 * SECOND);
         let shared = notes.0.borrow().sent.len() > before;
         (passed, shared)
     };
--- a/crates/fernroute/tests/rules.rs
+++ b/crates/fernroute/tests/rules.rs
@@ -266,7 +266,7 @@
                 let hard = now + 50 + Time::from(c) % (3 * SECOND);
                 let taken = Taken { method, hard, ended: false, sent: Vec::new() };
                 self.model.borrow_mut().rpcs.insert(id.clone(), taken);
-                self.b.rpc_arrived(now, &id, &format!("m{method}"), "", hard - now);
+                self.b.rpc_arrived(now, &id, &format!("m{method}"), "", "", hard - now);
             }
             7..=12 => {
                 let out: Vec<(String, usize)> = {
