--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -159,7 +159,9 @@
     /// Latest reported utilisation.
     utilisation: Option<f64>,
     /// What it held beside this balancer's own transmissions by its latest report, and when that came.
-    others: Option<(f64, Time)>,
+    others: Option<(f64, f64, Time)>,
+    /// How long it takes of late for one RPC that it holds, against the usual, and as of when.
+    pace: Option<(f64, Time)>,
     /// When each transmission that is out was sent; emptied by outcomes.
     out: Vec<Time>,
     /// When transmissions failed, and of which method where that says nothing of others; at most as many
@@ -226,6 +228,8 @@
     /// What completed transmissions took of late: the mean, and the time that few exceed.
     mean: f64,
     late: f64,
+    /// What it took of late for each RPC that the upstream held.
+    each: f64,
 }
 
 /// RPCs of one tenant that come together by chance now and then, at any rate.
@@ -275,6 +279,8 @@
     sent: Time,
     epoch: u32,
     trial: bool,
+    /// How many the upstream was thought to hold then.
+    ahead: f64,
     /// How it ended; none while it is out.
     end: Option<Outcome>,
 }
@@ -358,6 +364,9 @@
     instances: f64,
 }
 
+const SOON: f64 = 0.4 * SECOND as f64;
+const RELAX: f64 = 10.0 * SECOND as f64;
+
 impl<H: Host> Balancer<H> {
     pub fn new(host: H, now: Time, seed: u64, terms: &Terms) -> Result<Self, MissingTerm> {
         let count = |name: &str| term::<usize>(terms, name).unwrap_or(0);
@@ -388,6 +397,7 @@
                 late_gain: term(terms, &at("late_gain")).unwrap_or(0.0),
                 gain: term::<f64>(terms, &at("gain")).unwrap_or(1.0),
                 // Before anything completed: a fifth and a half of the soft deadline.
+                each: expected * 0.2,
                 mean: expected * 0.2,
                 late: expected * 0.5,
             });
@@ -494,7 +504,7 @@
         if !known {
             // A process that restarted is a new upstream to the breaker; what is out was the old one's.
             (u.told, u.started, u.cold_next) = (told, started, now + phase);
-            (u.utilisation, u.others) = (None, None);
+            (u.utilisation, u.others, u.pace) = (None, None, None);
             u.breaker = Breaker { epoch: u.breaker.epoch + 1, ..Breaker::default() };
             u.scars.clear();
         }
@@ -598,12 +608,13 @@
         }
         // What a warm upstream gets of this balancer, over how busy that keeps it, is this balancer's part
         // of its capacity; the number of balancers cancels out, and so does how few each of them uses.
-        let reach = self.reach() as f64;
+        // Keys lead to any of them; and one that is cold knows no key, which takes it two to three times the work.
+        let (reach, met) = if self.warm_keys { (self.ready(), 0.33) } else { (self.reach() as f64, 1.0) };
         let busy = self.busy.unwrap_or(1.0);
         // A balancer that has sent nothing yet takes the budget for one send in a window by all balancers.
         let least = 1.0 / (self.cold.window / SECOND as f64 * self.cold.instances.max(1.0));
         let part = (self.rate / reach / busy.clamp(0.3, 1.0)).max(least);
-        Some(SECOND as f64 / (SAFETY * self.cold.multiple * warmth * part))
+        Some(SECOND as f64 / (SAFETY * met * self.cold.multiple * warmth * part))
     }
 
     fn count_send(&mut self, id: &str) {
@@ -640,6 +651,20 @@
         }
     }
 
+    /// What an upstream holds by its reports and by what this balancer has out there.
+    fn ahead(&self, u: &Upstream, method: usize) -> f64 {
+        let crowd = self.crowd.unwrap_or(0.0);
+        let told = u.others.map_or(0.0, |(n, usual, at)| {
+            (usual - crowd) * fade(self.now - at, RELAX) + (n - usual) * fade(self.now - at, SOON)
+        });
+        u.held(self.now, self.methods[method].late as Time, method) + crowd + told
+    }
+
+    fn pace(&self, u: &Upstream) -> f64 {
+        if self.crowd.is_none() { return 1.0; }
+        u.pace.map_or(1.0, |(pace, at)| 1.0 + (pace - 1.0) * fade(self.now - at, RELAX))
+    }
+
     /// A draw among the upstreams that the rules and the breakers allow, weighted by reported headroom.
     fn pick(&mut self, rpc: &Rpc) -> Option<Id> {
         /// The design's floor, well under one half: a full upstream still gets news of itself now and then.
@@ -648,11 +673,10 @@
         /// are nearly full.
         const HOME: f64 = 0.03;
         /// Steep enough that the draw keeps off a crowded upstream as long as others have room.
-        const CROWDED: i32 = 8;
-        const RELAX: f64 = 10.0 * SECOND as f64;
+        const CROWDED: i32 = 16;
         let now = self.now;
         let m = &self.methods[rpc.method];
-        let (late, steady) = (m.late as Time, m.repeat == Repeat::Never);
+        let steady = m.repeat == Repeat::Never;
         let reach = if rpc.key.is_some() { 2 * (rpc.spread + 4) } else { self.reach() };
         let order =
             rpc.key.map_or_else(|| self.list.order.clone(), |key| self.circle(key, 0.0, rpc.spread > 1));
@@ -675,12 +699,8 @@
         // Nothing closed: an answer from an open upstream beats none at all.
         let ids = if near.is_empty() { shut } else { near };
         let us: Vec<&Upstream> = ids.iter().filter_map(|id| self.upstreams.get(id)).collect();
-        let crowd = self.crowd.unwrap_or(0.0);
-        let holds = |u: &&Upstream| {
-            let told = u.others.map_or(0.0, |(n, at)| (n - crowd) * fade(now - at, RELAX));
-            u.held(now, late, rpc.method) + crowd + told
-        };
-        let held: Vec<f64> = us.iter().map(holds).collect();
+        let ahead: Vec<f64> = us.iter().map(|u| self.ahead(u, rpc.method)).collect();
+        let held: Vec<f64> = us.iter().zip(&ahead).map(|(u, ahead)| (1.0 + ahead) * self.pace(u) - 1.0).collect();
         let part = if self.crowd.is_some() { 0.0 } else { mean(held.iter().copied()).unwrap_or(0.0) };
         let usual = 1.0 - mean(us.iter().filter_map(|u| u.utilisation)).unwrap_or(0.0);
         // Guards against starved successors: where all stand in one zone a weight that cold ones lack is a loss.
@@ -717,9 +737,16 @@
     // -------------------------------------------------------------------------------------------- transmit
 
     fn send(&mut self, rpc_id: &Id) -> bool {
+        const LATEST: f64 = 1.0;
+        const NEWS: Time = SECOND;
         // Taken out for the pick, which looks at all upstreams while it reads this one RPC.
         let Some(rpc) = self.rpcs.remove(rpc_id) else { return false };
-        let id = self.pick(&rpc);
+        let id = self.pick(&rpc).filter(|id| {
+            let Some(u) = self.upstreams.get(id).filter(|_| self.crowd.is_some()) else { return true };
+            let m = &self.methods[rpc.method];
+            let expected = (1.0 + self.ahead(u, rpc.method)) * self.pace(u) * m.each;
+            u.others.is_none_or(|(_, _, at)| at + NEWS < self.now) || self.now as f64 + LATEST * expected < rpc.until as f64
+        });
         self.rpcs.insert(rpc_id.clone(), rpc);
         id.is_some_and(|id| self.transmit(rpc_id, &id))
     }
@@ -728,6 +755,7 @@
     fn transmit(&mut self, rpc_id: &Id, id: &Id) -> bool {
         let Some(rpc) = self.rpcs.get(rpc_id).filter(|rpc| self.may_send(rpc, id)) else { return false };
         let time_out = self.time_out(rpc);
+        let ahead = self.upstreams.get(id).map_or(0.0, |u| self.ahead(u, rpc.method));
         self.count_send(id);
         let (Some(rpc), Some(u)) = (self.rpcs.get_mut(rpc_id), self.upstreams.get_mut(id)) else {
             return false;
@@ -743,6 +771,7 @@
             sent: self.now,
             epoch: u.breaker.epoch,
             trial,
+            ahead,
             end: None,
         });
         self.host.transmit(rpc_id, id, time_out);
@@ -800,6 +829,22 @@
         m.late = m.late.max(m.mean);
     }
 
+    fn learn_pace(&mut self, tx: &Tx, method: usize, took: Time, completed: bool) {
+        const STEP: f64 = 0.2;
+        let m = &mut self.methods[method];
+        let each = took as f64 / (1.0 + tx.ahead);
+        if completed {
+            m.each += 0.03 * (each - m.each);
+        }
+        let sample = (each / m.each.max(1.0)).clamp(0.2, 10.0);
+        let now = self.now;
+        let Some(u) = self.upstreams.get_mut(&tx.upstream).filter(|u| tx.sent >= u.started) else { return };
+        let was = u.pace.map_or(1.0, |(pace, at)| 1.0 + (pace - 1.0) * fade(now - at, RELAX));
+        if completed || sample > was {
+            u.pace = Some((was + STEP * (sample - was), now));
+        }
+    }
+
     // ------------------------------------------------------------------------------------------- admission
 
     /// What an RPC is worth, as a share of the highest gain, by method and tenant share.
@@ -849,6 +894,9 @@
         const FEW: f64 = 4.0;
         let Some(soft) = self.methods.iter().filter_map(|m| m.soft).max() else { return true };
         // Nothing is known of the rate of answers for half a soft deadline after the first.
+        if self.busy.is_some_and(|busy| busy < 0.5) {
+            return true;
+        }
         if self.tier > 0 || self.gate.from.is_none_or(|from| self.now < from + soft / 2) {
             return true;
         }
@@ -1044,6 +1092,7 @@
         tx.end = Some(outcome);
         let tx = tx.clone();
         self.learn_time(method, took, outcome == Outcome::Completed);
+        self.learn_pace(&tx, method, took, outcome == Outcome::Completed);
         self.take_report(&tx.upstream, tx.sent, loads);
         self.tx_left(&tx.upstream, tx.sent);
         self.learn_verdict(&tx, method, outcome, took);
@@ -1069,6 +1118,7 @@
     fn take_report(&mut self, upstream: &str, sent: Time, loads: &[f64]) {
         /// Some dozen reports make the mean.
         const RECENT: f64 = 0.08;
+        const USUAL: f64 = 0.2;
         let [used, held, waiting] =
             self.report.map(|i| i.and_then(|i| loads.get(i)).copied().filter(|v| v.is_finite()));
         // A report of before the last start is the old process's.
@@ -1079,9 +1129,11 @@
             u.utilisation = Some(used);
             self.busy = step(self.busy, used);
         }
-        if let Some(held) = held.or(waiting.map(|n| n + used.unwrap_or(1.0))) {
-            let others = (held - (u.out.len() as f64 - 1.0)).max(0.0);
-            u.others = Some((others, self.now));
+        // What is held counts the one that was answered.
+        if let Some(held) = held.or(waiting.map(|n| n + 1.0)) {
+            let others = (held - u.out.len() as f64).max(0.0);
+            let usual = u.others.map_or(self.crowd.unwrap_or(others), |(_, usual, _)| usual);
+            u.others = Some((others, usual + USUAL * (others - usual), self.now));
             self.crowd = step(self.crowd, others);
         }
     }
