--- a/crates/fernroute-benchlink/src/wire.rs
+++ b/crates/fernroute-benchlink/src/wire.rs
@@ -196,6 +196,7 @@
                                 id,
                                 e.get("rack-zone").unwrap_or(""),
                                 e.get("block").unwrap_or(""),
+                                e.get("kind").unwrap_or(""),
                                 e.maybe_time("up-since-s")?,
                             ),
                             2 => b.upstream_drains(id),
--- a/crates/fernroute-lab/src/player.rs
+++ b/crates/fernroute-lab/src/player.rs
@@ -35,7 +35,7 @@
         for e in entries {
             match e.told {
                 Told::Ready => {
-                    self.upstream_ready(&e.name, &zone_name(e.zone), &e.cell.to_string(), e.started)
+                    self.upstream_ready(&e.name, &zone_name(e.zone), &e.cell.to_string(), "", e.started)
                 }
                 Told::Drains => self.upstream_drains(&e.name),
                 Told::Gone => self.upstream_gone(&e.name),
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -224,7 +224,7 @@
             for entry in &list.entries {
                 match entry.state {
                     State::Ready => {
-                        b.upstream_ready(&entry.id, &entry.zone, &entry.cell, entry.started_ms * 10);
+                        b.upstream_ready(&entry.id, &entry.zone, &entry.cell, "", entry.started_ms * 10);
                     }
                     State::Drains => b.upstream_drains(&entry.id),
                     State::Gone => b.upstream_gone(&entry.id),
--- a/crates/fernroute/benches/decision.rs
+++ b/crates/fernroute/benches/decision.rs
@@ -36,7 +36,7 @@
             let mut balancer = Balancer::new(desk.clone(), now, 7, &terms()).expect("the terms are whole");
             balancer.list_begins(now, true);
             for n in 0..count {
-                balancer.upstream_ready(&format!("u-{n}"), "a", &(n / 8).to_string(), 0);
+                balancer.upstream_ready(&format!("u-{n}"), "a", &(n / 8).to_string(), "", 0);
             }
             balancer.list_ends(true);
             let mut rpc = 0_u64;
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -147,6 +147,7 @@
 struct Upstream {
     zone: String,
     cell: String,
+    kind: String,
     /// Its last start as told, and as it counts; 0 is long ago.
     told: Time,
     started: Time,
@@ -345,6 +346,8 @@
     keys_at: Time,
     /// How busy the upstreams it uses report to be of late, if any has reported.
     busy: Option<f64>,
+    counted: bool,
+    kinds: BTreeMap<String, f64>,
     /// What they report to hold beside this balancer's own, likewise.
     crowd: Option<f64>,
     /// Transmissions a second, when that was last brought up to date, and when the first one was.
@@ -364,7 +367,7 @@
     instances: f64,
 }
 
-const SOON: f64 = 0.4 * SECOND as f64;
+const SOON: f64 = 0.2 * SECOND as f64;
 const RELAX: f64 = 10.0 * SECOND as f64;
 
 impl<H: Host> Balancer<H> {
@@ -450,6 +453,10 @@
             keys: vec![0.0; 256],
             keys_at: now,
             busy: None,
+            counted: terms
+                .get("load.names")
+                .is_some_and(|names| names.contains("in_flight") || names.contains("queued")),
+            kinds: BTreeMap::new(),
             crowd: None,
             rate: 0.0,
             rate_at: now,
@@ -490,7 +497,7 @@
         self.upstreams.values_mut().for_each(|u| u.seen = false);
     }
 
-    pub fn upstream_ready(&mut self, id: &str, zone: &str, cell: &str, started: Time) {
+    pub fn upstream_ready(&mut self, id: &str, zone: &str, cell: &str, kind: &str, started: Time) {
         let now = self.now;
         // All balancers hear of a start at about the same time: a random phase keeps their first sends apart.
         let (told, known) = (started, self.upstreams.get(id).is_some_and(|u| u.told == started));
@@ -500,7 +507,7 @@
         let phase = gap.map_or(0, |gap| (gap * self.rng.generate::<f64>()) as Time);
         let u = self.upstreams.entry(Id::from(id)).or_default();
         (u.seen, u.leaving, u.gone) = (true, false, false);
-        (u.zone, u.cell) = (zone.to_owned(), cell.to_owned());
+        (u.zone, u.cell, u.kind) = (zone.to_owned(), cell.to_owned(), kind.to_owned());
         if !known {
             // A process that restarted is a new upstream to the breaker; what is out was the old one's.
             (u.told, u.started, u.cold_next) = (told, started, now + phase);
@@ -546,18 +553,24 @@
         const GOLDEN_SECTION: f64 = 0.618_033_988_749_895;
         let number = self.list.number;
         self.list.order =
-            self.circle((number / SHARED) as u64, (number as f64 * GOLDEN_SECTION).fract(), true);
+            self.circle((number / SHARED) as u64, (number as f64 * GOLDEN_SECTION).fract(), true, false);
     }
 
-    fn circle(&self, which: u64, place: f64, zoned: bool) -> Vec<Id> {
+    fn circle(&self, which: u64, place: f64, zoned: bool, keyed: bool) -> Vec<Id> {
         let usable = self.upstreams.iter().filter(|(_, u)| !u.leaving);
         let (mut near, mut far): (Vec<_>, Vec<_>) = usable.partition(|(_, u)| zoned && u.zone == self.zone);
         for part in [&mut near, &mut far] {
-            part.sort_by_cached_key(|(id, _)| {
-                let mut hasher = DefaultHasher::new();
-                (which, id).hash(&mut hasher);
-                hasher.finish()
-            });
+            let mut places: Vec<(f64, _)> = part
+                .iter()
+                .map(|(id, u)| {
+                    let mut hasher = DefaultHasher::new();
+                    (which, id).hash(&mut hasher);
+                    let size = if keyed { self.kinds.get(&u.kind).copied().unwrap_or(0.0) } else { 0.0 };
+                    (-(-(hasher.finish() as f64) / 1.85e19).ln_1p() / size.exp(), (*id, *u))
+                })
+                .collect();
+            places.sort_by(|a, b| a.0.total_cmp(&b.0));
+            *part = places.into_iter().map(|(_, u)| u).collect();
             let start = (part.len() as f64 * place) as usize;
             part.rotate_left(start);
         }
@@ -573,7 +586,8 @@
         const FRESH: f64 = 1.0;
         /// Enough that one bad upstream or two are not missed, few enough to learn of.
         const LEAST: f64 = 6.0;
-        ((self.rate * FRESH).max(LEAST) as usize).min(self.list.order.len().max(1))
+        let least = if self.counted { 2.0 * LEAST } else { LEAST };
+        ((self.rate * FRESH).max(least) as usize).min(self.list.order.len().max(1))
     }
 
     // ----------------------------------------------------------------------------------------- cold budget
@@ -661,7 +675,9 @@
     }
 
     fn pace(&self, u: &Upstream) -> f64 {
-        if self.crowd.is_none() { return 1.0; }
+        if !self.counted {
+            return 1.0;
+        }
         u.pace.map_or(1.0, |(pace, at)| 1.0 + (pace - 1.0) * fade(self.now - at, RELAX))
     }
 
@@ -673,13 +689,14 @@
         /// are nearly full.
         const HOME: f64 = 0.03;
         /// Steep enough that the draw keeps off a crowded upstream as long as others have room.
-        const CROWDED: i32 = 16;
+        const CROWDED: i32 = 8;
         let now = self.now;
         let m = &self.methods[rpc.method];
         let steady = m.repeat == Repeat::Never;
         let reach = if rpc.key.is_some() { 2 * (rpc.spread + 4) } else { self.reach() };
-        let order =
-            rpc.key.map_or_else(|| self.list.order.clone(), |key| self.circle(key, 0.0, rpc.spread > 1));
+        let order = rpc
+            .key
+            .map_or_else(|| self.list.order.clone(), |key| self.circle(key, 0.0, rpc.spread > 1, true));
         let alone = rpc.key.is_some() && rpc.spread <= 1;
         // Closed upstreams from this balancer's place on, as many as it spreads over; the others it passed.
         let (mut near, mut shut): (Vec<Id>, Vec<Id>) = (Vec::new(), Vec::new());
@@ -700,8 +717,9 @@
         let ids = if near.is_empty() { shut } else { near };
         let us: Vec<&Upstream> = ids.iter().filter_map(|id| self.upstreams.get(id)).collect();
         let ahead: Vec<f64> = us.iter().map(|u| self.ahead(u, rpc.method)).collect();
-        let held: Vec<f64> = us.iter().zip(&ahead).map(|(u, ahead)| (1.0 + ahead) * self.pace(u) - 1.0).collect();
-        let part = if self.crowd.is_some() { 0.0 } else { mean(held.iter().copied()).unwrap_or(0.0) };
+        let held: Vec<f64> =
+            us.iter().zip(&ahead).map(|(u, ahead)| (1.0 + ahead) * self.pace(u) - 1.0).collect();
+        let part = if self.counted { 0.0 } else { mean(held.iter().copied()).unwrap_or(0.0) };
         let usual = 1.0 - mean(us.iter().filter_map(|u| u.utilisation)).unwrap_or(0.0);
         // Guards against starved successors: where all stand in one zone a weight that cold ones lack is a loss.
         let zoned = !alone && us.iter().any(|u| u.zone != self.zone);
@@ -715,7 +733,12 @@
             // yet, and against those that fail fast and so look idle: one that holds more than its part of
             // this balancer's transmissions draws less. What is overdue counts twice, and what failed counts
             // for a while as if it were out. Being against the mean, troubles that all share cancel out.
-            weight * ((1.0 + part) / (1.0 + held.max(part))).powi(CROWDED)
+            weight
+                * ((1.0 + part) / (1.0 + held.max(part))).powi(if self.counted {
+                    2 * CROWDED
+                } else {
+                    CROWDED
+                })
         };
         let mut weights: Vec<f64> = us.iter().zip(&held).map(weigh).collect();
         if rpc.key.is_some() {
@@ -738,14 +761,15 @@
 
     fn send(&mut self, rpc_id: &Id) -> bool {
         const LATEST: f64 = 1.0;
-        const NEWS: Time = SECOND;
+        const NEWS: Time = 2 * SECOND;
         // Taken out for the pick, which looks at all upstreams while it reads this one RPC.
         let Some(rpc) = self.rpcs.remove(rpc_id) else { return false };
         let id = self.pick(&rpc).filter(|id| {
-            let Some(u) = self.upstreams.get(id).filter(|_| self.crowd.is_some()) else { return true };
+            let Some(u) = self.upstreams.get(id).filter(|_| self.counted) else { return true };
             let m = &self.methods[rpc.method];
             let expected = (1.0 + self.ahead(u, rpc.method)) * self.pace(u) * m.each;
-            u.others.is_none_or(|(_, _, at)| at + NEWS < self.now) || self.now as f64 + LATEST * expected < rpc.until as f64
+            u.others.is_none_or(|(_, _, at)| at + NEWS < self.now)
+                || self.now as f64 + LATEST * expected < rpc.until as f64
         });
         self.rpcs.insert(rpc_id.clone(), rpc);
         id.is_some_and(|id| self.transmit(rpc_id, &id))
@@ -830,7 +854,7 @@
     }
 
     fn learn_pace(&mut self, tx: &Tx, method: usize, took: Time, completed: bool) {
-        const STEP: f64 = 0.2;
+        const STEP: f64 = 0.1;
         let m = &mut self.methods[method];
         let each = took as f64 / (1.0 + tx.ahead);
         if completed {
@@ -894,7 +918,7 @@
         const FEW: f64 = 4.0;
         let Some(soft) = self.methods.iter().filter_map(|m| m.soft).max() else { return true };
         // Nothing is known of the rate of answers for half a soft deadline after the first.
-        if self.busy.is_some_and(|busy| busy < 0.5) {
+        if self.counted && self.busy.is_some_and(|busy| busy < 0.5) {
             return true;
         }
         if self.tier > 0 || self.gate.from.is_none_or(|from| self.now < from + soft / 2) {
@@ -1119,6 +1143,7 @@
         /// Some dozen reports make the mean.
         const RECENT: f64 = 0.08;
         const USUAL: f64 = 0.2;
+        const LEARN: f64 = 0.1;
         let [used, held, waiting] =
             self.report.map(|i| i.and_then(|i| loads.get(i)).copied().filter(|v| v.is_finite()));
         // A report of before the last start is the old process's.
@@ -1127,6 +1152,9 @@
         let used = used.map(|used| used.clamp(0.0, 1.0));
         if let Some(used) = used {
             u.utilisation = Some(used);
+            let usual = self.busy.unwrap_or(used);
+            let size = self.kinds.entry(u.kind.clone()).or_insert(0.0);
+            *size = (*size + LEARN * (usual - used)).clamp(-1.5, 1.5);
             self.busy = step(self.busy, used);
         }
         // What is held counts the one that was answered.
--- a/crates/fernroute/tests/common/mod.rs
+++ b/crates/fernroute/tests/common/mod.rs
@@ -104,7 +104,7 @@
     b.list_begins(START, true);
     for n in 0..count {
         let (id, zone, cell) = upstream(n);
-        b.upstream_ready(&id, zone, &cell, 0);
+        b.upstream_ready(&id, zone, &cell, "", 0);
     }
     b.list_ends(true);
     (b, notebook)
--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -397,7 +397,7 @@
     let began = START + 10 * SECOND;
     for (b, _) in &mut tier {
         b.list_begins(began, false);
-        b.upstream_ready(&id, zone, &cell, began);
+        b.upstream_ready(&id, zone, &cell, "", began);
         b.list_ends(true);
     }
     let went = round_robin(&mut tier, began, 4000, 25);
@@ -417,7 +417,7 @@
     let began = START + 11 * SECOND;
     b.list_begins(began, false);
     (0..12).for_each(|n| b.upstream_gone(&upstream(n).0));
-    (12..16).for_each(|n| b.upstream_ready(&upstream(n).0, "east", "9", began));
+    (12..16).for_each(|n| b.upstream_ready(&upstream(n).0, "east", "9", "", began));
     b.list_ends(true);
     let before = notes.0.borrow().sent.len();
     // Two hundred a second kept twelve half busy, so one can do 33; the four start at a fifth of that, warm by
@@ -441,7 +441,7 @@
         for (b, _) in tier {
             b.list_begins(now, false);
             (leave[0]..leave[1]).for_each(|n| b.upstream_drains(&upstream(n).0));
-            (come[0]..come[1]).for_each(|n| b.upstream_ready(&upstream(n).0, "east", "0", started));
+            (come[0]..come[1]).for_each(|n| b.upstream_ready(&upstream(n).0, "east", "0", "", started));
             b.list_ends(true);
         }
     };
@@ -462,7 +462,7 @@
     let (id, zone, cell) = upstream(2);
     let tell = |b: &mut Balancer<Notebook>, now| {
         b.list_begins(now, false);
-        b.upstream_ready(&id, zone, &cell, START + 3600 * SECOND);
+        b.upstream_ready(&id, zone, &cell, "", START + 3600 * SECOND);
         b.list_ends(true);
     };
     tell(&mut b, START);
--- a/crates/fernroute/tests/rules.rs
+++ b/crates/fernroute/tests/rules.rs
@@ -181,7 +181,7 @@
         self.b.list_begins(now, full);
         for (n, started) in ready {
             let (id, zone, cell) = upstream(*n);
-            self.b.upstream_ready(&id, zone, &cell, *started);
+            self.b.upstream_ready(&id, zone, &cell, "", *started);
         }
         self.b.list_ends(fresh);
     }
