--- a/crates/fernroute-benchlink/src/wire.rs
+++ b/crates/fernroute-benchlink/src/wire.rs
@@ -172,7 +172,7 @@
             let terms: Terms = pairs.filter_map(|(path, value)| term(path, value)).collect();
             let desk = Desk::default();
             let balancer = Balancer::new(desk.clone(), now, seed, &terms)
-                .map_err(|e| format!("line 'hello': missing or unreadable '{}'", path(&e.0)))?;
+                .map_err(|e| format!("line 'hello': {} '{}'", e.why, path(&e.term)))?;
             self.instances.insert(who, (balancer, desk));
             return Ok(());
         }
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -1,7 +1,7 @@
 //! Puts the layers together and runs them on one thread.
 
 use super::share::Share;
-use super::station::Station;
+use super::station::{bad_setting, Station};
 use super::upgrade::{self, Before};
 use super::{ops, reload, shutdown};
 use crate::protocol::handover::Known;
@@ -151,9 +151,7 @@
     }
     let (callers, upstreams) = share.connections();
     let board = Switchboard::new(&station.terms, station.seed, upstreams, share.memory(station.memory))
-        .map_err(|missing| {
-            format!("settings: missing or unreadable {}", fernroute_terms::path(&missing.0))
-        })?;
+        .map_err(|bad| bad_setting(&bad))?;
     if !matches!(before, Before::Nobody) {
         board.phase_change(|phase, _| phase.wait());
     }
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -3,7 +3,7 @@
 use crate::protocol::list::{self, Entry, List, State};
 use crate::protocol::terms;
 use fernroute::desk::Desk;
-use fernroute::{Balancer, Terms};
+use fernroute::{BadTerm, Balancer, Terms};
 use fernroute_config::{LEAST_DESCRIPTORS, MOST_MEGABYTES, USUAL_DESCRIPTORS, USUAL_MEGABYTES};
 use serde::Deserialize;
 use serde_json::Value;
@@ -30,6 +30,11 @@
     pub terms: Terms,
 }
 
+/// A term that will not do, in the words of the file.
+pub fn bad_setting(bad: &BadTerm) -> String {
+    format!("settings: {} {}", bad.why, fernroute_terms::path(&bad.term))
+}
+
 /// The file as it is written.
 #[derive(Deserialize)]
 struct Page {
@@ -154,8 +159,6 @@
     /// Whether a balancer can start with these terms.
     pub fn check(&self) -> Result<(), String> {
         let balancer = Balancer::new(Desk::default(), 0, self.seed, &self.terms);
-        balancer.map(drop).map_err(|missing| {
-            format!("settings: missing or unreadable {}", fernroute_terms::path(&missing.0))
-        })
+        balancer.map(drop).map_err(|bad| bad_setting(&bad))
     }
 }
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -12,7 +12,7 @@
 use crate::protocol::request::{Request, Shape};
 use crate::transport::client::{Client, Line};
 use fernroute::desk::{Act, Desk};
-use fernroute::{Balancer, MissingTerm, Outcome, Terms, Time};
+use fernroute::{BadTerm, Balancer, Outcome, Terms, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -78,7 +78,7 @@
 
 impl Switchboard {
     /// `connections` is the most that may be open to upstreams, `memory` what the process may hold, in bytes.
-    pub fn new(terms: &Terms, seed: u64, connections: usize, memory: usize) -> Result<Rc<Self>, MissingTerm> {
+    pub fn new(terms: &Terms, seed: u64, connections: usize, memory: usize) -> Result<Rc<Self>, BadTerm> {
         /// Where the terms do not tell.
         const CONNECT: Duration = Duration::from_secs(1);
         const KEEP: Duration = Duration::from_secs(10);
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -13,22 +13,16 @@
 //!  5. admission: under overload the least gain is exhausted first, at the first tier;
 //!  6. circle: a balancer of few calls draws among a part of the upstreams, its own by its number.
 
-use crate::host::{Host, MissingTerm, Outcome, Terms, Time, SECOND};
+use crate::agreed::{Agreed, Promise, Repeat};
+use crate::host::{BadTerm, Host, Outcome, Terms, Time, SECOND};
 use nanorand::{Rng, WyRand};
+use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
 type Id = Rc<str>;
 
-fn term<T: std::str::FromStr>(terms: &Terms, name: &str) -> Option<T> {
-    terms.get(name)?.parse().ok()
-}
-
-fn needed<T: std::str::FromStr>(terms: &Terms, name: &str) -> Result<T, MissingTerm> {
-    term(terms, name).ok_or_else(|| MissingTerm(name.to_owned()))
-}
-
 fn mean(of: impl Iterator<Item = f64>) -> Option<f64> {
     let (sum, count) = of.fold((0.0, 0.0), |(sum, count), x| (sum + x, count + 1.0));
     (count > 0.0).then(|| sum / count)
@@ -159,7 +153,8 @@
     breaker: Breaker,
     /// Latest reported utilisation.
     utilisation: Option<f64>,
-    /// What it held beside this balancer's own transmissions by its latest report, and when that came.
+    /// What it held beside this balancer's own transmissions by its latest report, by the usual one, and when the
+    /// latest came.
     others: Option<(f64, f64, Time)>,
     /// How long it takes of late for one RPC that it holds, against the usual, and as of when.
     pace: Option<(f64, Time)>,
@@ -167,7 +162,7 @@
     out: Vec<Time>,
     /// When transmissions failed, and of which method where that says nothing of others; at most as many
     /// as the window holds, and a restart empties it.
-    scars: VecDeque<(Time, Option<usize>)>,
+    scars: VecDeque<(Time, Option<Id>)>,
     /// Cold budget: nothing before this.
     cold_next: Time,
 }
@@ -178,9 +173,10 @@
 impl Upstream {
     /// What this upstream holds of this balancer's transmissions: those out, the overdue ones twice, and
     /// those that failed a moment ago; one may turn away one method unseen and serve the others.
-    fn held(&self, now: Time, late: Time, method: usize) -> f64 {
+    fn held(&self, now: Time, late: Time, method: &Id) -> f64 {
         let overdue = self.out.iter().filter(|sent| **sent + late < now).count();
-        let scars = self.scars.iter().filter(|(at, m)| at + SCAR > now && m.is_none_or(|m| m == method));
+        let scars =
+            self.scars.iter().filter(|(at, m)| at + SCAR > now && m.as_ref().is_none_or(|m| m == method));
         (self.out.len() + overdue + scars.count()) as f64
     }
 }
@@ -190,12 +186,8 @@
 struct Following {
     /// Upstreams that may be used, in the order in which this balancer turns to them; made anew by each list.
     order: Vec<Id>,
-    /// This balancer's number among those of its tier.
-    number: usize,
     /// How many times it asked: only the timer of the last one counts.
     asks: u32,
-    /// Where the list must be asked for: time within which a balancer must have asked.
-    ask_within: Option<Time>,
     following: bool,
     failures: u32,
     reading_full: bool,
@@ -203,34 +195,30 @@
 
 // ------------------------------------------------------------------------------------------------- methods
 
-/// What may be sent again after it may have run, and to which upstreams.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Repeat {
-    Anywhere,
-    /// Deduped, by all upstreams, those of one zone or those of one cell.
-    AmongAll,
-    InZone,
-    InCell,
-    Never,
-}
-
-struct Method {
-    name: String,
-    repeat: Repeat,
-    /// How long a deduped one is remembered.
-    window: Time,
-    soft: Option<Time>,
-    hard: Option<Time>,
-    /// The longest time that a client has given one try.
-    whole_try: Time,
-    late_gain: f64,
-    /// Gain as a share of the highest one.
-    gain: f64,
-    /// What completed transmissions took of late: the mean, and the time that few exceed.
+/// How long the RPCs of a method take of late.
+#[derive(Clone, Copy)]
+struct Times {
+    /// What completed transmissions took: the mean, and the time that few exceed.
     mean: f64,
     late: f64,
-    /// What it took of late for each RPC that the upstream held.
+    /// What they took for each RPC that the upstream was thought to hold.
     each: f64,
+    /// The longest time that a client has given one try.
+    whole_try: Time,
+}
+
+struct Method {
+    promise: Promise,
+    times: Cell<Times>,
+}
+
+impl Method {
+    fn new(promise: &Promise) -> Self {
+        // Before anything completed: a fifth and a half of the soft deadline.
+        let expected = promise.soft.unwrap_or(SECOND) as f64;
+        let times = Times { mean: expected * 0.2, late: expected * 0.5, each: expected * 0.2, whole_try: 0 };
+        Method { promise: promise.clone(), times: Cell::new(times) }
+    }
 }
 
 /// RPCs of one tenant that come together by chance now and then, at any rate.
@@ -286,13 +274,12 @@
     end: Option<Outcome>,
 }
 
-#[derive(Default)]
 struct Rpc {
-    method: usize,
-    /// Its key on the circle, where upstreams do less work for a key that they met lately.
+    /// As it was when the RPC was taken, whatever the terms say since.
+    method: Rc<Method>,
+    /// Its key, where upstreams do less work for one that they met lately, and how many share that key.
     key: Option<u64>,
-    /// How many upstreams share the key.
-    spread: usize,
+    places: usize,
     arrived: Time,
     /// Answered in time means before this; the hard deadline where no soft one is told.
     soft: Time,
@@ -320,17 +307,9 @@
     host: H,
     rng: WyRand,
     now: Time,
-    tier: usize,
-    zone: String,
-    tick: Time,
-    max_tx: usize,
-    cancel: bool,
-    max_stay_away: Time,
-    over_share_gain: f64,
-    /// Places in a report of the utilisation, of what is held and of what waits.
-    report: [Option<usize>; 3],
-    cold: ColdRule,
-    methods: Vec<Method>,
+    /// What the terms say; replaced whole by new ones.
+    agreed: Agreed,
+    methods: Vec<Rc<Method>>,
     tenants: Vec<Tenant>,
     /// Emptied by the list: an upstream that is gone leaves with its last transmission.
     upstreams: BTreeMap<Id, Upstream>,
@@ -340,14 +319,13 @@
     gate: Gate,
     /// Retry budget: further transmissions that may be made now.
     spare: f64,
-    warm_keys: bool,
-    near: f64,
+    /// How often the keys of each part of the circle came of late, and as of when.
     keys: Vec<f64>,
     keys_at: Time,
+    /// What upstreams of one kind take against the others, as a logarithm; emptied by the list.
+    kinds: BTreeMap<String, f64>,
     /// How busy the upstreams it uses report to be of late, if any has reported.
     busy: Option<f64>,
-    counted: bool,
-    kinds: BTreeMap<String, f64>,
     /// What they report to hold beside this balancer's own, likewise.
     crowd: Option<f64>,
     /// Transmissions a second, when that was last brought up to date, and when the first one was.
@@ -359,118 +337,88 @@
 /// Long enough to ride out bursts: a burst raises what is sent, not what an upstream can do.
 const RATE_MEMORY: f64 = 10.0 * SECOND as f64;
 
-struct ColdRule {
-    from: f64,
-    warm_within: f64,
-    multiple: f64,
-    window: f64,
-    instances: f64,
-}
-
+/// What a report says of the moment holds for some answers; what it says of an upstream against the others, for long.
 const SOON: f64 = 0.2 * SECOND as f64;
-const RELAX: f64 = 10.0 * SECOND as f64;
+const LONG: f64 = 10.0 * SECOND as f64;
+
+fn hash(of: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    of.hash(&mut hasher);
+    hasher.finish()
+}
 
 impl<H: Host> Balancer<H> {
-    pub fn new(host: H, now: Time, seed: u64, terms: &Terms) -> Result<Self, MissingTerm> {
-        let count = |name: &str| term::<usize>(terms, name).unwrap_or(0);
-        let mut methods = Vec::new();
-        for i in 0..needed::<usize>(terms, "methods.count")? {
-            let at = |what: &str| format!("methods.{i}.{what}");
-            let repeat = match needed::<String>(terms, &at("effect"))?.as_str() {
-                "retriable" => Repeat::Anywhere,
-                "deduped" => match needed::<String>(terms, &at("group"))?.as_str() {
-                    "all" => Repeat::AmongAll,
-                    "zone" => Repeat::InZone,
-                    _ => Repeat::InCell,
-                },
-                // A word that is not known promises nothing.
-                _ => Repeat::Never,
-            };
-            let deduped = !matches!(repeat, Repeat::Anywhere | Repeat::Never);
-            let window = if deduped { needed(terms, &at("window"))? } else { 0 };
-            let soft = term::<Time>(terms, &at("soft_deadline"));
-            let expected = soft.unwrap_or(SECOND) as f64;
-            methods.push(Method {
-                name: needed(terms, &at("name"))?,
-                repeat,
-                window,
-                soft,
-                hard: term(terms, &at("hard_deadline")),
-                whole_try: 0,
-                late_gain: term(terms, &at("late_gain")).unwrap_or(0.0),
-                gain: term::<f64>(terms, &at("gain")).unwrap_or(1.0),
-                // Before anything completed: a fifth and a half of the soft deadline.
-                each: expected * 0.2,
-                mean: expected * 0.2,
-                late: expected * 0.5,
-            });
-        }
-        let most = methods.iter().map(|m| m.gain).fold(f64::MIN_POSITIVE, f64::max);
-        methods.iter_mut().for_each(|m| m.gain /= most);
-        let cold = ColdRule {
-            from: needed(terms, "rules.cold_from")?,
-            warm_within: needed(terms, "rules.warm_within")?,
-            multiple: needed(terms, "rules.cold_multiple")?,
-            window: needed(terms, "rules.cold_window")?,
-            instances: term(terms, "instances").unwrap_or(1.0),
-        };
-        let ask = terms.get("list_mode").is_some_and(|m| m == "ask");
-        let tenants = (0..count("tenants.count")).filter_map(|i| {
-            let name = terms.get(&format!("tenants.{i}.name"))?.clone();
-            let rate = term::<f64>(terms, &format!("tenants.{i}.rate"))? / cold.instances.max(1.0);
-            Some(Tenant { name, rate, unspent: rate.max(BUNCH), filled: now })
-        });
-        let stay_away = term(terms, "limits.stay_away").unwrap_or(false);
+    pub fn new(host: H, now: Time, seed: u64, terms: &Terms) -> Result<Self, BadTerm> {
         let mut balancer = Balancer {
             host,
             rng: WyRand::new_seed(seed),
             now,
-            tier: count("tier"),
-            zone: terms.get("zone").cloned().unwrap_or_default(),
-            tick: term(terms, "tick").unwrap_or(1),
-            max_tx: term(terms, "limits.max_transmissions").unwrap_or(1),
-            cancel: term(terms, "limits.cancel").unwrap_or(false),
-            max_stay_away: if stay_away { term(terms, "limits.max_stay_away").unwrap_or(0) } else { 0 },
-            over_share_gain: term(terms, "over_share_gain").unwrap_or(1.0),
-            report: ["utilisation", "in_flight", "queued"]
-                .map(|word| terms.get("load.names")?.split(',').position(|n| n == word)),
-            tenants: tenants.collect(),
-            methods,
-            cold,
+            agreed: Agreed::read(terms)?,
+            methods: Vec::new(),
+            tenants: Vec::new(),
             upstreams: BTreeMap::new(),
             rpcs: BTreeMap::new(),
-            list: Following {
-                number: count("number"),
-                ask_within: if ask { Some(needed(terms, "rules.ask_within")?) } else { None },
-                ..Following::default()
-            },
+            list: Following::default(),
             gate: Gate { calm: f64::INFINITY, ..Gate::default() },
             spare: MOST_SPARE,
-            warm_keys: term(terms, "warm_keys").unwrap_or(false),
-            near: term(terms, "prices.cross_zone")
-                .filter(|p| *p > 0.0)
-                .map_or(8.0, |p: f64| (250.0 * p).clamp(1.0, 8.0)),
-            keys: vec![0.0; 256],
+            keys: vec![0.0; KEY_PARTS],
             keys_at: now,
-            busy: None,
-            counted: terms
-                .get("load.names")
-                .is_some_and(|names| names.contains("in_flight") || names.contains("queued")),
             kinds: BTreeMap::new(),
+            busy: None,
             crowd: None,
             rate: 0.0,
             rate_at: now,
             rate_from: None,
         };
-        balancer.ask_later(0);
+        balancer.new_terms(now, terms)?;
         Ok(balancer)
     }
 
+    /// Takes new terms, whole or not at all. Open RPCs keep the method that they were taken under; breakers, reports,
+    /// starts and what was learnt of a method or tenant of the same name stay. Guards against an effect, a group or a
+    /// deadline that changes under an RPC which may have run.
+    pub fn new_terms(&mut self, now: Time, terms: &Terms) -> Result<(), BadTerm> {
+        let agreed = Agreed::read(terms)?;
+        self.now = now;
+        let told_otherwise = agreed.report != self.agreed.report;
+        let method = |promise: &Promise| {
+            let method = Method::new(promise);
+            let before = self.methods.iter().find(|m| m.promise.name == promise.name);
+            before.into_iter().for_each(|before| method.times.set(before.times.get()));
+            Rc::new(method)
+        };
+        let methods = agreed.methods.iter().map(method).collect();
+        let tenant = |(name, rate): &(String, f64)| {
+            let rate = rate / agreed.instances;
+            let before = self.tenants.iter().find(|t| t.name == *name);
+            let (unspent, filled) = before.map_or((rate.max(BUNCH), now), |t| (t.unspent, t.filled));
+            Tenant { name: name.clone(), rate, unspent, filled }
+        };
+        self.tenants = agreed.tenants.iter().map(tenant).collect();
+        (self.methods, self.agreed) = (methods, agreed);
+        if told_otherwise {
+            // What stood at one place of a report may stand for something else from now on.
+            self.upstreams.values_mut().for_each(|u| (u.utilisation, u.others) = (None, None));
+            (self.busy, self.crowd) = (None, None);
+        }
+        self.draw_circle();
+        if !self.list.following {
+            self.ask_later(self.list.failures);
+        }
+        Ok(())
+    }
+
+    /// Whether upstreams report what they hold, or what waits there.
+    fn counted(&self) -> bool {
+        let [_, held, waiting] = self.agreed.report;
+        held.or(waiting).is_some()
+    }
+
     // ---------------------------------------------------------------------------------- following the list
 
     /// Asks again after a spread-out wait, all well within the time in which a balancer must have asked.
     fn ask_later(&mut self, failures: u32) {
-        if let Some(within) = self.list.ask_within {
+        if let Some(within) = self.agreed.ask_within {
             // At start a twentieth of it: enough to spread a fleet that starts at once; doubled by failures.
             let most = ((within / 20) << failures.min(3)) as f64;
             let wait = (most * (0.5 + 0.5 * self.rng.generate::<f64>())) as Time;
@@ -502,7 +450,7 @@
         // All balancers hear of a start at about the same time: a random phase keeps their first sends apart.
         let (told, known) = (started, self.upstreams.get(id).is_some_and(|u| u.told == started));
         // Guards against a start in the far future, which would keep an upstream cold, and its reports out, for good.
-        let started = started.min(now + self.cold.warm_within as Time);
+        let started = started.min(now + self.agreed.cold.warm_within as Time);
         let gap = if known { None } else { self.cold_gap(started) };
         let phase = gap.map_or(0, |gap| (gap * self.rng.generate::<f64>()) as Time);
         let u = self.upstreams.entry(Id::from(id)).or_default();
@@ -537,6 +485,7 @@
             }
         }
         self.upstreams.retain(|_, u| !u.gone || !u.out.is_empty());
+        self.kinds.retain(|kind, _| self.upstreams.values().any(|u| u.kind == *kind));
         self.draw_circle();
         if fresh {
             (self.list.following, self.list.failures) = (true, 0);
@@ -551,32 +500,30 @@
         const SHARED: usize = 16;
         /// Its multiples spread evenly over a circle, whichever of the numbers share a zone.
         const GOLDEN_SECTION: f64 = 0.618_033_988_749_895;
-        let number = self.list.number;
-        self.list.order =
-            self.circle((number / SHARED) as u64, (number as f64 * GOLDEN_SECTION).fract(), true, false);
+        let number = self.agreed.number;
+        let (which, place) = ((number / SHARED) as u64, (number as f64 * GOLDEN_SECTION).fract());
+        self.list.order = self.circle(which, place, true, |_| 0.0);
     }
 
-    fn circle(&self, which: u64, place: f64, zoned: bool, keyed: bool) -> Vec<Id> {
+    /// An order of all upstreams; those of larger size come early in more of the orders, in proportion. Near and far
+    /// ones in turn, where zones count.
+    fn circle(&self, which: u64, place: f64, zones: bool, size: impl Fn(&Upstream) -> f64) -> Vec<Id> {
         let usable = self.upstreams.iter().filter(|(_, u)| !u.leaving);
-        let (mut near, mut far): (Vec<_>, Vec<_>) = usable.partition(|(_, u)| zoned && u.zone == self.zone);
-        for part in [&mut near, &mut far] {
-            let mut places: Vec<(f64, _)> = part
-                .iter()
-                .map(|(id, u)| {
-                    let mut hasher = DefaultHasher::new();
-                    (which, id).hash(&mut hasher);
-                    let size = if keyed { self.kinds.get(&u.kind).copied().unwrap_or(0.0) } else { 0.0 };
-                    (-(-(hasher.finish() as f64) / 1.85e19).ln_1p() / size.exp(), (*id, *u))
-                })
-                .collect();
-            places.sort_by(|a, b| a.0.total_cmp(&b.0));
-            *part = places.into_iter().map(|(_, u)| u).collect();
+        let in_order = |near: bool| {
+            let part = usable.clone().filter(|(_, u)| (zones && u.zone == self.agreed.zone) == near);
+            let at = |(id, u): (_, &Upstream)| {
+                let share = hash((which, id)) as f64 / u64::MAX as f64;
+                (-(-share).ln_1p() / size(u).exp(), Id::clone(id))
+            };
+            let mut part: Vec<(f64, Id)> = part.map(at).collect();
+            part.sort_by(|a, b| a.0.total_cmp(&b.0));
             let start = (part.len() as f64 * place) as usize;
             part.rotate_left(start);
-        }
-        let longest = near.len().max(far.len());
-        let turns = (0..longest).flat_map(|i| [near.get(i), far.get(i)]);
-        turns.flatten().map(|(id, _)| Id::clone(id)).collect()
+            part
+        };
+        let (near, far) = (in_order(true), in_order(false));
+        let turns = (0..near.len().max(far.len())).flat_map(|i| [near.get(i), far.get(i)]);
+        turns.flatten().map(|(_, id)| Id::clone(id)).collect()
     }
 
     /// How many upstreams this balancer spreads over. Guards against knowing nothing of any: one call a
@@ -586,7 +533,8 @@
         const FRESH: f64 = 1.0;
         /// Enough that one bad upstream or two are not missed, few enough to learn of.
         const LEAST: f64 = 6.0;
-        let least = if self.counted { 2.0 * LEAST } else { LEAST };
+        // Counts tell more of each one, and with it which of many is empty.
+        let least = if self.counted() { 2.0 * LEAST } else { LEAST };
         ((self.rate * FRESH).max(least) as usize).min(self.list.order.len().max(1))
     }
 
@@ -598,7 +546,7 @@
             return 1.0;
         }
         let age = self.now.saturating_sub(started) as f64;
-        (self.cold.from + (1.0 - self.cold.from) * age / self.cold.warm_within).min(1.0)
+        (self.agreed.cold.from + (1.0 - self.agreed.cold.from) * age / self.agreed.cold.warm_within).min(1.0)
     }
 
     /// How many upstreams the list names, and how many of them are avoided now.
@@ -622,13 +570,15 @@
         }
         // What a warm upstream gets of this balancer, over how busy that keeps it, is this balancer's part
         // of its capacity; the number of balancers cancels out, and so does how few each of them uses.
-        // Keys lead to any of them; and one that is cold knows no key, which takes it two to three times the work.
-        let (reach, met) = if self.warm_keys { (self.ready(), 0.33) } else { (self.reach() as f64, 1.0) };
+        // Guards against the fall of a cold upstream by keys: they lead to any of all upstreams, not to those of a
+        // circle, and one that is cold has met none, which makes for two to three times the work.
+        let (reach, met) =
+            if self.agreed.warm_keys { (self.ready(), 0.33) } else { (self.reach() as f64, 1.0) };
         let busy = self.busy.unwrap_or(1.0);
         // A balancer that has sent nothing yet takes the budget for one send in a window by all balancers.
-        let least = 1.0 / (self.cold.window / SECOND as f64 * self.cold.instances.max(1.0));
+        let least = 1.0 / (self.agreed.cold.window / SECOND as f64 * self.agreed.instances);
         let part = (self.rate / reach / busy.clamp(0.3, 1.0)).max(least);
-        Some(SECOND as f64 / (SAFETY * met * self.cold.multiple * warmth * part))
+        Some(SECOND as f64 / (SAFETY * met * self.agreed.cold.multiple * warmth * part))
     }
 
     fn count_send(&mut self, id: &str) {
@@ -646,16 +596,16 @@
     /// Rules 2, 3 and 4, and nothing else: whether this RPC may go to this upstream now.
     fn may_send(&self, rpc: &Rpc, id: &str) -> bool {
         let Some(u) = self.upstreams.get(id) else { return false };
-        let most = rpc.is_out() || rpc.txs.len() >= self.max_tx;
+        let most = rpc.is_out() || rpc.txs.len() >= self.agreed.max_tx;
         // Told that it drains or is gone: nothing new at once, the grace is left unused.
         let shut = u.leaving || (self.now < u.cold_next && self.warmth(u.started) < 1.0);
         if rpc.done || self.now >= rpc.hard || most || shut {
             return false;
         }
-        let m = &self.methods[rpc.method];
+        let m = &rpc.method.promise;
         let Some(first) = rpc.may_have_run() else { return true };
         // A repeat arrives later than it is sent; two ticks keep it inside the window.
-        let in_window = self.now + 2 * self.tick < first.sent + m.window;
+        let in_window = self.now + 2 * self.agreed.tick < first.sent + m.window;
         match m.repeat {
             Repeat::Anywhere => true,
             Repeat::AmongAll => in_window,
@@ -665,39 +615,51 @@
         }
     }
 
-    /// What an upstream holds by its reports and by what this balancer has out there.
-    fn ahead(&self, u: &Upstream, method: usize) -> f64 {
-        let crowd = self.crowd.unwrap_or(0.0);
+    /// What an upstream holds, by its reports and by what this balancer has out there. A report's weight fades: guards
+    /// against reports that are seconds old, or that came late, and pass for what is.
+    fn ahead(&self, u: &Upstream, m: &Method) -> f64 {
+        let (now, crowd) = (self.now, self.crowd.unwrap_or(0.0));
         let told = u.others.map_or(0.0, |(n, usual, at)| {
-            (usual - crowd) * fade(self.now - at, RELAX) + (n - usual) * fade(self.now - at, SOON)
+            (usual - crowd) * fade(now - at, LONG) + (n - usual) * fade(now - at, SOON)
         });
-        u.held(self.now, self.methods[method].late as Time, method) + crowd + told
+        u.held(now, m.times.get().late as Time, &m.promise.name) + crowd + told
     }
 
+    /// How long an RPC takes there against the usual, for each that it holds; where nothing is counted nobody knows.
     fn pace(&self, u: &Upstream) -> f64 {
-        if !self.counted {
-            return 1.0;
-        }
-        u.pace.map_or(1.0, |(pace, at)| 1.0 + (pace - 1.0) * fade(self.now - at, RELAX))
+        let pace = u.pace.filter(|_| self.counted());
+        pace.map_or(1.0, |(pace, at)| 1.0 + (pace - 1.0) * fade(self.now - at, LONG))
     }
 
     /// A draw among the upstreams that the rules and the breakers allow, weighted by reported headroom.
     fn pick(&mut self, rpc: &Rpc) -> Option<Id> {
         /// The design's floor, well under one half: a full upstream still gets news of itself now and then.
         const FLOOR: f64 = 0.05;
-        /// Own-zone upstreams weigh this much more: the difference in headroom still outweighs it when they
-        /// are nearly full.
-        const HOME: f64 = 0.03;
-        /// Steep enough that the draw keeps off a crowded upstream as long as others have room.
+        /// Own-zone upstreams weigh up to this much more: the difference in headroom still outweighs it when they are
+        /// nearly full. A zone that costs four in a hundred of an RPC to leave is worth all of it.
+        const NEAR: f64 = 8.0;
+        const PER_CROSSING: f64 = 250.0;
+        /// What the place after a key's own weighs, and so on: the work saved is lost where a key is met anew.
+        const AWAY: f64 = 0.03;
+        /// So many places beyond its own are looked at for a key, near and far.
+        const BEYOND: usize = 4;
+        /// Steep enough that the draw keeps off a crowded upstream as long as others have room; twice as steep where
+        /// counts tell which one is empty.
         const CROWDED: i32 = 8;
-        let now = self.now;
-        let m = &self.methods[rpc.method];
-        let steady = m.repeat == Repeat::Never;
-        let reach = if rpc.key.is_some() { 2 * (rpc.spread + 4) } else { self.reach() };
-        let order = rpc
-            .key
-            .map_or_else(|| self.list.order.clone(), |key| self.circle(key, 0.0, rpc.spread > 1, true));
-        let alone = rpc.key.is_some() && rpc.spread <= 1;
+        let (now, counted) = (self.now, self.counted());
+        let crowded = if counted { 2 * CROWDED } else { CROWDED };
+        let cost = Some(self.agreed.crossing).filter(|cost| *cost > 0.0);
+        let nearness = cost.map_or(NEAR, |cost| (PER_CROSSING * cost).clamp(1.0, NEAR));
+        let steady = rpc.method.promise.repeat == Repeat::Never;
+        // A key that few ask for has one place for all zones: in each it would have to be met anew.
+        let rare = rpc.key.is_some() && rpc.places <= 1;
+        let (order, reach) = match rpc.key {
+            Some(key) => {
+                let size = |u: &Upstream| self.kinds.get(&u.kind).copied().unwrap_or(0.0);
+                (self.circle(key, 0.0, !rare, size), 2 * (rpc.places + BEYOND))
+            }
+            None => (self.list.order.clone(), self.reach()),
+        };
         // Closed upstreams from this balancer's place on, as many as it spreads over; the others it passed.
         let (mut near, mut shut): (Vec<Id>, Vec<Id>) = (Vec::new(), Vec::new());
         for id in order {
@@ -716,38 +678,30 @@
         // Nothing closed: an answer from an open upstream beats none at all.
         let ids = if near.is_empty() { shut } else { near };
         let us: Vec<&Upstream> = ids.iter().filter_map(|id| self.upstreams.get(id)).collect();
-        let ahead: Vec<f64> = us.iter().map(|u| self.ahead(u, rpc.method)).collect();
-        let held: Vec<f64> =
-            us.iter().zip(&ahead).map(|(u, ahead)| (1.0 + ahead) * self.pace(u) - 1.0).collect();
-        let part = if self.counted { 0.0 } else { mean(held.iter().copied()).unwrap_or(0.0) };
+        let holds = |u: &&Upstream| (1.0 + self.ahead(u, &rpc.method)) * self.pace(u) - 1.0;
+        let held: Vec<f64> = us.iter().map(holds).collect();
+        let part = if counted { 0.0 } else { mean(held.iter().copied()).unwrap_or(0.0) };
         let usual = 1.0 - mean(us.iter().filter_map(|u| u.utilisation)).unwrap_or(0.0);
         // Guards against starved successors: where all stand in one zone a weight that cold ones lack is a loss.
-        let zoned = !alone && us.iter().any(|u| u.zone != self.zone);
+        let zoned = !rare && us.iter().any(|u| u.zone != self.agreed.zone);
         let weigh = |(u, held): (&&Upstream, &f64)| {
             let warmth = self.warmth(u.started);
             let weight = u.utilisation.map_or(usual, |used| 1.0 - used).max(FLOOR) * warmth;
             // Not while it is cold: the callers near a zone that comes back would all crowd it.
-            let weight =
-                if zoned && u.zone == self.zone && warmth >= 1.0 { weight * self.near } else { weight };
+            let near = zoned && u.zone == self.agreed.zone && warmth >= 1.0;
+            let weight = if near { weight * nearness } else { weight };
             // Guards against upstreams that swallow RPCs, stand still or are crowded by what no report shows
             // yet, and against those that fail fast and so look idle: one that holds more than its part of
             // this balancer's transmissions draws less. What is overdue counts twice, and what failed counts
             // for a while as if it were out. Being against the mean, troubles that all share cancel out.
-            weight
-                * ((1.0 + part) / (1.0 + held.max(part))).powi(if self.counted {
-                    2 * CROWDED
-                } else {
-                    CROWDED
-                })
+            weight * ((1.0 + part) / (1.0 + held.max(part))).powi(crowded)
         };
         let mut weights: Vec<f64> = us.iter().zip(&held).map(weigh).collect();
-        if rpc.key.is_some() {
-            for zone in [true, false] {
-                let places = (0..us.len()).filter(|i| (alone || us[*i].zone == self.zone) == zone);
-                for (rank, i) in places.enumerate() {
-                    weights[i] *= HOME.powi((rank + 1).saturating_sub(rpc.spread) as i32);
-                }
-            }
+        let mut passed = [0, 0];
+        for (weight, u) in weights.iter_mut().zip(&us).filter(|_| rpc.key.is_some()) {
+            let rank = &mut passed[usize::from(!rare && u.zone == self.agreed.zone)];
+            *rank += 1;
+            *weight *= AWAY.powi((*rank - rpc.places.min(*rank)) as i32);
         }
         let mut left = self.rng.generate::<f64>() * weights.iter().sum::<f64>();
         let drawn = weights.iter().position(|weight| {
@@ -759,27 +713,32 @@
 
     // -------------------------------------------------------------------------------------------- transmit
 
-    fn send(&mut self, rpc_id: &Id) -> bool {
-        const LATEST: f64 = 1.0;
+    fn send(&mut self, rpc_id: &Id) -> Sent {
+        /// How long what an upstream told is news enough to give an RPC up for. Guards against a balancer of few RPCs
+        /// that learns of a jam, sends nothing from then on, and never learns that it has passed.
         const NEWS: Time = 2 * SECOND;
         // Taken out for the pick, which looks at all upstreams while it reads this one RPC.
-        let Some(rpc) = self.rpcs.remove(rpc_id) else { return false };
-        let id = self.pick(&rpc).filter(|id| {
-            let Some(u) = self.upstreams.get(id).filter(|_| self.counted) else { return true };
-            let m = &self.methods[rpc.method];
-            let expected = (1.0 + self.ahead(u, rpc.method)) * self.pace(u) * m.each;
-            u.others.is_none_or(|(_, _, at)| at + NEWS < self.now)
-                || self.now as f64 + LATEST * expected < rpc.until as f64
+        let Some(rpc) = self.rpcs.remove(rpc_id) else { return Sent::Nowhere };
+        let id = self.pick(&rpc);
+        let news = |u: &&Upstream| u.others.is_some_and(|(_, _, at)| self.now < at + NEWS);
+        // Guards against work for answers that come too late, which crowds upstreams until they turn slow.
+        let late = id.as_ref().and_then(|id| self.upstreams.get(id)).filter(news).is_some_and(|u| {
+            let each = rpc.method.times.get().each * self.pace(u);
+            self.now as f64 + (1.0 + self.ahead(u, &rpc.method)) * each >= rpc.until as f64
         });
         self.rpcs.insert(rpc_id.clone(), rpc);
-        id.is_some_and(|id| self.transmit(rpc_id, &id))
+        match id {
+            Some(_) if late => Sent::Late,
+            Some(id) if self.transmit(rpc_id, &id) => Sent::Sent,
+            _ => Sent::Nowhere,
+        }
     }
 
     /// The only place that sends. Every rule is checked here, whatever the caller has checked before.
     fn transmit(&mut self, rpc_id: &Id, id: &Id) -> bool {
         let Some(rpc) = self.rpcs.get(rpc_id).filter(|rpc| self.may_send(rpc, id)) else { return false };
         let time_out = self.time_out(rpc);
-        let ahead = self.upstreams.get(id).map_or(0.0, |u| self.ahead(u, rpc.method));
+        let ahead = self.upstreams.get(id).map_or(0.0, |u| self.ahead(u, &rpc.method));
         self.count_send(id);
         let (Some(rpc), Some(u)) = (self.rpcs.get_mut(rpc_id), self.upstreams.get_mut(id)) else {
             return false;
@@ -810,12 +769,13 @@
         const LEAST: f64 = 1.5;
         /// Busier upstreams are slow because they are: giving up on them wastes what they have done.
         const CALM: f64 = 0.6;
-        let m = &self.methods[rpc.method];
+        let (m, times) = (&rpc.method.promise, rpc.method.times.get());
         // The start value of the mark takes some hundred answers to wear off, that of the mean some thirty.
-        let late = m.late.min(2.2 * m.mean);
-        let cut = (rpc.until as f64 - self.now as f64 - 1.5 * m.mean).min(MOST * late);
+        let late = times.late.min(2.2 * times.mean);
+        let cut = (rpc.until as f64 - self.now as f64 - 1.5 * times.mean).min(MOST * late);
         let calm = self.busy.is_none_or(|busy| busy < CALM) && cut >= LEAST * late;
-        let follows = m.repeat != Repeat::Never && rpc.txs.len() + 1 < self.max_tx && self.spare >= 2.0;
+        let follows =
+            m.repeat != Repeat::Never && rpc.txs.len() + 1 < self.agreed.max_tx && self.spare >= 2.0;
         (if follows && calm { cut as Time } else { Time::MAX }).min(rpc.hard - self.now)
     }
 
@@ -826,61 +786,56 @@
         /// Guards against a budget run dry where upstreams turn much away, which costs them next to nothing.
         const TURNED_AWAY: f64 = 0.1;
         let Some(rpc) = self.rpcs.get(rpc_id) else { return false };
-        let m = &self.methods[rpc.method];
+        let mean = rpc.method.times.get().mean;
         let cost = if rpc.may_have_run().is_none() { TURNED_AWAY } else { 1.0 };
         // The operators' way: only if the time left exceeds the time that it is expected to take.
-        if self.spare < cost || self.now as f64 + m.mean > rpc.until as f64 {
+        if self.spare < cost || self.now as f64 + mean > rpc.until as f64 {
             return false;
         }
-        let sent = self.send(rpc_id);
+        let sent = self.send(rpc_id) == Sent::Sent;
         self.spare -= if sent { cost } else { 0.0 };
         sent
     }
 
-    /// Takes what a finished transmission says of how long the method takes.
-    fn learn_time(&mut self, method: usize, took: Time, completed: bool) {
+    /// Takes what a finished transmission says of how long the method takes, and the upstream against others.
+    fn learn_times(&mut self, tx: &Tx, m: &Method, took: Time, completed: bool) {
         /// What few exceed: a transmission out for longer counts as overdue.
         const QUANTILE: f64 = 0.95;
         /// A step of a thirtieth follows a change of load within some thirty answers.
         const STEP: f64 = 0.03;
-        let m = &mut self.methods[method];
-        let took = took as f64;
+        /// An upstream is met seldom; a larger step would be the chance of single RPCs to a high power.
+        const PACE_STEP: f64 = 0.1;
+        let (mut t, took) = (m.times.get(), took as f64);
+        let each = took / (1.0 + tx.ahead);
         if completed {
-            m.mean += STEP * (took - m.mean);
-        }
-        let step = if took > m.late { QUANTILE } else { QUANTILE - 1.0 };
-        m.late *= if completed || took > m.late { 1.0 + STEP * step } else { 1.0 };
-        m.late = m.late.max(m.mean);
-    }
-
-    fn learn_pace(&mut self, tx: &Tx, method: usize, took: Time, completed: bool) {
-        const STEP: f64 = 0.1;
-        let m = &mut self.methods[method];
-        let each = took as f64 / (1.0 + tx.ahead);
-        if completed {
-            m.each += 0.03 * (each - m.each);
-        }
-        let sample = (each / m.each.max(1.0)).clamp(0.2, 10.0);
-        let now = self.now;
-        let Some(u) = self.upstreams.get_mut(&tx.upstream).filter(|u| tx.sent >= u.started) else { return };
-        let was = u.pace.map_or(1.0, |(pace, at)| 1.0 + (pace - 1.0) * fade(now - at, RELAX));
-        if completed || sample > was {
-            u.pace = Some((was + STEP * (sample - was), now));
+            t.mean += STEP * (took - t.mean);
+            t.each += STEP * (each - t.each);
         }
+        let step = if took > t.late { QUANTILE } else { QUANTILE - 1.0 };
+        t.late *= if completed || took > t.late { 1.0 + STEP * step } else { 1.0 };
+        t.late = t.late.max(t.mean);
+        m.times.set(t);
+        // Guards against upstreams that lose their machine to others, grow old or were crowded into slowness: they
+        // report few RPCs and take long for each.
+        let pace = (each / t.each.max(1.0)).clamp(0.2, 10.0);
+        let Some(u) = self.upstreams.get(&tx.upstream).filter(|u| tx.sent >= u.started) else { return };
+        let was = self.pace(u);
+        let pace = Some((was + PACE_STEP * (pace - was), self.now)).filter(|_| completed || pace > was);
+        self.upstreams.get_mut(&tx.upstream).into_iter().for_each(|u| u.pace = pace.or(u.pace));
     }
 
     // ------------------------------------------------------------------------------------------- admission
 
-    /// What an RPC is worth, as a share of the highest gain, by method and tenant share.
-    fn value(&mut self, method: usize, tenant: &str) -> f64 {
-        let (now, gain) = (self.now, self.methods[method].gain);
+    /// What an RPC is worth, as a share of the highest gain, by its method's gain and tenant share.
+    fn value(&mut self, gain: f64, tenant: &str) -> f64 {
+        let now = self.now;
         if let Some(t) = self.tenants.iter_mut().find(|t| t.name == tenant) {
             // Two seconds of share can be saved up: less would count ordinary bunching as excess. Some RPCs
             // can be however small the share: at a small balancer all would be excess.
             let filled = t.unspent + t.rate * (now - t.filled) as f64 / SECOND as f64;
             (t.unspent, t.filled) = (filled.min((2.0 * t.rate).max(BUNCH)), now);
             if t.unspent < 1.0 {
-                return gain * self.over_share_gain;
+                return gain * self.agreed.over_share_gain;
             }
             t.unspent -= 1.0;
         }
@@ -889,15 +844,16 @@
 
     /// Until when an answer counts as in time. A client's tries share one soft deadline, so what is left
     /// of it for a later try is told by how far the client has cut its time.
-    fn soft_deadline(&mut self, method: usize, time_left: Time) -> Time {
-        let (now, tick) = (self.now, self.tick);
-        let m = &mut self.methods[method];
-        m.whole_try = m.whole_try.max(time_left);
-        match (m.soft, m.hard) {
-            (Some(soft), Some(hard)) if self.tier == 0 && time_left + 2 * tick < m.whole_try => {
+    fn soft_deadline(&self, m: &Method, time_left: Time) -> Time {
+        let (now, tick) = (self.now, self.agreed.tick);
+        let mut times = m.times.get();
+        times.whole_try = times.whole_try.max(time_left);
+        m.times.set(times);
+        match (m.promise.soft, m.promise.hard) {
+            (Some(soft), Some(hard)) if self.agreed.tier == 0 && time_left + 2 * tick < times.whole_try => {
                 now.max((now + time_left + soft).saturating_sub(hard)).min(now + time_left)
             }
-            (Some(soft), _) if self.tier == 0 => now + soft.min(time_left),
+            (Some(soft), _) if self.agreed.tier == 0 => now + soft.min(time_left),
             _ => now + time_left,
         }
     }
@@ -916,12 +872,11 @@
         const KEPT: f64 = 0.8;
         /// Guards against shutting altogether: with nothing open there are no answers to learn from.
         const FEW: f64 = 4.0;
-        let Some(soft) = self.methods.iter().filter_map(|m| m.soft).max() else { return true };
+        let Some(soft) = self.methods.iter().filter_map(|m| m.promise.soft).max() else { return true };
+        // Guards against shedding by chance: where counts are reported, and say that there is room, there is.
+        let room = self.counted() && self.busy.is_some_and(|busy| busy < 0.5);
         // Nothing is known of the rate of answers for half a soft deadline after the first.
-        if self.counted && self.busy.is_some_and(|busy| busy < 0.5) {
-            return true;
-        }
-        if self.tier > 0 || self.gate.from.is_none_or(|from| self.now < from + soft / 2) {
+        if room || self.agreed.tier > 0 || self.gate.from.is_none_or(|from| self.now < from + soft / 2) {
             return true;
         }
         // Those past the soft deadline may be swallowed, and then hold up nothing that new ones need; where
@@ -968,8 +923,8 @@
     }
 
     /// One that comes after the soft deadline counts for nothing.
-    fn count_answer(&mut self, method: usize, arrived: Time) {
-        let (took, memory, soft) = (self.now - arrived, self.memory(), self.methods[method].soft);
+    fn count_answer(&mut self, m: &Method, arrived: Time) {
+        let (took, memory, soft) = (self.now - arrived, self.memory(), m.promise.soft);
         let Some(took) = Some(took).filter(|took| soft.is_none_or(|soft| *took <= soft)) else { return };
         let (g, took) = (&mut self.gate, took as f64);
         g.from = g.from.or(Some(self.now));
@@ -1013,19 +968,21 @@
         const EARNED: f64 = 0.1;
         self.spare = (self.spare + EARNED).min(MOST_SPARE);
         let id = Id::from(id);
-        let Some(method) = self.methods.iter().position(|m| m.name == method) else {
-            // A method that the start did not name: nothing is known of it but that it was not sent.
+        let Some(method) = self.methods.iter().find(|m| *m.promise.name == *method).cloned() else {
+            // A method that the terms do not name: nothing is known of it but that it was not sent.
             return self.host.exhaust(&id, 0);
         };
-        let (soft, hard) = (self.soft_deadline(method, time_left), now + time_left);
-        let mut value = self.value(method, tenant);
-        if soft as f64 <= now as f64 + self.methods[method].mean {
-            value *= self.methods[method].late_gain;
+        let (soft, hard) = (self.soft_deadline(&method, time_left), now + time_left);
+        let (gain, late_gain) = (method.promise.gain, method.promise.late_gain);
+        let mut value = self.value(gain, tenant);
+        if soft as f64 <= now as f64 + method.times.get().mean {
+            value *= late_gain;
         }
         let admitted = self.admits(value);
-        let until = if self.methods[method].late_gain > 0.0 { hard } else { soft };
-        let (key, spread) = self.count_key(key);
-        let rpc = Rpc { method, key, spread, arrived: now, soft, hard, until, ..Rpc::default() };
+        let until = if late_gain > 0.0 { hard } else { soft };
+        let (key, places) = self.count_key(key);
+        let (done, waiting, txs) = (false, false, Vec::new());
+        let rpc = Rpc { method, key, places, arrived: now, soft, hard, until, done, waiting, txs };
         self.rpcs.insert(id.clone(), rpc);
         if admitted {
             self.send_or_hold(&id);
@@ -1034,22 +991,27 @@
         }
     }
 
+    /// The key on the circle, and how many places there it has: one, and more by what part of this balancer's RPCs it
+    /// makes up. Guards against a key that many ask for and one upstream that serves it.
     fn count_key(&mut self, key: &str) -> (Option<u64>, usize) {
-        if !self.warm_keys || key.is_empty() {
+        /// As long as upstreams remember a key, or about.
+        const MEMORY: f64 = 20.0 * SECOND as f64;
+        /// Its share of the near upstreams twice over: shares are uneven, and so are upstreams.
+        const ROOMY: f64 = 2.0;
+        if !self.agreed.warm_keys || key.is_empty() {
             return (None, 1);
         }
-        let mut hasher = DefaultHasher::new();
-        key.hash(&mut hasher);
-        let key = hasher.finish();
-        let kept = fade(self.now - self.keys_at, 20.0 * SECOND as f64);
-        self.keys_at = self.now;
+        let key = hash(key);
+        let kept = fade(self.now - self.keys_at, MEMORY);
         self.keys.iter_mut().for_each(|n| *n *= kept);
-        let total: f64 = self.keys.iter().sum();
-        let n = &mut self.keys[(key % 256) as usize];
-        let share = (*n - 1.0).max(0.0) / total.max(1.0);
+        self.keys_at = self.now;
+        let all: f64 = self.keys.iter().sum();
+        let n = &mut self.keys[(key % KEY_PARTS as u64) as usize];
+        // One that came once came by chance.
+        let share = (*n - 1.0).max(0.0) / all.max(1.0);
         *n += 1.0;
-        let near = self.upstreams.values().filter(|u| u.zone == self.zone).count();
-        (Some(key), 1 + (2.0 * share * near as f64) as usize)
+        let near = self.upstreams.values().filter(|u| u.zone == self.agreed.zone).count();
+        (Some(key), 1 + (ROOMY * share * near as f64) as usize)
     }
 
     /// Where nothing may be sent to just now, as when all upstreams are cold, looks again shortly.
@@ -1057,9 +1019,9 @@
         /// Short against any deadline here, long against a tick.
         const LOOK: Time = SECOND / 40;
         let sent = self.send(id);
-        let Some(rpc) = self.rpcs.get_mut(id).filter(|_| !sent) else { return };
-        let mean = self.methods[rpc.method].mean as Time;
-        if self.now + LOOK + mean < rpc.soft {
+        let Some(rpc) = self.rpcs.get_mut(id).filter(|_| sent != Sent::Sent) else { return };
+        let mean = rpc.method.times.get().mean as Time;
+        if sent == Sent::Nowhere && self.now + LOOK + mean < rpc.soft {
             rpc.waiting = true;
             self.host.set_timer(LOOK, &format!("held:{id}"));
         } else {
@@ -1070,13 +1032,12 @@
     /// The final answer of an RPC that this balancer gives up: exhausted where that is harmless.
     fn finish(&mut self, id: &Id) {
         let Some(rpc) = self.rpcs.get(id).filter(|rpc| !rpc.done) else { return };
-        let m = &self.methods[rpc.method];
-        let repeatable = matches!(m.repeat, Repeat::Anywhere | Repeat::AmongAll);
+        let repeatable = matches!(rpc.method.promise.repeat, Repeat::Anywhere | Repeat::AmongAll);
         if repeatable || rpc.may_have_run().is_none() {
             // Early enough that another try can still be in time, and spread so that they do not come
             // back together; one that can't be in time any more had best stay away for long.
-            let room = rpc.soft.saturating_sub(self.now) as f64 - 1.5 * m.mean;
-            let most = self.max_stay_away as f64;
+            let room = rpc.soft.saturating_sub(self.now) as f64 - 1.5 * rpc.method.times.get().mean;
+            let most = self.agreed.max_stay_away as f64;
             let spread = 0.5 + 0.5 * self.rng.generate::<f64>();
             let stay_away = if room > 0.0 { room.min(most) * spread } else { most };
             self.host.exhaust(id, stay_away as Time);
@@ -1089,7 +1050,7 @@
     /// After the final answer: calls off what is out, and forgets the RPC once nothing is.
     fn close(&mut self, id: &Id) {
         let Some(rpc) = self.rpcs.get_mut(id) else { return };
-        if !std::mem::replace(&mut rpc.done, true) && rpc.is_out() && self.cancel {
+        if !std::mem::replace(&mut rpc.done, true) && rpc.is_out() && self.agreed.cancel {
             self.host.cancel(id, rpc.txs.len() - 1);
         }
         if !rpc.is_out() {
@@ -1111,19 +1072,18 @@
         self.now = now;
         let id = Id::from(id);
         let Some(rpc) = self.rpcs.get_mut(&id) else { return };
-        let (method, arrived) = (rpc.method, rpc.arrived);
+        let (method, arrived) = (Rc::clone(&rpc.method), rpc.arrived);
         let Some(tx) = rpc.txs.get_mut(n).filter(|t| t.end.is_none()) else { return };
         tx.end = Some(outcome);
         let tx = tx.clone();
-        self.learn_time(method, took, outcome == Outcome::Completed);
-        self.learn_pace(&tx, method, took, outcome == Outcome::Completed);
+        self.learn_times(&tx, &method, took, outcome == Outcome::Completed);
         self.take_report(&tx.upstream, tx.sent, loads);
         self.tx_left(&tx.upstream, tx.sent);
-        self.learn_verdict(&tx, method, outcome, took);
+        self.learn_verdict(&tx, &method, outcome, took);
         let Some(rpc) = self.rpcs.get(&id) else { return };
         if ended || rpc.done {
             if !rpc.done {
-                self.count_answer(method, arrived);
+                self.count_answer(&method, arrived);
             }
             self.close(&id);
         } else if !rpc.is_out() && !self.send_further(&id) {
@@ -1142,10 +1102,13 @@
     fn take_report(&mut self, upstream: &str, sent: Time, loads: &[f64]) {
         /// Some dozen reports make the mean.
         const RECENT: f64 = 0.08;
+        /// What is usual at one upstream: a handful.
         const USUAL: f64 = 0.2;
-        const LEARN: f64 = 0.1;
+        /// Some ten reports that differ by a tenth move the size of a kind by a tenth.
+        const SIZE: f64 = 0.1;
+        const MOST_SIZE: f64 = 1.5;
         let [used, held, waiting] =
-            self.report.map(|i| i.and_then(|i| loads.get(i)).copied().filter(|v| v.is_finite()));
+            self.agreed.report.map(|i| i.and_then(|i| loads.get(i)).copied().filter(|v| v.is_finite()));
         // A report of before the last start is the old process's.
         let Some(u) = self.upstreams.get_mut(upstream).filter(|u| sent >= u.started) else { return };
         let step = |of: Option<f64>, to: f64| Some(of.map_or(to, |of| of + RECENT * (to - of)));
@@ -1154,7 +1117,8 @@
             u.utilisation = Some(used);
             let usual = self.busy.unwrap_or(used);
             let size = self.kinds.entry(u.kind.clone()).or_insert(0.0);
-            *size = (*size + LEARN * (usual - used)).clamp(-1.5, 1.5);
+            // Guards against keys shared out alike among upstreams of which some take half of what others do.
+            *size = (*size + SIZE * (usual - used)).clamp(-MOST_SIZE, MOST_SIZE);
             self.busy = step(self.busy, used);
         }
         // What is held counts the one that was answered.
@@ -1166,14 +1130,14 @@
         }
     }
 
-    fn learn_verdict(&mut self, tx: &Tx, method: usize, outcome: Outcome, took: Time) {
+    fn learn_verdict(&mut self, tx: &Tx, method: &Method, outcome: Outcome, took: Time) {
         /// More than this many means is slow: four soft deadlines would lie past the hard one.
         const SLOW: f64 = 3.0;
         /// Reports are a little noisy; one core of a dozen idle is not full.
         const FULL: f64 = 0.95;
         /// An error that comes in less than this part of the mean was not waited for below.
         const AT_ONCE: f64 = 0.3;
-        let mean = self.methods[method].mean;
+        let mean = method.times.get().mean;
         let slow = took as f64 > SLOW * mean;
         let verdict = match outcome {
             Outcome::Completed if slow => Some(Verdict::Slow),
@@ -1197,7 +1161,7 @@
             if u.scars.len() == WINDOW {
                 u.scars.pop_front();
             }
-            u.scars.push_back((now, (outcome == Outcome::Exhausted).then_some(method)));
+            u.scars.push_back((now, (outcome == Outcome::Exhausted).then(|| method.promise.name.clone())));
         }
         if u.breaker.epoch != tx.epoch {
             return;
@@ -1233,8 +1197,8 @@
         self.now = now;
         let Some(rpc) = self.rpcs.get_mut(id).filter(|rpc| !rpc.done) else { return };
         rpc.done = true;
-        let (method, arrived) = (rpc.method, rpc.arrived);
-        self.count_answer(method, arrived);
+        let (method, arrived) = (Rc::clone(&rpc.method), rpc.arrived);
+        self.count_answer(&method, arrived);
     }
 
     pub fn timer(&mut self, now: Time, token: &str) {
@@ -1245,7 +1209,7 @@
             }
             Some(("ask", n)) if !self.list.following && n.parse() == Ok(self.list.asks) => {
                 self.host.follow_list();
-                if let Some(within) = self.list.ask_within {
+                if let Some(within) = self.agreed.ask_within {
                     // Should no answer come at all.
                     self.set_ask(within / 2);
                 }
@@ -1255,5 +1219,16 @@
     }
 }
 
+/// Whether an RPC was sent; if not, because no upstream may get it now, or because it would come too late.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Sent {
+    Sent,
+    Nowhere,
+    Late,
+}
+
+/// Parts of the circle in which keys are counted: of thousands of keys few share one, and none that are asked for often.
+const KEY_PARTS: usize = 256;
+
 /// A short trouble may spend what calm has saved up, no more.
 const MOST_SPARE: f64 = 10.0;
--- a/crates/fernroute/src/host.rs
+++ b/crates/fernroute/src/host.rs
@@ -54,14 +54,17 @@
     }
 }
 
-/// A term that one of the rules needs and that the start lacks, or that cannot be read.
+/// A term that will not do: missing or unreadable, out of range, or at odds with another.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct MissingTerm(pub String);
+pub struct BadTerm {
+    pub term: String,
+    pub why: &'static str,
+}
 
-impl fmt::Display for MissingTerm {
+impl fmt::Display for BadTerm {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "missing or unreadable: {}", self.0)
+        write!(f, "{}: {}", self.why, self.term)
     }
 }
 
-impl std::error::Error for MissingTerm {}
+impl std::error::Error for BadTerm {}
--- a/crates/fernroute/src/lib.rs
+++ b/crates/fernroute/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! [`Balancer`] holds every decision; it acts through the [`Host`] that it is handed at start.
 
+pub mod agreed;
 pub mod decide;
 pub mod desk;
 pub mod host;
 
 pub use decide::Balancer;
-pub use host::{Host, MissingTerm, Outcome, Terms, Time};
+pub use host::{BadTerm, Host, Outcome, Terms, Time};
--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -287,7 +287,7 @@
         let mut terms = common::terms(&[]);
         terms.remove(lacking);
         let started = Balancer::new(Notebook::default(), START, 1, &terms);
-        assert_eq!(started.err().map(|e| e.0), Some(lacking.to_owned()));
+        assert_eq!(started.err().map(|e| e.term), Some(lacking.to_owned()));
     }
 }
 
