--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -7,27 +7,22 @@
 //! The design: a breaker for each upstream, fed by this balancer's own outcomes, and a random draw among
 //! closed upstreams weighted by reported headroom. Mechanisms beside it, six at most (`docs/design.md`):
 //!  1. early opening on a run of bad outcomes, where calls are too few to fill a window;
-//!  2. crowding discount: an upstream that holds more than its part of what this balancer has out draws less;
+//!  2. crowding discount: an upstream that holds more than its part of what this balancer has out, or
+//!     by its reports, draws less, and nothing that news say would be late;
 //!  3. fleet guard: troubles that most upstreams share open no breakers;
 //!  4. nearness: upstreams of the own zone draw more while they have headroom;
 //!  5. admission: under overload the least gain is exhausted first, at the first tier;
-//!  6. circle: a balancer of few calls draws among a part of the upstreams, its own by its number.
+//!  6. circle: a balancer of few calls draws among its own part of the upstreams, by its number; a key, where
+//!     upstreams do less work for one that they know, by its hash and what each kind of upstream takes.
 
 use crate::agreed::{Agreed, Promise, Repeat};
 use crate::host::{BadTerm, Host, Outcome, Terms, Time, SECOND};
+use crate::records::{fade, hash, mean, Following, Gate, Id, Method, Rpc, Sent, Tenant, Times, Tx};
 use nanorand::{Rng, WyRand};
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
-type Id = Rc<str>;
-
-fn mean(of: impl Iterator<Item = f64>) -> Option<f64> {
-    let (sum, count) = of.fold((0.0, 0.0), |(sum, count), x| (sum + x, count + 1.0));
-    (count > 0.0).then(|| sum / count)
-}
-
 // ---------------------------------------------------------------------------------------------- breaker
 
 #[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
@@ -153,8 +148,7 @@
     breaker: Breaker,
     /// Latest reported utilisation.
     utilisation: Option<f64>,
-    /// What it held beside this balancer's own transmissions by its latest report, by the usual one, and when the
-    /// latest came.
+    /// What it held beside this balancer's own by its latest report and by the usual one; when that came.
     others: Option<(f64, f64, Time)>,
     /// How long it takes of late for one RPC that it holds, against the usual, and as of when.
     pace: Option<(f64, Time)>,
@@ -181,128 +175,22 @@
     }
 }
 
-/// How this balancer keeps up with the list of upstreams.
-#[derive(Default)]
-struct Following {
-    /// Upstreams that may be used, in the order in which this balancer turns to them; made anew by each list.
-    order: Vec<Id>,
-    /// How many times it asked: only the timer of the last one counts.
-    asks: u32,
-    following: bool,
-    failures: u32,
-    reading_full: bool,
-}
-
 // ------------------------------------------------------------------------------------------------- methods
 
-/// How long the RPCs of a method take of late.
-#[derive(Clone, Copy)]
-struct Times {
-    /// What completed transmissions took: the mean, and the time that few exceed.
-    mean: f64,
-    late: f64,
-    /// What they took for each RPC that the upstream was thought to hold.
-    each: f64,
-    /// The longest time that a client has given one try.
-    whole_try: Time,
-}
-
-struct Method {
-    promise: Promise,
-    times: Cell<Times>,
-}
-
-impl Method {
-    fn new(promise: &Promise) -> Self {
-        // Before anything completed: a fifth and a half of the soft deadline.
-        let expected = promise.soft.unwrap_or(SECOND) as f64;
-        let times = Times { mean: expected * 0.2, late: expected * 0.5, each: expected * 0.2, whole_try: 0 };
-        Method { promise: promise.clone(), times: Cell::new(times) }
-    }
+/// A method of which nothing is known yet.
+fn method(promise: &Promise) -> Method {
+    // Before anything completed: a fifth and a half of the soft deadline.
+    let expected = promise.soft.unwrap_or(SECOND) as f64;
+    let times = Times { mean: expected * 0.2, late: expected * 0.5, each: expected * 0.2, whole_try: 0 };
+    Method { promise: promise.clone(), times: Cell::new(times) }
 }
 
 /// RPCs of one tenant that come together by chance now and then, at any rate.
 const BUNCH: f64 = 4.0;
 
-struct Tenant {
-    name: String,
-    /// RPCs a second at this balancer that are within the tenant's share, and the unspent ones.
-    rate: f64,
-    unspent: f64,
-    filled: Time,
-}
-
 /// About the time of an answer: shorter is noise, longer keeps the gate open into a trouble.
 const ANSWERS_FOR: f64 = 1.5 * SECOND as f64;
 
-/// What is left after this time of a count that is kept for `memory`.
-fn fade(time: Time, memory: f64) -> f64 {
-    (-(time as f64) / memory).exp()
-}
-
-/// Admission under overload, at the first tier only: answers a second, and when that was brought up to date.
-#[derive(Default)]
-struct Gate {
-    answers: f64,
-    at: Time,
-    /// RPCs that are open, over the time that answers are kept for beyond the usual; and as of when.
-    open: f64,
-    open_at: Time,
-    /// The highest rate of answers of late for each upstream in use: falls by half in eight seconds.
-    best: f64,
-    /// When the first answer came.
-    from: Option<Time>,
-    /// How many answers there were; what they take of late, and in calm times: falls at once, rises slowly.
-    seen: f64,
-    mean: f64,
-    calm: f64,
-}
-
-// ----------------------------------------------------------------------------------------------------- RPCs
-
-#[derive(Clone)]
-struct Tx {
-    upstream: Id,
-    zone: String,
-    cell: String,
-    sent: Time,
-    epoch: u32,
-    trial: bool,
-    /// How many the upstream was thought to hold then.
-    ahead: f64,
-    /// How it ended; none while it is out.
-    end: Option<Outcome>,
-}
-
-struct Rpc {
-    /// As it was when the RPC was taken, whatever the terms say since.
-    method: Rc<Method>,
-    /// Its key, where upstreams do less work for one that they met lately, and how many share that key.
-    key: Option<u64>,
-    places: usize,
-    arrived: Time,
-    /// Answered in time means before this; the hard deadline where no soft one is told.
-    soft: Time,
-    hard: Time,
-    /// Until when an answer is worth anything.
-    until: Time,
-    done: bool,
-    waiting: bool,
-    txs: Vec<Tx>,
-}
-
-impl Rpc {
-    /// There are no second copies: only the last transmission can be out.
-    fn is_out(&self) -> bool {
-        self.txs.last().is_some_and(|t| t.end.is_none())
-    }
-
-    /// The first transmission that may have run, or may still.
-    fn may_have_run(&self) -> Option<&Tx> {
-        self.txs.iter().find(|t| !t.end.is_some_and(Outcome::never_ran))
-    }
-}
-
 pub struct Balancer<H: Host> {
     host: H,
     rng: WyRand,
@@ -334,19 +222,13 @@
     rate_from: Option<Time>,
 }
 
-/// Long enough to ride out bursts: a burst raises what is sent, not what an upstream can do.
+/// Long enough to ride out bursts.
 const RATE_MEMORY: f64 = 10.0 * SECOND as f64;
 
-/// What a report says of the moment holds for some answers; what it says of an upstream against the others, for long.
+/// What a report says of the moment holds for some answers; what sets an upstream apart, for long.
 const SOON: f64 = 0.2 * SECOND as f64;
 const LONG: f64 = 10.0 * SECOND as f64;
 
-fn hash(of: impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    of.hash(&mut hasher);
-    hasher.finish()
-}
-
 impl<H: Host> Balancer<H> {
     pub fn new(host: H, now: Time, seed: u64, terms: &Terms) -> Result<Self, BadTerm> {
         let mut balancer = Balancer {
@@ -374,20 +256,20 @@
         Ok(balancer)
     }
 
-    /// Takes new terms, whole or not at all. Open RPCs keep the method that they were taken under; breakers, reports,
-    /// starts and what was learnt of a method or tenant of the same name stay. Guards against an effect, a group or a
+    /// Takes new terms, whole or not at all. Open RPCs keep the method that they were taken under; breakers,
+    /// reports, starts and what was learnt under the same name stay. Guards against an effect, a group or a
     /// deadline that changes under an RPC which may have run.
     pub fn new_terms(&mut self, now: Time, terms: &Terms) -> Result<(), BadTerm> {
         let agreed = Agreed::read(terms)?;
         self.now = now;
         let told_otherwise = agreed.report != self.agreed.report;
-        let method = |promise: &Promise| {
-            let method = Method::new(promise);
+        let known = |promise: &Promise| {
+            let method = method(promise);
             let before = self.methods.iter().find(|m| m.promise.name == promise.name);
             before.into_iter().for_each(|before| method.times.set(before.times.get()));
             Rc::new(method)
         };
-        let methods = agreed.methods.iter().map(method).collect();
+        let methods = agreed.methods.iter().map(known).collect();
         let tenant = |(name, rate): &(String, f64)| {
             let rate = rate / agreed.instances;
             let before = self.tenants.iter().find(|t| t.name == *name);
@@ -426,7 +308,7 @@
         }
     }
 
-    /// Guards against calls that multiply in a long failure of the list: one pending ask is enough.
+    /// Guards against calls that multiply in a long failure of the list: one is pending.
     fn set_ask(&mut self, wait: Time) {
         self.list.asks += 1;
         self.host.set_timer(wait.max(1), &format!("ask:{}", self.list.asks));
@@ -447,9 +329,9 @@
 
     pub fn upstream_ready(&mut self, id: &str, zone: &str, cell: &str, kind: &str, started: Time) {
         let now = self.now;
-        // All balancers hear of a start at about the same time: a random phase keeps their first sends apart.
+        // All balancers hear of a start at once: a random phase keeps their first sends apart.
         let (told, known) = (started, self.upstreams.get(id).is_some_and(|u| u.told == started));
-        // Guards against a start in the far future, which would keep an upstream cold, and its reports out, for good.
+        // Guards against a start in the far future: an upstream cold, and its reports out, for good.
         let started = started.min(now + self.agreed.cold.warm_within as Time);
         let gap = if known { None } else { self.cold_gap(started) };
         let phase = gap.map_or(0, |gap| (gap * self.rng.generate::<f64>()) as Time);
@@ -493,8 +375,8 @@
     }
 
     /// Orders the upstreams from this balancer's place on: one of its own zone, one of the others, and so on.
-    /// Guards against a jam that runs along the circle: what one upstream sheds would fall on the same few
-    /// others at all balancers that use it, so some balancers share a circle, and the next have another.
+    /// Guards against a jam that runs along the circle, from one to the same few others at all balancers:
+    /// some share a circle, and the next have another.
     fn draw_circle(&mut self) {
         /// Enough to cover a circle evenly, few enough that there are many circles.
         const SHARED: usize = 16;
@@ -505,8 +387,8 @@
         self.list.order = self.circle(which, place, true, |_| 0.0);
     }
 
-    /// An order of all upstreams; those of larger size come early in more of the orders, in proportion. Near and far
-    /// ones in turn, where zones count.
+    /// An order of all upstreams; those of larger size come early in more of the orders, in proportion. Near
+    /// and far ones in turn, where zones count.
     fn circle(&self, which: u64, place: f64, zones: bool, size: impl Fn(&Upstream) -> f64) -> Vec<Id> {
         let usable = self.upstreams.iter().filter(|(_, u)| !u.leaving);
         let in_order = |near: bool| {
@@ -526,8 +408,7 @@
         turns.flatten().map(|(_, id)| Id::clone(id)).collect()
     }
 
-    /// How many upstreams this balancer spreads over. Guards against knowing nothing of any: one call a
-    /// minute to each of hundreds leaves reports, breakers and the crowding discount without evidence.
+    /// How many upstreams this balancer spreads over. Guards against knowing nothing of any of hundreds.
     fn reach(&self) -> usize {
         /// Each is used about once in this time: reports are about as old, and older ones mislead.
         const FRESH: f64 = 1.0;
@@ -568,10 +449,10 @@
         if warmth >= 1.0 {
             return None;
         }
-        // What a warm upstream gets of this balancer, over how busy that keeps it, is this balancer's part
-        // of its capacity; the number of balancers cancels out, and so does how few each of them uses.
-        // Guards against the fall of a cold upstream by keys: they lead to any of all upstreams, not to those of a
-        // circle, and one that is cold has met none, which makes for two to three times the work.
+        // What a warm upstream gets of this balancer, over how busy that keeps it, is its part of the
+        // capacity; the number of balancers cancels out, and so does how few each of them uses.
+        // Guards against the fall of a cold upstream by keys: they lead to any of all upstreams, and one that
+        // is cold has met none, which makes for two to three times the work.
         let (reach, met) =
             if self.agreed.warm_keys { (self.ready(), 0.33) } else { (self.reach() as f64, 1.0) };
         let busy = self.busy.unwrap_or(1.0);
@@ -615,8 +496,8 @@
         }
     }
 
-    /// What an upstream holds, by its reports and by what this balancer has out there. A report's weight fades: guards
-    /// against reports that are seconds old, or that came late, and pass for what is.
+    /// What an upstream holds, by its reports and by what this balancer has out there. Guards against reports
+    /// that are seconds old and pass for what is: their weight fades.
     fn ahead(&self, u: &Upstream, m: &Method) -> f64 {
         let (now, crowd) = (self.now, self.crowd.unwrap_or(0.0));
         let told = u.others.map_or(0.0, |(n, usual, at)| {
@@ -625,7 +506,7 @@
         u.held(now, m.times.get().late as Time, &m.promise.name) + crowd + told
     }
 
-    /// How long an RPC takes there against the usual, for each that it holds; where nothing is counted nobody knows.
+    /// How long an RPC takes there against the usual, for each that it holds; known where that is counted.
     fn pace(&self, u: &Upstream) -> f64 {
         let pace = u.pace.filter(|_| self.counted());
         pace.map_or(1.0, |(pace, at)| 1.0 + (pace - 1.0) * fade(self.now - at, LONG))
@@ -635,16 +516,16 @@
     fn pick(&mut self, rpc: &Rpc) -> Option<Id> {
         /// The design's floor, well under one half: a full upstream still gets news of itself now and then.
         const FLOOR: f64 = 0.05;
-        /// Own-zone upstreams weigh up to this much more: the difference in headroom still outweighs it when they are
-        /// nearly full. A zone that costs four in a hundred of an RPC to leave is worth all of it.
+        /// Own-zone upstreams weigh up to this much more, by what it costs to leave the zone: the headroom
+        /// still outweighs it when they are nearly full.
         const NEAR: f64 = 8.0;
         const PER_CROSSING: f64 = 250.0;
-        /// What the place after a key's own weighs, and so on: the work saved is lost where a key is met anew.
+        /// What the place after a key's own weighs, and so on: there the key is met anew.
         const AWAY: f64 = 0.03;
         /// So many places beyond its own are looked at for a key, near and far.
         const BEYOND: usize = 4;
-        /// Steep enough that the draw keeps off a crowded upstream as long as others have room; twice as steep where
-        /// counts tell which one is empty.
+        /// Steep enough that the draw keeps off a crowded upstream as long as others have room; twice as
+        /// steep where counts tell which one is empty.
         const CROWDED: i32 = 8;
         let (now, counted) = (self.now, self.counted());
         let crowded = if counted { 2 * CROWDED } else { CROWDED };
@@ -682,7 +563,7 @@
         let held: Vec<f64> = us.iter().map(holds).collect();
         let part = if counted { 0.0 } else { mean(held.iter().copied()).unwrap_or(0.0) };
         let usual = 1.0 - mean(us.iter().filter_map(|u| u.utilisation)).unwrap_or(0.0);
-        // Guards against starved successors: where all stand in one zone a weight that cold ones lack is a loss.
+        // Guards against starved successors: cold ones lack the weight, also where all stand in one zone.
         let zoned = !rare && us.iter().any(|u| u.zone != self.agreed.zone);
         let weigh = |(u, held): (&&Upstream, &f64)| {
             let warmth = self.warmth(u.started);
@@ -690,10 +571,9 @@
             // Not while it is cold: the callers near a zone that comes back would all crowd it.
             let near = zoned && u.zone == self.agreed.zone && warmth >= 1.0;
             let weight = if near { weight * nearness } else { weight };
-            // Guards against upstreams that swallow RPCs, stand still or are crowded by what no report shows
-            // yet, and against those that fail fast and so look idle: one that holds more than its part of
-            // this balancer's transmissions draws less. What is overdue counts twice, and what failed counts
-            // for a while as if it were out. Being against the mean, troubles that all share cancel out.
+            // Guards against upstreams that swallow RPCs, stand still, are crowded by what no report shows
+            // or fail fast and so look idle: who holds more draws less. What is overdue counts twice, what
+            // failed for a while as if it were out. Being against the mean, shared troubles cancel out.
             weight * ((1.0 + part) / (1.0 + held.max(part))).powi(crowded)
         };
         let mut weights: Vec<f64> = us.iter().zip(&held).map(weigh).collect();
@@ -714,8 +594,8 @@
     // -------------------------------------------------------------------------------------------- transmit
 
     fn send(&mut self, rpc_id: &Id) -> Sent {
-        /// How long what an upstream told is news enough to give an RPC up for. Guards against a balancer of few RPCs
-        /// that learns of a jam, sends nothing from then on, and never learns that it has passed.
+        /// News enough to give an RPC up for. Guards against a balancer of few RPCs that learns of a jam,
+        /// sends nothing from then on, and never learns that it has passed.
         const NEWS: Time = 2 * SECOND;
         // Taken out for the pick, which looks at all upstreams while it reads this one RPC.
         let Some(rpc) = self.rpcs.remove(rpc_id) else { return Sent::Nowhere };
@@ -740,9 +620,8 @@
         let time_out = self.time_out(rpc);
         let ahead = self.upstreams.get(id).map_or(0.0, |u| self.ahead(u, &rpc.method));
         self.count_send(id);
-        let (Some(rpc), Some(u)) = (self.rpcs.get_mut(rpc_id), self.upstreams.get_mut(id)) else {
-            return false;
-        };
+        let (rpc, u) = (self.rpcs.get_mut(rpc_id), self.upstreams.get_mut(id));
+        let (Some(rpc), Some(u)) = (rpc, u) else { return false };
         let trial = u.breaker.state == State::HalfOpen;
         u.breaker.trials_out += u32::from(trial);
         u.out.push(self.now);
@@ -815,8 +694,7 @@
         t.late *= if completed || took > t.late { 1.0 + STEP * step } else { 1.0 };
         t.late = t.late.max(t.mean);
         m.times.set(t);
-        // Guards against upstreams that lose their machine to others, grow old or were crowded into slowness: they
-        // report few RPCs and take long for each.
+        // Guards against upstreams that hold few RPCs and take long for each: old ones, crowded ones.
         let pace = (each / t.each.max(1.0)).clamp(0.2, 10.0);
         let Some(u) = self.upstreams.get(&tx.upstream).filter(|u| tx.sent >= u.started) else { return };
         let was = self.pace(u);
@@ -830,8 +708,7 @@
     fn value(&mut self, gain: f64, tenant: &str) -> f64 {
         let now = self.now;
         if let Some(t) = self.tenants.iter_mut().find(|t| t.name == tenant) {
-            // Two seconds of share can be saved up: less would count ordinary bunching as excess. Some RPCs
-            // can be however small the share: at a small balancer all would be excess.
+            // Two seconds of share can be saved up, and some RPCs: less would count bunching as excess.
             let filled = t.unspent + t.rate * (now - t.filled) as f64 / SECOND as f64;
             (t.unspent, t.filled) = (filled.min((2.0 * t.rate).max(BUNCH)), now);
             if t.unspent < 1.0 {
@@ -864,11 +741,10 @@
     fn admits(&mut self, value: f64) -> bool {
         /// The part of the soft deadline that answers may take on average: chance about doubles it.
         const ROOM: f64 = 0.8;
-        /// Times the calm answer time: where answers take longer, upstreams are crowded and turn slow, though
-        /// there is room before the soft deadline. A fifth of it at the least, where counts tell a jam late.
+        /// Times the calm answer time: beyond it upstreams are crowded and turn slow. A fifth of it at the
+        /// least, where counts tell a jam late.
         const STRETCH: f64 = 4.0;
-        /// Guards against shutting on slowness that shedding does not cure, as when all upstreams depend on
-        /// something slow: no matter how late answers are, four fifths of the best rate still pass.
+        /// Guards against shutting on slowness that shedding does not cure.
         const KEPT: f64 = 0.8;
         /// Guards against shutting altogether: with nothing open there are no answers to learn from.
         const FEW: f64 = 4.0;
@@ -879,8 +755,7 @@
         if room || self.agreed.tier > 0 || self.gate.from.is_none_or(|from| self.now < from + soft / 2) {
             return true;
         }
-        // Those past the soft deadline may be swallowed, and then hold up nothing that new ones need; where
-        // they are merely late they no longer count as answers either, and the limit falls.
+        // Those past the soft deadline may be swallowed; merely late they count as no answers either.
         let open = self.rpcs.values().filter(|r| !r.done && self.now < r.arrived + soft).count() as f64;
         let memory = self.memory();
         let kept = fade(self.now - self.gate.open_at, (memory - ANSWERS_FOR).max(1.0));
@@ -891,13 +766,11 @@
         let limit = self.answer_rate().max(KEPT * (0.4 + 0.6 * steadier) * self.gate.best * self.ready())
             * target
             / SECOND as f64;
-        // Open RPCs scatter by the root of their mean with nothing wrong, seldom by more; by less the longer
-        // the time that their count is taken over.
+        // Open RPCs scatter by the root of their mean with nothing wrong; by less over a longer time.
         let limit = limit.max(FEW * steadier);
         let limit = limit + (limit * steadier).sqrt();
-        // What is worth nothing stops at half the limit, two thirds of the highest gain or more at the limit
-        // itself. A small balancer's counts tell a jam late: where upstreams report to be two thirds busy or
-        // more, it holds the lowest gains back from a fifth of the limit on.
+        // What is worth nothing stops at half the limit, two thirds of the highest gain at the limit. A small
+        // balancer tells a jam late: where upstreams are two thirds busy, it starts at a fifth.
         let full = ((self.busy.unwrap_or(0.0) - 0.65) / 0.2).clamp(0.0, 1.0);
         let least = 0.5 - 0.4 * full * (1.0 - steadier);
         open < limit * (least + (1.0 - least) * (1.5 * value).min(1.0))
@@ -909,8 +782,7 @@
         const DOZEN: f64 = 12.0;
         /// Longer would sleep through a burst.
         const MOST: f64 = 6.0 * SECOND as f64;
-        // Guards against a busy balancer that takes itself for a small one in its first seconds: the time
-        // before its first send counts for nothing, and half a second at the least tells a rate.
+        // Guards against a busy balancer that takes itself for a small one in its first seconds.
         let seen = 1.0 - fade(self.now - self.rate_from.unwrap_or(self.now), RATE_MEMORY);
         (DOZEN * SECOND as f64 / (self.rate / seen.max(0.05)).max(0.1)).clamp(ANSWERS_FOR, MOST)
     }
@@ -929,9 +801,8 @@
         let (g, took) = (&mut self.gate, took as f64);
         g.from = g.from.or(Some(self.now));
         let age = g.from.map_or(0, |from| self.now - from);
-        // Guards against quick first answers that pass for the calm time: the first to come are the quickest,
-        // and a score after half a second tell it to a sixth. Then some twenty seconds of answers to believe
-        // that what was called slow is the usual.
+        // Guards against quick first answers that pass for the calm time: a score after half a second tell it
+        // to a sixth. Then some twenty seconds of answers to believe that what was slow is the usual.
         if age > SECOND / 2 {
             g.seen += 1.0;
             g.mean += (took - g.mean) * g.seen.recip().max(0.02);
@@ -943,8 +814,8 @@
         g.best *= (1.0 - (self.now - g.at) as f64 / (12.0 * SECOND as f64)).max(0.0);
         g.at = self.now;
         if age > 2 * SECOND {
-            // Guards against a limit from before the fleet shrank: the rate is kept for each upstream. And
-            // against a best that is mere chance, in a balancer of few answers: one root is taken off.
+            // Guards against a limit from before the fleet shrank, and against a best that is chance: the
+            // rate is kept for each upstream, and one root is taken off.
             let rate = self.answer_rate();
             let counted = (rate * memory / SECOND as f64).max(1.0);
             let rate = rate * (1.0 - counted.sqrt().recip()) / self.ready();
@@ -991,7 +862,7 @@
         }
     }
 
-    /// The key on the circle, and how many places there it has: one, and more by what part of this balancer's RPCs it
+    /// The key on the circle, and how many places it has there: more by what part of this balancer's RPCs it
     /// makes up. Guards against a key that many ask for and one upstream that serves it.
     fn count_key(&mut self, key: &str) -> (Option<u64>, usize) {
         /// As long as upstreams remember a key, or about.
@@ -1034,8 +905,7 @@
         let Some(rpc) = self.rpcs.get(id).filter(|rpc| !rpc.done) else { return };
         let repeatable = matches!(rpc.method.promise.repeat, Repeat::Anywhere | Repeat::AmongAll);
         if repeatable || rpc.may_have_run().is_none() {
-            // Early enough that another try can still be in time, and spread so that they do not come
-            // back together; one that can't be in time any more had best stay away for long.
+            // Early enough that another try can still be in time, and spread; else for as long as may be.
             let room = rpc.soft.saturating_sub(self.now) as f64 - 1.5 * rpc.method.times.get().mean;
             let most = self.agreed.max_stay_away as f64;
             let spread = 0.5 + 0.5 * self.rng.generate::<f64>();
@@ -1144,12 +1014,11 @@
             Outcome::Completed => Some(Verdict::Good),
             // Called off by this balancer, or cut to what the caller had left: only lateness is evidence.
             Outcome::Cancelled | Outcome::TimedOut if !slow => None,
-            Outcome::Cancelled | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
-                Some(Verdict::Dead)
-            }
             Outcome::Moot => None,
-            Outcome::Errored if (took as f64) < AT_ONCE * mean => Some(Verdict::Dead),
-            Outcome::Errored | Outcome::Exhausted | Outcome::Unknown => Some(Verdict::Failed),
+            Outcome::Errored if (took as f64) >= AT_ONCE * mean => Some(Verdict::Failed),
+            Outcome::Exhausted | Outcome::Unknown => Some(Verdict::Failed),
+            // Silence, no connection, a broken one, or an error at once.
+            _ => Some(Verdict::Dead),
         };
         let (now, most_open) = (self.now, self.upstreams.len() / 3);
         let opened = self.upstreams.values().filter(|u| u.breaker.state != State::Closed);
@@ -1186,9 +1055,8 @@
     /// The last byte has come of an RPC that was sent on while it came: its times count from here.
     pub fn rpc_whole(&mut self, now: Time, id: &str) {
         let Some(rpc) = self.rpcs.get_mut(id) else { return };
-        let late = now - rpc.arrived;
-        (rpc.arrived, rpc.soft, rpc.hard, rpc.until) =
-            (now, rpc.soft + late, rpc.hard + late, rpc.until + late);
+        let late = now - std::mem::replace(&mut rpc.arrived, now);
+        [&mut rpc.soft, &mut rpc.hard, &mut rpc.until].into_iter().for_each(|at| *at += late);
     }
 
     /// The answer has begun: it is the client's now, and nothing more is sent for it. Guards against a gate
@@ -1219,15 +1087,7 @@
     }
 }
 
-/// Whether an RPC was sent; if not, because no upstream may get it now, or because it would come too late.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Sent {
-    Sent,
-    Nowhere,
-    Late,
-}
-
-/// Parts of the circle in which keys are counted: of thousands of keys few share one, and none that are asked for often.
+/// Parts of the circle in which keys are counted: few that are asked for often share one.
 const KEY_PARTS: usize = 256;
 
 /// A short trouble may spend what calm has saved up, no more.
--- a/crates/fernroute/src/lib.rs
+++ b/crates/fernroute/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod decide;
 pub mod desk;
 pub mod host;
+mod records;
 
 pub use decide::Balancer;
 pub use host::{BadTerm, Host, Outcome, Terms, Time};
--- /dev/null
+++ b/crates/fernroute/src/records.rs
@@ -0,0 +1,131 @@
+//! What the decisions keep of RPCs, methods and tenants. Nothing is decided here.
+
+use crate::agreed::Promise;
+use crate::host::{Outcome, Time};
+use std::cell::Cell;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+
+pub type Id = Rc<str>;
+
+/// How long the RPCs of a method take of late.
+#[derive(Clone, Copy)]
+pub struct Times {
+    /// What completed transmissions took: the mean, and the time that few exceed.
+    pub mean: f64,
+    pub late: f64,
+    /// What they took for each RPC that the upstream was thought to hold.
+    pub each: f64,
+    /// The longest time that a client has given one try.
+    pub whole_try: Time,
+}
+
+pub struct Method {
+    pub promise: Promise,
+    pub times: Cell<Times>,
+}
+
+pub struct Tenant {
+    pub name: String,
+    /// RPCs a second at this balancer that are within the tenant's share, and the unspent ones.
+    pub rate: f64,
+    pub unspent: f64,
+    pub filled: Time,
+}
+
+#[derive(Clone)]
+pub struct Tx {
+    pub upstream: Id,
+    pub zone: String,
+    pub cell: String,
+    pub sent: Time,
+    pub epoch: u32,
+    pub trial: bool,
+    /// How many the upstream was thought to hold then.
+    pub ahead: f64,
+    /// How it ended; none while it is out.
+    pub end: Option<Outcome>,
+}
+
+pub struct Rpc {
+    /// As it was when the RPC was taken, whatever the terms say since.
+    pub method: Rc<Method>,
+    /// Its key, where upstreams do less work for one that they met lately, and how many share that key.
+    pub key: Option<u64>,
+    pub places: usize,
+    pub arrived: Time,
+    /// Answered in time means before this; the hard deadline where no soft one is told.
+    pub soft: Time,
+    pub hard: Time,
+    /// Until when an answer is worth anything.
+    pub until: Time,
+    pub done: bool,
+    pub waiting: bool,
+    pub txs: Vec<Tx>,
+}
+
+impl Rpc {
+    /// There are no second copies: only the last transmission can be out.
+    pub fn is_out(&self) -> bool {
+        self.txs.last().is_some_and(|t| t.end.is_none())
+    }
+
+    /// The first transmission that may have run, or may still.
+    pub fn may_have_run(&self) -> Option<&Tx> {
+        self.txs.iter().find(|t| !t.end.is_some_and(Outcome::never_ran))
+    }
+}
+
+/// Whether an RPC was sent; if not, because no upstream may get it now, or because it would come too late.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Sent {
+    Sent,
+    Nowhere,
+    Late,
+}
+
+/// How this balancer keeps up with the list of upstreams.
+#[derive(Default)]
+pub struct Following {
+    /// Upstreams that may be used, in the order in which this balancer turns to them; made anew by each list.
+    pub order: Vec<Id>,
+    /// How many times it asked: only the timer of the last one counts.
+    pub asks: u32,
+    pub following: bool,
+    pub failures: u32,
+    pub reading_full: bool,
+}
+
+/// Admission under overload, at the first tier only: answers a second, and when that was brought up to date.
+#[derive(Default)]
+pub struct Gate {
+    pub answers: f64,
+    pub at: Time,
+    /// RPCs that are open, over the time that answers are kept for beyond the usual; and as of when.
+    pub open: f64,
+    pub open_at: Time,
+    /// The highest rate of answers of late for each upstream in use: falls by half in eight seconds.
+    pub best: f64,
+    /// When the first answer came.
+    pub from: Option<Time>,
+    /// How many answers there were; what they take of late, and in calm times: falls at once, rises slowly.
+    pub seen: f64,
+    pub mean: f64,
+    pub calm: f64,
+}
+
+pub fn mean(of: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = of.fold((0.0, 0.0), |(sum, count), x| (sum + x, count + 1.0));
+    (count > 0.0).then(|| sum / count)
+}
+
+/// What is left after this time of a count that is kept for `memory`.
+pub fn fade(time: Time, memory: f64) -> f64 {
+    (-(time as f64) / memory).exp()
+}
+
+pub fn hash(of: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    of.hash(&mut hasher);
+    hasher.finish()
+}
