SIGHUP loads all settings while it runs, there and back; kinds and keys reach the decisions

Until now a new file's settings waited for a restart (reload.rs took discovery alone), and unreadable optional terms were passed over. Named as needing a restart: addresses, descriptors, memory, connect time-out, keep-alive. New settings for both formats: warm keys, price of crossing; the list's kind; the key in Req-Extra.

--- a/crates/fernroute-config/src/lib.rs
+++ b/crates/fernroute-config/src/lib.rs
@@ -31,6 +31,7 @@
     pub address: SocketAddr,
     pub zone: String,
     pub cell: String,
+    pub kind: String,
 }
 
 /// One thing that will not do.
@@ -102,6 +103,8 @@
     ("list.mode", "list_mode", Word(&["push", "ask"]), false),
     ("list.ask_within_s", "rules.ask_within", Seconds, false),
     ("load.reports", "load.names", Words(REPORTS), false),
+    ("load.warm_keys", "warm_keys", Flag, false),
+    ("load.crossing_cost", "prices.cross_zone", Number(0.0, 1.0), false),
     ("load.over_share_gain", "over_share_gain", Number(0.0, 1.0), false),
     ("limits.transmissions", "limits.max_transmissions", Count(1.0, 100.0), false),
     ("limits.cancel", "limits.cancel", Flag, false),
@@ -129,6 +132,7 @@
     ("upstream.#.address", "", Address, true),
     ("upstream.#.zone", "", Text, false),
     ("upstream.#.cell", "", Text, false),
+    ("upstream.#.kind", "", Text, false),
 ];
 
 const LISTS: [(&str, &str); 3] = [("method", "methods"), ("tenant", "tenants"), ("upstream", "upstreams")];
@@ -390,6 +394,7 @@
                 address: address(&at("address")),
                 zone: text(&at("zone")).unwrap_or_default(),
                 cell: text(&at("cell")).unwrap_or_default(),
+                kind: text(&at("kind")).unwrap_or_default(),
             }
         };
         Plan {
--- a/crates/fernroute-server/src/program/reload.rs
+++ b/crates/fernroute-server/src/program/reload.rs
@@ -1,4 +1,6 @@
-//! A new configuration while the program runs: the file is read again on SIGHUP.
+//! A new configuration while the program runs: the file is read again on SIGHUP. A file that will not do, half written
+//! say, changes nothing. Of signals that come together the last file counts. Once told to stop nothing is read again;
+//! in a drain and beside a successor it is as ever.
 
 use super::serve::Running;
 use super::station::Station;
@@ -18,6 +20,15 @@
                 for what in station.differs(&new) {
                     log::warn!("{what} has changed: that needs a restart");
                 }
+                let changed = new.terms != station.terms;
+                if let Err(why) = running.new_terms(&new.terms) {
+                    log::error!("not taken over, all stays as it was: {why}");
+                    continue;
+                }
+                if changed {
+                    log::info!("new settings from now on");
+                }
+                station.terms = new.terms;
                 if new.discovery == station.discovery {
                     log::info!("read again, discovery is still at {}", new.discovery);
                 } else {
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -12,6 +12,7 @@
 use crate::transport::handover;
 use crate::transport::server::Server;
 use actix_rt::task::JoinHandle;
+use fernroute::Terms;
 use futures_util::future::{select, Either};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -64,7 +65,7 @@
     memory: usize,
     discovery: Cell<SocketAddr>,
     /// Where each watch waits for the decisions to ask.
-    asks: bool,
+    asks: Cell<bool>,
     watch: RefCell<Option<JoinHandle<()>>>,
 }
 
@@ -76,11 +77,20 @@
         self.watch(discovery, None);
     }
 
+    /// New terms from now on, whole or not at all; connections, breakers and what is open stay.
+    pub fn new_terms(&self, terms: &Terms) -> Result<(), String> {
+        self.board.new_terms(terms).map_err(|bad| bad_setting(&bad))?;
+        if self.asks.replace(asks(terms)) != asks(terms) {
+            self.turn_to(self.discovery.get());
+        }
+        Ok(())
+    }
+
     fn watch(&self, discovery: SocketAddr, version: Option<u64>) {
         self.discovery.set(discovery);
         self.board.since.set(version);
         let told = Rc::clone(&self.board);
-        let begin = self.asks.then(|| Rc::clone(&self.board.follow));
+        let begin = self.asks.get().then(|| Rc::clone(&self.board.follow));
         let watch = Watch::new(discovery).run(version, begin, move |news| match news {
             Some(list) => {
                 told.since.set(Some(list.version));
@@ -124,6 +134,10 @@
     }
 }
 
+fn asks(terms: &Terms) -> bool {
+    terms.get("list_mode").is_some_and(|mode| mode == "ask")
+}
+
 /// Another process may come to listen here as well, where handing the socket over fails.
 fn listen(at: SocketAddr) -> io::Result<TcpListener> {
     /// As many as the machine lets wait by default.
@@ -207,7 +221,7 @@
         share: Cell::new(share),
         memory: station.memory,
         discovery: Cell::new(station.discovery),
-        asks: station.terms.get("list_mode").is_some_and(|mode| mode == "ask"),
+        asks: Cell::new(asks(&station.terms)),
         watch: RefCell::default(),
     };
     running.watch(station.discovery, station.since);
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -93,6 +93,7 @@
             address: Some(u.address),
             zone: u.zone,
             cell: u.cell,
+            kind: u.kind,
             started_ms: 0,
         };
         let entries: Vec<Entry> = plan.upstreams.into_iter().map(entry).collect();
@@ -149,7 +150,8 @@
         note(self.ops != new.ops, "ops");
         note(self.memory != new.memory, "limits.memory_mb");
         note(self.descriptors != new.descriptors, "limits.sockets");
-        for name in self.terms.keys().chain(new.terms.keys().filter(|n| !self.terms.contains_key(*n))) {
+        // Connections are made with these when an upstream is first named.
+        for name in ["limits.connect_time_out", "limits.keep_alive"] {
             let path = format!("settings.{}", fernroute_terms::path(name));
             note(self.terms.get(name) != new.terms.get(name), &path);
         }
--- a/crates/fernroute-server/src/protocol/handover.rs
+++ b/crates/fernroute-server/src/protocol/handover.rs
@@ -47,6 +47,9 @@
     pub address: SocketAddr,
     pub zone: String,
     pub cell: String,
+    /// An earlier version says none.
+    #[serde(default)]
+    pub kind: String,
     pub started_ms: u64,
 }
 
@@ -86,6 +89,7 @@
                 address: entry.address.filter(|_| entry.state == State::Ready)?,
                 zone: entry.zone.clone(),
                 cell: entry.cell.clone(),
+                kind: entry.kind.clone(),
                 started_ms: entry.started_ms,
             })
         };
@@ -99,6 +103,7 @@
             address: Some(u.address),
             zone: u.zone.clone(),
             cell: u.cell.clone(),
+            kind: u.kind.clone(),
             started_ms: u.started_ms,
         };
         List {
@@ -121,6 +126,7 @@
             address: Some(SocketAddr::from(([127, 0, 0, 1], 9001))),
             zone: "z".to_owned(),
             cell: "1".to_owned(),
+            kind: "k".to_owned(),
             started_ms: 7,
         };
         let entries = [entry("a", State::Ready), entry("b", State::Drains), entry("c", State::Gone)];
--- a/crates/fernroute-server/src/protocol/list.rs
+++ b/crates/fernroute-server/src/protocol/list.rs
@@ -21,6 +21,8 @@
     pub address: Option<SocketAddr>,
     pub zone: String,
     pub cell: String,
+    /// What machine it is, where the list tells.
+    pub kind: String,
     /// Unix time in milliseconds; 0 for long ago.
     pub started_ms: u64,
 }
@@ -59,6 +61,7 @@
         address,
         zone: text("zone").unwrap_or_default(),
         cell: text("cell").unwrap_or_default(),
+        kind: text("kind").unwrap_or_default(),
         started_ms,
     })
 }
--- a/crates/fernroute-server/src/protocol/names.rs
+++ b/crates/fernroute-server/src/protocol/names.rs
@@ -5,6 +5,8 @@
 pub const ID: &str = "req-id";
 pub const METHOD: &str = "req-kind";
 pub const TENANT: &str = "req-owner";
+/// Further figures of an RPC, its key among them.
+pub const EXTRA: &str = "req-extra";
 pub const DEADLINE: &str = "req-deadline-ms";
 pub const KEY: &str = "idempotency-key";
 pub const LOAD: &str = "srv-load";
--- a/crates/fernroute-server/src/protocol/request.rs
+++ b/crates/fernroute-server/src/protocol/request.rs
@@ -42,6 +42,8 @@
     /// What the RPC asks for, by the name in the terms.
     pub method: String,
     pub tenant: String,
+    /// The key that it bears; none is empty.
+    pub key: String,
     pub time_left: Time,
     /// It must never run twice.
     pub once: bool,
@@ -94,6 +96,11 @@
 /// One that is safe to repeat has no body; it may come in chunks, of which there is none.
 pub const BODIED: Unfit = Unfit(StatusCode::BAD_REQUEST, "a body where there is none");
 
+/// The key among a request's further figures, `name=value,name=value`.
+fn key(extra: &str) -> &str {
+    extra.split(',').find_map(|part| part.trim().strip_prefix("key=")).unwrap_or("")
+}
+
 impl Request {
     pub fn takes_body(&self) -> bool {
         self.verb != Method::GET
@@ -140,6 +147,7 @@
             id: Rc::from(id),
             method: method.to_owned(),
             tenant: one(names::TENANT).unwrap_or("").to_owned(),
+            key: key(one(names::EXTRA).unwrap_or("")).to_owned(),
             time_left: ms * 10,
             once: shape.verb == Method::POST && !shape.keyed,
             verb: head.method.clone(),
--- a/crates/fernroute-server/src/protocol/terms.rs
+++ b/crates/fernroute-server/src/protocol/terms.rs
@@ -16,6 +16,8 @@
         Value::Array(items) => {
             out.push((path.to_owned(), items.iter().map(plain).collect::<Vec<_>>().join(",")));
         }
+        // Nothing said.
+        Value::Null => {}
         _ => out.push((path.to_owned(), plain(value))),
     }
 }
--- a/crates/fernroute-server/src/routing/admit.rs
+++ b/crates/fernroute-server/src/routing/admit.rs
@@ -41,7 +41,7 @@
         let mut taken = self.tally.take(&request.method);
         let _caller = Caller { board: Rc::clone(self), rpc: Rc::clone(&rpc) };
         self.decide(Some(&rpc), |b, now| {
-            b.rpc_arrived(now, &rpc, &request.method, &request.tenant, "", request.time_left);
+            b.rpc_arrived(now, &rpc, &request.method, &request.tenant, &request.key, request.time_left);
         });
         let mut last = waiting.await.unwrap_or(Final::Errored);
         let end = End::of(&last);
--- a/crates/fernroute-server/src/routing/phase.rs
+++ b/crates/fernroute-server/src/routing/phase.rs
@@ -57,6 +57,11 @@
         Phase { waiting: false, draining: None, handing_over: None, leaving: None, longest }
     }
 
+    /// What is taken from now on may last so long; what is open may still last as long as before.
+    pub fn set_longest(&mut self, longest: Time) {
+        self.longest = self.longest.max(longest);
+    }
+
     pub fn is_ready(&self) -> bool {
         !self.waiting && self.draining.or(self.handing_over).or(self.leaving).is_none()
     }
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -78,7 +78,7 @@
         };
         match result {
             Ok(Ok(answered)) => {
-                let answer = Answer::decode(answered.head, answered.first, &self.gauges);
+                let answer = Answer::decode(answered.head, answered.first, &self.gauges.borrow());
                 // Of no other answer is the body passed on.
                 Ok((answer, answered.rest)).map(|(answer, rest)| match answer.outcome {
                     Outcome::Completed => (answer, rest),
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -48,6 +48,28 @@
     }
 }
 
+fn count(terms: &Terms) -> usize {
+    terms.get("methods.count").and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+fn shapes(terms: &Terms) -> Vec<Shape> {
+    let method = |i: usize| {
+        let term = |what: &str| terms.get(&format!("methods.{i}.{what}"));
+        Some(Shape::new(term("name")?.clone(), term("effect")?))
+    };
+    (0..count(terms)).filter_map(method).collect()
+}
+
+fn gauges(terms: &Terms) -> Gauges {
+    Gauges(terms.get("load.names").map_or("", String::as_str).split(',').map(str::to_owned).collect())
+}
+
+/// The longest hard deadline; without end where the terms do not tell.
+fn longest(terms: &Terms) -> Time {
+    let told = |i: usize| terms.get(&format!("methods.{i}.hard_deadline")).and_then(|t| t.parse().ok());
+    (0..count(terms)).map(|i| told(i).unwrap_or(Time::MAX)).max().unwrap_or(Time::MAX)
+}
+
 /// By id: what the list says of an upstream that serves, and the way to it.
 type Lines = BTreeMap<Rc<str>, (Entry, Rc<Line>)>;
 
@@ -67,8 +89,8 @@
     /// The decisions ask for a watch on the list.
     pub follow: Rc<Notify>,
     pub client: Client,
-    pub methods: Vec<Shape>,
-    pub gauges: Gauges,
+    pub methods: RefCell<Vec<Shape>>,
+    pub gauges: RefCell<Gauges>,
     /// In service, or on the way out of it.
     pub phase: Cell<Phase>,
     pub tally: Rc<Tally>,
@@ -85,13 +107,7 @@
         let clock = Clock::start();
         let desk = Desk::default();
         let balancer = Balancer::new(desk.clone(), clock.now(), seed, terms)?;
-        let count = terms.get("methods.count").and_then(|n| n.parse().ok()).unwrap_or(0);
-        let method = |i: usize| {
-            let term = |what: &str| terms.get(&format!("methods.{i}.{what}"));
-            Some(Shape::new(term("name")?.clone(), term("effect")?))
-        };
-        let methods: Vec<Shape> = (0..count).filter_map(method).collect();
-        let gauges = terms.get("load.names").map_or("", String::as_str);
+        let methods = shapes(terms);
         let term_time = |name: &str| terms.get(name).and_then(|t| t.parse::<Time>().ok());
         let time = |name: &str| term_time(name).map(clock::duration);
         let client = Client::new(
@@ -100,9 +116,6 @@
             connections,
             MOST_ANSWER,
         );
-        // Without end where the terms do not tell.
-        let deadline = |i: usize| term_time(&format!("methods.{i}.hard_deadline")).unwrap_or(Time::MAX);
-        let longest = (0..count).map(deadline).max().unwrap_or(Time::MAX);
         let board = Rc::new(Switchboard {
             clock,
             balancer: RefCell::new(balancer),
@@ -115,15 +128,27 @@
             follow: Rc::default(),
             client,
             tally: Tally::new(methods.iter().map(|m| &m.name)),
-            methods,
-            gauges: Gauges(gauges.split(',').map(str::to_owned).collect()),
-            phase: Cell::new(Phase::new(longest)),
+            methods: RefCell::new(methods),
+            gauges: RefCell::new(gauges(terms)),
+            phase: Cell::new(Phase::new(longest(terms))),
             windows: Windows::new(memory),
         });
         board.act();
         Ok(board)
     }
 
+    /// New terms, whole or not at all. What is open goes on as it was taken.
+    pub fn new_terms(self: &Rc<Self>, terms: &Terms) -> Result<(), BadTerm> {
+        self.balancer.borrow_mut().new_terms(self.clock.now(), terms)?;
+        self.act();
+        let methods = shapes(terms);
+        self.tally.name(methods.iter().map(|m| &m.name));
+        self.methods.replace(methods);
+        self.gauges.replace(gauges(terms));
+        self.phase_change(|phase, _| phase.set_longest(longest(terms)));
+        Ok(())
+    }
+
     pub fn is_ready(&self) -> bool {
         self.phase.get().is_ready() && !self.lines.borrow().is_empty()
     }
@@ -224,7 +249,13 @@
             for entry in &list.entries {
                 match entry.state {
                     State::Ready => {
-                        b.upstream_ready(&entry.id, &entry.zone, &entry.cell, "", entry.started_ms * 10);
+                        b.upstream_ready(
+                            &entry.id,
+                            &entry.zone,
+                            &entry.cell,
+                            &entry.kind,
+                            entry.started_ms * 10,
+                        );
                     }
                     State::Drains => b.upstream_drains(&entry.id),
                     State::Gone => b.upstream_gone(&entry.id),
--- a/crates/fernroute-server/src/routing/take_in.rs
+++ b/crates/fernroute-server/src/routing/take_in.rs
@@ -35,7 +35,7 @@
             _ => turn_away(&Unfit(StatusCode::METHOD_NOT_ALLOWED, "GET"), visit),
         };
     }
-    let decoded = request::Request::decode(message.head(), &board.methods);
+    let decoded = request::Request::decode(message.head(), &board.methods.borrow());
     let body = match &decoded {
         Ok(_) => take_body(&mut message, visit).await,
         Err(_) => Ok((Bytes::new(), None)),
--- a/crates/fernroute-server/src/routing/tally.rs
+++ b/crates/fernroute-server/src/routing/tally.rs
@@ -45,6 +45,14 @@
         Rc::new(Tally { ends: RefCell::new(ends), ..Tally::default() })
     }
 
+    /// Methods that new terms name stand in the figures, too; none leaves them.
+    pub fn name<'a>(&self, methods: impl Iterator<Item = &'a String>) {
+        let mut ends = self.ends.borrow_mut();
+        for name in methods {
+            ends.entry(name.clone()).or_default();
+        }
+    }
+
     /// An RPC is taken; what is returned counts its end, whatever that is.
     pub fn take(self: &Rc<Self>, method: &str) -> Taken {
         one_more(&self.taken);
--- a/crates/fernroute-server/tests/common/process.rs
+++ b/crates/fernroute-server/tests/common/process.rs
@@ -63,6 +63,11 @@
         self.log.lock().expect("the log").iter().any(|line| line.contains(what))
     }
 
+    /// How many lines say this.
+    pub fn times(&self, what: &str) -> usize {
+        self.log.lock().expect("the log").iter().filter(|line| line.contains(what)).count()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("a signal").success());
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -609,7 +609,7 @@
         self.rpcs.insert(rpc_id.clone(), rpc);
         match id {
             Some(_) if late => Sent::Late,
-            Some(id) if self.transmit(rpc_id, &id) => Sent::Sent,
+            Some(id) if self.transmit(rpc_id, &id) => Sent::Out,
             _ => Sent::Nowhere,
         }
     }
@@ -671,7 +671,7 @@
         if self.spare < cost || self.now as f64 + mean > rpc.until as f64 {
             return false;
         }
-        let sent = self.send(rpc_id) == Sent::Sent;
+        let sent = self.send(rpc_id) == Sent::Out;
         self.spare -= if sent { cost } else { 0.0 };
         sent
     }
@@ -890,7 +890,7 @@
         /// Short against any deadline here, long against a tick.
         const LOOK: Time = SECOND / 40;
         let sent = self.send(id);
-        let Some(rpc) = self.rpcs.get_mut(id).filter(|_| sent != Sent::Sent) else { return };
+        let Some(rpc) = self.rpcs.get_mut(id).filter(|_| sent != Sent::Out) else { return };
         let mean = rpc.method.times.get().mean as Time;
         if sent == Sent::Nowhere && self.now + LOOK + mean < rpc.soft {
             rpc.waiting = true;
--- a/crates/fernroute/src/records.rs
+++ b/crates/fernroute/src/records.rs
@@ -79,7 +79,7 @@
 /// Whether an RPC was sent; if not, because no upstream may get it now, or because it would come too late.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Sent {
-    Sent,
+    Out,
     Nowhere,
     Late,
 }
