--- a/crates/fernroute/tests/shapes.rs
+++ b/crates/fernroute/tests/shapes.rs
@@ -198,3 +198,17 @@
     b.tx_ended(START + 20, "a", 0, Outcome::Reset, 20, false, &[]);
     assert_eq!(notes.0.borrow().errored, ["a"], "m2 is non-retriable as before");
 }
+
+/// Guards against more transmissions than the platform takes from now on.
+#[test]
+fn a_limit_that_has_shrunk_holds_for_the_next_transmission() {
+    let (mut b, notes) = balancer(6, &[]);
+    for id in ["before", "after"] {
+        b.rpc_arrived(START, id, "m0", "", "", 3 * SECOND);
+    }
+    b.tx_ended(START + 10, "before", 0, Outcome::Reset, 10, false, &[]);
+    b.new_terms(START + 20, &terms(&[("limits.max_transmissions", "1")])).expect("they will do");
+    b.tx_ended(START + 30, "after", 0, Outcome::Reset, 30, false, &[]);
+    let times = |id: &str| notes.0.borrow().sent.iter().filter(|(rpc, _, _)| rpc == id).count();
+    assert_eq!((times("before"), times("after")), (2, 1));
+}
