Reread: terms are read once at a start and at a SIGHUP; the switch's test replaces files whole

Balancer::new read and checked all terms twice, and reload checked a file with a balancer made for it alone before the running one checked it again: one reading each, and one line where it fails. The test of the switch wrote its file in place while an earlier SIGHUP could have it read: a half file then was one refusal too many to count. It is renamed into place now.

--- a/crates/fernroute-server/src/program/reload.rs
+++ b/crates/fernroute-server/src/program/reload.rs
@@ -15,17 +15,13 @@
 /// Reads the file again at each SIGHUP, for as long as the program runs.
 pub async fn follow(mut signals: Signal, path: &Path, running: &Running, mut station: Station) {
     while signals.recv().await.is_some() {
-        match Station::read(path).and_then(|new| new.check().map(|()| new)) {
+        let taken = Station::read(path).and_then(|new| running.new_terms(&new.terms).map(|()| new));
+        match taken {
             Ok(new) => {
                 for what in station.differs(&new) {
                     log::warn!("{what} has changed: that needs a restart");
                 }
-                let changed = new.terms != station.terms;
-                if let Err(why) = running.new_terms(&new.terms) {
-                    log::error!("not taken over, all stays as it was: {why}");
-                    continue;
-                }
-                if changed {
+                if new.terms != station.terms {
                     log::info!("new settings from now on");
                 }
                 station.terms = new.terms;
--- a/crates/fernroute-server/tests/common/process.rs
+++ b/crates/fernroute-server/tests/common/process.rs
@@ -75,7 +75,10 @@
 
     /// Has it read this instead of its file.
     pub fn reload(&self, page: &str) {
-        std::fs::write(&self.path, page).expect("a file");
+        // In one step: a signal of before may have the file read just now.
+        let whole = self.path.with_extension("new");
+        std::fs::write(&whole, page).expect("a file");
+        std::fs::rename(&whole, &self.path).expect("a file");
         self.signal("-HUP");
     }
 
--- a/crates/fernroute/src/agreed.rs
+++ b/crates/fernroute/src/agreed.rs
@@ -31,7 +31,7 @@
 }
 
 /// The figures of the rule on upstreams that are cold.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ColdRule {
     pub from: f64,
     pub warm_within: f64,
@@ -39,7 +39,7 @@
     pub window: f64,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Agreed {
     pub tier: usize,
     /// This balancer's number among those of its tier, and how many there are.
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -235,7 +235,7 @@
             host,
             rng: WyRand::new_seed(seed),
             now,
-            agreed: Agreed::read(terms)?,
+            agreed: Agreed::default(),
             methods: Vec::new(),
             tenants: Vec::new(),
             upstreams: BTreeMap::new(),
