A start beside another process listens when it serves; processes meet without $TMPDIR

Need: without $TMPDIR, or where the old process does not hand over, a new process listened at once and accepted only once discovery had told a list, or after 3 s. Callers waited unread in its queue (an RPC with 500 ms: 503 after 2.7 s), beside an old process a share of that one's callers too. At fault: serve.rs, a listener opened before set_accepting, and upgrade.rs, begin_alone's wait.

Change: beside a process that may serve the socket is only bound, and listens as the process begins; `serving on` is logged then. A meeting place that is no socket no longer counts as nobody (the old process has none because of it). An old process that ends after it gave its socket away no longer leaves a queue that nobody serves from.

--- a/crates/fernroute-lab/src/live.rs
+++ b/crates/fernroute-lab/src/live.rs
@@ -335,6 +335,8 @@
             .args(words)
             .arg("--config")
             .arg(&file)
+            // Else it would take over from the balancer of that name of another run.
+            .env("TMPDIR", &self.folder)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -21,7 +21,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpSocket;
 
 /// How often connections are looked over: their times are to a tenth.
 const SWEEP: Duration = Duration::from_millis(200);
@@ -40,9 +40,12 @@
         let mut stop = pin!(stop);
         let stop = select(&mut stop, handed_over);
         // What is read again while the program stops would change nothing any more.
-        match select(pin!(reload::follow(again, path, &running, station)), stop).await {
-            Either::Left(((), stop)) => drop(stop.await),
-            Either::Right(_) => {}
+        let ended = match select(pin!(reload::follow(again, path, &running, station)), stop).await {
+            Either::Left(((), stop)) => stop.await,
+            Either::Right((ended, _)) => ended,
+        };
+        if let Either::Right((Ok(Err(why)), _)) = ended {
+            return Err(why);
         }
         shutdown::leave(&running.board, &running.server).await;
         log::info!("all is answered, ending");
@@ -59,6 +62,8 @@
     pub door: Option<SocketAddr>,
     /// The process that serves callers until this one does, and hands them over, if there is one.
     pub before: RefCell<Before>,
+    /// What callers are to come to once this process begins.
+    bound: Cell<Option<TcpSocket>>,
     name: String,
     listen: SocketAddr,
     share: Cell<Share>,
@@ -103,6 +108,22 @@
         }
     }
 
+    /// Callers come here from now on; an error is the machine's word that they can't.
+    pub fn begin(&self) -> Result<(), String> {
+        if let Some(bound) = self.bound.take() {
+            self.server
+                .listen(bound.listen(WAITING).map_err(|e| format!("listen on {}: {e}", self.address))?);
+        }
+        self.board.phase_change(|phase, _| phase.begin());
+        self.server.set_accepting(true);
+        self.say_serving();
+        Ok(())
+    }
+
+    fn say_serving(&self) {
+        log::info!("serving on {}, {} upstreams known", self.address, self.board.lines.borrow().len());
+    }
+
     /// Where a successor comes to.
     pub fn meeting(&self) -> Result<PathBuf, String> {
         handover::path(&self.name, self.listen)
@@ -138,10 +159,12 @@
     terms.get("list_mode").is_some_and(|mode| mode == "ask")
 }
 
-/// Another process may come to listen here as well, where handing the socket over fails.
-fn listen(at: SocketAddr) -> io::Result<TcpListener> {
-    /// As many as the machine lets wait by default.
-    const WAITING: u32 = 1024;
+/// As many as the machine lets wait by default.
+const WAITING: u32 = 1024;
+
+/// A socket that nobody can connect to yet. Another process may come to this address as well, where handing the socket
+/// over fails.
+fn bind(at: SocketAddr) -> io::Result<TcpSocket> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     // Not where the machine finds a port: it would find one that another process has.
@@ -149,7 +172,7 @@
         log::debug!("no second process can listen at {at}: {why}");
     }
     socket.bind(at)?;
-    socket.listen(WAITING)
+    Ok(socket)
 }
 
 /// Starts a balancer on the running thread, the only process of it.
@@ -182,12 +205,23 @@
         board.take_list(known, false);
     }
     let trouble = |e| format!("listen on {}: {e}", station.listen);
-    let listener = match &mut before {
-        Before::Serving(other) => other.listener.take().map_or_else(|| listen(station.listen), Ok),
-        _ => listen(station.listen),
+    let given = match &mut before {
+        Before::Serving(other) => other.listener.take(),
+        _ => None,
+    };
+    // Beside a process that may serve, nobody is to come to this one's queue before it is served from: a share of that
+    // one's callers would wait there unread.
+    let (listener, bound) = match (given, &before) {
+        (Some(listener), _) => (Some(listener), None),
+        (None, Before::Unknown) => (None, Some(bind(station.listen).map_err(trouble)?)),
+        (None, _) => (Some(bind(station.listen).and_then(|s| s.listen(WAITING)).map_err(trouble)?), None),
     };
-    let listener = listener.map_err(trouble)?;
-    let address = listener.local_addr().map_err(trouble)?;
+    let address = match (&listener, &bound) {
+        (Some(listener), _) => listener.local_addr(),
+        (None, Some(bound)) => bound.local_addr(),
+        (None, None) => Ok(station.listen),
+    };
+    let address = address.map_err(trouble)?;
     let server = Server::new(listener, callers);
     let door = match station.ops {
         Some(at) => Some(ops::open(at, &board, &server).await?),
@@ -206,16 +240,17 @@
     let handled = Rc::clone(&board);
     let handle = move |message, visit| take_in::handle(Rc::clone(&handled), message, visit);
     actix_rt::spawn(Rc::clone(&server).run(handle));
-    log::info!("serving on {address}, {} upstreams known", board.lines.borrow().len());
     if let Some(door) = door {
         log::info!("operators are answered on {door}");
     }
+    let serves = matches!(before, Before::Nobody);
     let running = Running {
         board,
         server,
         address,
         door,
         before: RefCell::new(before),
+        bound: Cell::new(bound),
         name: station.name,
         listen: station.listen,
         share: Cell::new(share),
@@ -225,5 +260,8 @@
         watch: RefCell::default(),
     };
     running.watch(station.discovery, station.since);
+    if serves {
+        running.say_serving();
+    }
     Ok(running)
 }
--- a/crates/fernroute-server/src/program/upgrade.rs
+++ b/crates/fernroute-server/src/program/upgrade.rs
@@ -96,14 +96,14 @@
 
 /// Takes over from the process before this one, if there is one, then waits for a successor for as long as the program
 /// runs; ends once a successor has all.
-pub async fn follow(running: Rc<Running>) {
+pub async fn follow(running: Rc<Running>) -> Result<(), String> {
     let before = running.before.replace(Before::Nobody);
     // What is in the way of handing over has been told then.
     let level = if matches!(before, Before::Unknown) { log::Level::Info } else { log::Level::Warn };
     match before {
         Before::Nobody => {}
-        Before::Unknown => begin_alone(&running).await,
-        Before::Serving(other) => take_over(&running, other.link).await,
+        Before::Unknown => begin_alone(&running).await?,
+        Before::Serving(other) => take_over(&running, other.link).await?,
     }
     loop {
         let meeting = match running.meeting() {
@@ -123,31 +123,46 @@
         }
     }
     log::info!("a successor has taken over");
+    Ok(())
 }
 
-fn begin(running: &Running) {
-    running.board.phase_change(|phase, _| phase.begin());
-    running.server.set_accepting(true);
+/// Told to stop before it began, a process never does.
+async fn begin(running: &Running) -> Result<(), String> {
+    if running.board.phase.get().is_leaving() {
+        return std::future::pending().await;
+    }
+    running.begin()
 }
 
 /// Serves once discovery has told the list: what the file says may be old, and another process may have been told of
 /// upstreams that leave.
-async fn begin_alone(running: &Running) {
+async fn begin_alone(running: &Running) -> Result<(), String> {
     let from = Instant::now();
     while !running.board.heard.get() && from.elapsed() < TRUST {
         actix_rt::time::sleep(LOOK).await;
     }
-    begin(running);
+    begin(running).await
 }
 
-async fn take_over(running: &Rc<Running>, mut link: Link) {
+async fn take_over(running: &Rc<Running>, mut link: Link) -> Result<(), String> {
     log::info!("taking over from the process that serves, {} descriptors for a start", running.share().part);
-    while running.board.lines.borrow().is_empty() {
-        actix_rt::time::sleep(LOOK).await;
+    {
+        let listed = pin!(async {
+            while running.board.lines.borrow().is_empty() {
+                actix_rt::time::sleep(LOOK).await;
+            }
+        });
+        // Guards against a queue that nobody serves from: with the old process gone, what is in it waits for this one.
+        if let Either::Right((word, _)) = select(listed, pin!(link.hear::<FromOld>())).await {
+            log::warn!("the old process did not wait for this one: {word:?}");
+        }
+    }
+    if running.board.phase.get().is_leaving() {
+        return std::future::pending().await;
     }
     // Its word is out before this process accepts: should it not get there, the old one is no more.
     let told = link.say(&FromNew::Ready).await;
-    begin(running);
+    begin(running).await?;
     if told.is_ok() {
         let running = Rc::clone(running);
         let yours = Rc::new(Notify::new());
@@ -168,6 +183,7 @@
     } else {
         running.set_share(|share| share.take_all());
     }
+    Ok(())
 }
 
 /// Waits at the meeting place; true once a successor has all that this process had.
--- a/crates/fernroute-server/src/transport/handover.rs
+++ b/crates/fernroute-server/src/transport/handover.rs
@@ -9,11 +9,12 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::cell::RefCell;
+use std::fs::DirBuilder;
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
-use std::os::unix::fs::FileTypeExt as _;
+use std::os::unix::fs::{DirBuilderExt as _, FileTypeExt as _, MetadataExt as _};
 use std::path::{Path, PathBuf};
 use tokio::io::{AsyncWriteExt as _, Interest};
 use tokio::net::{UnixListener, UnixStream};
@@ -23,16 +24,36 @@
 
 /// Where the processes of one balancer meet: it is told by its name and the address that it was told to serve at.
 pub fn path(name: &str, listen: SocketAddr) -> Result<PathBuf, String> {
-    let folder = std::env::var_os("TMPDIR").filter(|t| !t.is_empty()).ok_or("no $TMPDIR")?;
+    let folder = match std::env::var_os("TMPDIR").filter(|t| !t.is_empty()) {
+        Some(named) => PathBuf::from(named),
+        None => own_folder(Path::new("/tmp"))?,
+    };
     let plain = |c: char| if c.is_ascii_alphanumeric() || ".-".contains(c) { c } else { '_' };
     let file: String = format!("fernroute-{name}-{listen}.sock").chars().map(plain).collect();
-    let path = Path::new(&folder).join(file);
+    let path = folder.join(file);
     if path.as_os_str().len() > MOST_PATH {
         return Err(format!("{} is too long a path", path.display()));
     }
     Ok(path)
 }
 
+/// Where they meet without `$TMPDIR`, as in most shells: a folder that only this user can enter. Guards against somebody
+/// else who waits there for the listening socket, or hands over one of their own.
+fn own_folder(within: &Path) -> Result<PathBuf, String> {
+    let user = rustix::process::getuid().as_raw();
+    let folder = within.join(format!("fernroute-{user}"));
+    let trouble = |why: io::Error| format!("{}: {why}", folder.display());
+    match DirBuilder::new().mode(0o700).create(&folder) {
+        Err(why) if why.kind() != ErrorKind::AlreadyExists => return Err(trouble(why)),
+        _ => {}
+    }
+    let found = std::fs::symlink_metadata(&folder).map_err(trouble)?;
+    if !found.is_dir() || found.uid() != user || found.mode() & 0o077 != 0 {
+        return Err(format!("{} is not this user's alone", folder.display()));
+    }
+    Ok(folder)
+}
+
 /// One end of the connection between two processes.
 pub struct Link {
     stream: UnixStream,
@@ -47,8 +68,13 @@
     /// To the process that is there; none if there is no such file.
     pub async fn connect(path: &Path) -> io::Result<Option<Self>> {
         // Looked for first: where Unix sockets are refused, nobody is there all the same.
-        if std::fs::symlink_metadata(path).is_err_and(|why| why.kind() == ErrorKind::NotFound) {
-            return Ok(None);
+        match std::fs::symlink_metadata(path) {
+            Err(why) if why.kind() == ErrorKind::NotFound => return Ok(None),
+            // Not one that a killed process left: who serves may be without a place to be met at because of it.
+            Ok(found) if !found.file_type().is_socket() => {
+                return Err(io::Error::new(ErrorKind::AlreadyExists, "a file of somebody else's"));
+            }
+            _ => {}
         }
         Ok(Some(Link::new(UnixStream::connect(path).await?)))
     }
@@ -149,3 +175,28 @@
         let _ = std::fs::remove_file(&self.path);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::os::unix::fs::{symlink, PermissionsExt as _};
+
+    /// Guards against a listening socket that goes to whoever got to the shared folder first.
+    #[test]
+    fn only_a_folder_of_this_user_alone_is_a_meeting_place() {
+        let within = std::env::temp_dir().join(format!("fernroute-own-{}", std::process::id()));
+        std::fs::create_dir_all(&within).expect("a folder");
+        let folder = own_folder(&within).expect("it is made");
+        assert_eq!(own_folder(&within), Ok(folder.clone()));
+        std::fs::set_permissions(&folder, std::fs::Permissions::from_mode(0o755)).expect("its mode");
+        assert!(own_folder(&within).is_err_and(|why| why.contains("alone")));
+        std::fs::remove_dir(&folder).expect("it is empty");
+        symlink("/", &folder).expect("a link");
+        assert!(own_folder(&within).is_err_and(|why| why.contains("alone")));
+        std::fs::remove_file(&folder).expect("it is a link");
+        std::fs::write(&folder, "somebody's").expect("a file");
+        assert!(own_folder(&within).is_err());
+        std::fs::remove_dir_all(&within).expect("it was there");
+        assert!(own_folder(&within).is_err());
+    }
+}
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -75,18 +75,21 @@
     /// Who comes is taken in; else the machine keeps callers waiting, for this process or another.
     accepting: Cell<bool>,
     accepts: Notify,
+    closed: Cell<bool>,
 }
 
 impl Server {
-    pub fn new(listener: TcpListener, most: usize) -> Rc<Self> {
+    /// Without a listener it waits for one.
+    pub fn new(listener: Option<TcpListener>, most: usize) -> Rc<Self> {
         Rc::new(Server {
-            listener: RefCell::new(Some(listener)),
+            listener: RefCell::new(listener),
             visits: RefCell::default(),
             most: Cell::new(most),
             left: Notify::new(),
             ending: Cell::new(false),
             accepting: Cell::new(true),
             accepts: Notify::new(),
+            closed: Cell::new(false),
         })
     }
 
@@ -103,7 +106,10 @@
         let service = Rc::new(service);
         loop {
             self.make_room().await;
-            if !self.accepting.get() && self.listener.borrow().is_some() {
+            if self.closed.get() {
+                return;
+            }
+            if !self.accepting.get() || self.listener.borrow().is_none() {
                 self.accepts.notified().await;
                 continue;
             }
@@ -116,7 +122,7 @@
                 Either::Right(_) => continue,
             };
             match accepted {
-                None => return,
+                None => {}
                 Some(Ok((stream, _))) => {
                     actix_rt::spawn(Rc::clone(&self).host(Rc::clone(&service), stream));
                 }
@@ -203,6 +209,14 @@
         self.accepts.notify_one();
     }
 
+    /// Callers come here from now on.
+    pub fn listen(&self, listener: TcpListener) {
+        if !self.closed.get() {
+            self.listener.replace(Some(listener));
+            self.accepts.notify_one();
+        }
+    }
+
     /// The socket at which callers come, for another process of this balancer; none once it is closed.
     pub fn listener(&self) -> Option<OwnedFd> {
         self.listener.borrow().as_ref().and_then(|listener| listener.as_fd().try_clone_to_owned().ok())
@@ -242,6 +256,7 @@
         self.ending.set(true);
         // The accepting task has had its turn for all that was waiting once this one is woken again.
         actix_rt::time::sleep(Duration::from_millis(20)).await;
+        self.closed.set(true);
         self.listener.replace(None);
         self.accepts.notify_one();
         self.visits.borrow().iter().for_each(|visit| visit.end());
@@ -288,7 +303,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let service = protocol(handle).new_service(()).await;
             let Ok(service) = service else { panic!("the server did not start") };
-            actix_rt::spawn(Server::new(listener, 1).host(Rc::new(service), stream));
+            actix_rt::spawn(Server::new(Some(listener), 1).host(Rc::new(service), stream));
             theirs.set_nonblocking(true).expect("it does not block");
             let mut theirs = tokio::net::UnixStream::from_std(theirs).expect("a stream");
             theirs.write_all(b"GET / HTTP/1.1\r\nHost: n0\r\n\r\n").await.expect("it is written");
--- a/crates/fernroute-server/tests/common/process.rs
+++ b/crates/fernroute-server/tests/common/process.rs
@@ -21,42 +21,55 @@
 pub struct Program {
     child: Child,
     path: PathBuf,
+    /// Where it serves; its door's until it does.
     pub address: SocketAddr,
     pub door: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Program {
-    pub fn start(folder: &Path, page: &str) -> Self {
+    /// Serves already.
+    pub async fn start(folder: &Path, page: &str) -> Self {
+        Program::launch(folder, page, Some(folder)).serving().await
+    }
+
+    /// Returns once it answers operators; callers it may serve later. `meets` is its `$TMPDIR`, if it has one.
+    pub fn launch(folder: &Path, page: &str, meets: Option<&Path>) -> Self {
         static FILES: AtomicUsize = AtomicUsize::new(0);
         let path = folder.join(format!("{}.json", FILES.fetch_add(1, Ordering::Relaxed)));
         std::fs::write(&path, page).expect("a file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_fernroute"))
-            .args(["serve", "--config"])
-            .arg(&path)
-            .env("TMPDIR", folder)
-            .env_remove("NODE_OPS")
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("it starts");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fernroute"));
+        command.args(["serve", "--config"]).arg(&path).env_remove("NODE_OPS").stderr(Stdio::piped());
+        match meets {
+            Some(folder) => command.env("TMPDIR", folder),
+            None => command.env_remove("TMPDIR"),
+        };
+        let mut child = command.spawn().expect("it starts");
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
         let log = Arc::new(Mutex::new(Vec::new()));
-        let mut told = |what: &str| {
-            let line = lines.find_map(|line| {
-                let line = line.ok()?;
-                log.lock().expect("the log").push(line.clone());
-                line.contains(what).then_some(line)
-            });
-            let line = line.unwrap_or_else(|| panic!("{what}: {:?}", log.lock()));
-            let rest = line.split_once(what).expect("it is there").1.to_owned();
-            rest.split(',').next().and_then(|address| address.parse().ok()).expect("an address")
-        };
-        let (address, door) = (told("serving on "), told("operators are answered on "));
+        let door = lines.find_map(|line| {
+            let line = line.ok()?;
+            log.lock().expect("the log").push(line.clone());
+            address(&line, "operators are answered on ")
+        });
+        let door = door.unwrap_or_else(|| panic!("no door: {:?}", log.lock()));
         let kept = Arc::clone(&log);
         std::thread::spawn(move || {
             lines.map_while(Result::ok).for_each(|line| kept.lock().expect("the log").push(line));
         });
-        Program { child, path, address, door, log }
+        Program { child, path, address: door, door, log }
+    }
+
+    /// Waits until it serves, and learns where.
+    pub async fn serving(mut self) -> Self {
+        let mut at = None;
+        until(|| {
+            at = self.log.lock().expect("the log").iter().find_map(|line| address(line, "serving on "));
+            at.is_some()
+        })
+        .await;
+        self.address = at.expect("it says where");
+        self
     }
 
     pub fn says(&self, what: &str) -> bool {
@@ -99,6 +112,10 @@
     }
 }
 
+fn address(line: &str, what: &str) -> Option<SocketAddr> {
+    line.split_once(what)?.1.split(',').next()?.parse().ok()
+}
+
 /// A test that fails leaves nothing behind that runs.
 impl Drop for Program {
     fn drop(&mut self) {
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -287,7 +287,7 @@
 fn a_signal_ends_it_with_code_0() {
     run(async {
         let up = stand_in(|_, _| ok("whole")).await;
-        let program = Program::start(&folder("signal"), &common::page(&[up.address], up.address, &[]));
+        let program = Program::start(&folder("signal"), &common::page(&[up.address], up.address, &[])).await;
         let mut kept = connect(program.address).await;
         for n in 0..2 {
             kept.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
@@ -312,7 +312,7 @@
         let entry = format!(r#"{{"id":"s-2","addr":"{}","state":"SERVING"}}"#, two.address);
         let new = stand_in(move |n, _| if n == 1 { list(3, true, &entry) } else { Deed::Silence }).await;
         let page = |discovery| common::page(&[one.address], discovery, &[]);
-        let program = Program::start(&folder("reload"), &page(old.address));
+        let program = Program::start(&folder("reload"), &page(old.address)).await;
         let body = || async { ask(program.address, rpc("GET", "/look", "")).await.body };
         until(|| old.seen.borrow().len() == 1).await;
         program.reload("no page at all");
@@ -513,7 +513,7 @@
         let agent = stand_in(|_, _| Deed::Silence).await;
         let ups = [one.address, two.address];
         let before = common::page(&ups, agent.address, &[]);
-        let program = Program::start(&folder("switch"), &before);
+        let program = Program::start(&folder("switch"), &before).await;
         let stop = std::rc::Rc::new(std::cell::Cell::new(false));
         let callers: Vec<_> = (0..4)
             .map(|_| {
--- a/crates/fernroute-server/tests/upgrade.rs
+++ b/crates/fernroute-server/tests/upgrade.rs
@@ -126,12 +126,12 @@
     run(async {
         let (up, dead) = (upstream().await, stand_in(|_, _| Deed::Silence).await);
         let folder = folder("upgrade");
-        let mut old = Program::start(&folder, &page(&[up.address], dead.address, &[]));
+        let mut old = Program::start(&folder, &page(&[up.address], dead.address, &[])).await;
         let load = Load::start(16, old.address);
         load.more(200).await;
         for _ in 0..2 {
             // Its file knows no upstream, and discovery says nothing.
-            let new = Program::start(&folder, &page(&[], dead.address, &[]));
+            let new = Program::start(&folder, &page(&[], dead.address, &[])).await;
             assert_eq!(new.address, old.address);
             until_ready(new.door).await;
             old.signal("-TERM");
@@ -158,10 +158,10 @@
         let up = upstream().await;
         let folder = folder("early");
         let text = page(&[up.address], up.address, &[]);
-        let old = Program::start(&folder, &text);
+        let old = Program::start(&folder, &text).await;
         let mut open = common::send(old.address, rpc("GET", "/look/silent", "").replace("4000", "900")).await;
         until(|| up.seen.borrow().iter().any(|m| m.head.contains("/silent"))).await;
-        let new = Program::start(&folder, &text);
+        let new = Program::start(&folder, &text).await;
         until_ready(new.door).await;
         until(|| old.says("a successor serves")).await;
         assert!(!is_ready(old.door).await && told(old.door, "POST", "/-/resume").await == 409);
@@ -181,7 +181,7 @@
         let up = upstream().await;
         let folder = folder("dies");
         let text = page(&[up.address], up.address, &[]);
-        let old = Program::start(&folder, &text);
+        let old = Program::start(&folder, &text).await;
         until(|| meeting(&folder).exists()).await;
         let load = Load::start(4, old.address);
         let mut early = UnixStream::connect(meeting(&folder)).await.expect("it is there");
@@ -190,7 +190,7 @@
         drop(early);
         until(|| old.says("the successor ended before it could serve")).await;
         load.more(50).await;
-        let new = Program::start(&folder, &text);
+        let new = Program::start(&folder, &text).await;
         until(|| old.says("a successor serves")).await;
         new.signal("-KILL");
         assert_eq!(new.ends().await, None);
@@ -201,7 +201,7 @@
         load.end().await;
         assert!(is_ready(old.address).await && is_ready(old.door).await);
         // And it may have another.
-        let new = Program::start(&folder, &text);
+        let new = Program::start(&folder, &text).await;
         until_ready(new.door).await;
         old.ends_well().await;
         assert!(is_ready(new.address).await);
@@ -215,7 +215,7 @@
         let up = upstream().await;
         let folder = folder("two");
         let text = page(&[up.address], up.address, &[]);
-        let old = Program::start(&folder, &text);
+        let old = Program::start(&folder, &text).await;
         until(|| meeting(&folder).exists()).await;
         let mut first = UnixStream::connect(meeting(&folder)).await.expect("it is there");
         first.write_all(b"{\"take\":{\"version\":1}}\n").await.expect("it reads");
@@ -254,36 +254,36 @@
         let up = upstream().await;
         let text = page(&[up.address], up.address, &[]);
         let killed = folder("killed");
-        let old = Program::start(&killed, &text);
+        let old = Program::start(&killed, &text).await;
         until(|| meeting(&killed).exists()).await;
         old.signal("-KILL");
         assert_eq!(old.ends().await, None);
         assert!(meeting(&killed).exists());
-        let new = Program::start(&killed, &text);
+        let new = Program::start(&killed, &text).await;
         until_ready(new.address).await;
         assert!(new.says("left by a process that is no more"));
         // It is where the next one comes to.
         until(|| std::os::unix::net::UnixStream::connect(meeting(&killed)).is_ok()).await;
-        let next = Program::start(&killed, &text);
+        let next = Program::start(&killed, &text).await;
         until_ready(next.door).await;
         assert_eq!(next.address, new.address);
 
         let foreign = folder("foreign");
         std::fs::write(meeting(&foreign), "somebody's").expect("a file");
-        let alone = Program::start(&foreign, &text);
+        let alone = Program::start(&foreign, &text).await;
         until_ready(alone.address).await;
         until(|| alone.says("no successor can be handed over to")).await;
         assert_eq!(std::fs::read(meeting(&foreign)).expect("it is there"), b"somebody's");
 
         let dumb = folder("dumb");
         let silent = UnixListener::bind(meeting(&dumb)).expect("a place");
-        let alone = Program::start(&dumb, &text);
+        let alone = Program::start(&dumb, &text).await;
         until_ready(alone.address).await;
         assert!(alone.says("no process hands over, starting as if alone: no answer"));
         assert!(silent.accept().await.is_ok() && meeting(&dumb).exists());
 
         let long = folder(&"long".repeat(30));
-        let alone = Program::start(&long, &text);
+        let alone = Program::start(&long, &text).await;
         until_ready(alone.address).await;
         assert!(alone.says("is too long a path"));
     });
@@ -296,6 +296,14 @@
     table.lines().filter(|line| line.contains(&local)).count()
 }
 
+/// Discovery's script: the list with this upstream, once.
+fn lists(up: SocketAddr) -> impl Fn(usize, &common::Message) -> Deed {
+    let list = format!(
+        r#"{{"version":9,"full":true,"servers":[{{"id":"s-0","addr":"{up}","zone":"z","cell":0,"state":"SERVING"}}]}}"#
+    );
+    move |n, _| if n == 0 { ok(&list) } else { Deed::Silence }
+}
+
 /// Where nothing can be handed over both listen at the address; the new process serves by a list that discovery told.
 #[test]
 fn two_listen_at_one_address_where_handing_over_fails() {
@@ -308,15 +316,11 @@
         let old = socket.listen(8).expect("it listens");
         let at = old.local_addr().expect("an address");
         let listen = format!("\"listen\":\"{at}\"");
-        let list = format!(
-            r#"{{"version":9,"full":true,"servers":[{{"id":"s-0","addr":"{}","zone":"z","cell":0,"state":"SERVING"}}]}}"#,
-            up.address
-        );
-        let discovery = stand_in(move |n, _| if n == 0 { ok(&list) } else { Deed::Silence }).await;
+        let discovery = stand_in(lists(up.address)).await;
         let text = page(&[], discovery.address, &[("\"listen\":\"127.0.0.1:0\"", listen.as_str())]);
         let file = format!("fernroute-n0-{}.sock", at.to_string().replace(':', "_"));
         std::fs::write(folder.join(file), "somebody's").expect("a file");
-        let new = Program::start(&folder, &text);
+        let new = Program::start(&folder, &text).await;
         assert_eq!(new.address, at);
         until_ready(new.door).await;
         drop(old);
@@ -336,11 +340,11 @@
         let up = upstream().await;
         let folder = folder("drained");
         let text = page(&[up.address], up.address, &[]);
-        let old = Program::start(&folder, &text);
+        let old = Program::start(&folder, &text).await;
         until(|| meeting(&folder).exists()).await;
         assert_eq!(told(old.door, "POST", "/-/drain").await, 200);
         assert!(!is_ready(old.address).await);
-        let new = Program::start(&folder, &text);
+        let new = Program::start(&folder, &text).await;
         until_ready(new.door).await;
         old.reload(&text);
         new.reload(&text);
@@ -353,7 +357,7 @@
         until(|| meeting(&folder).exists()).await;
         let load = Load::start(4, new.address);
         load.more(50).await;
-        let last = Program::start(&folder, &text);
+        let last = Program::start(&folder, &text).await;
         until_ready(last.door).await;
         new.signal("-TERM");
         load.more(50).await;
@@ -363,3 +367,91 @@
         last.ends_well().await;
     });
 }
+
+/// Guards against callers of a process that serves who wait, unread, in the queue of one that does not serve yet. Both
+/// are real; neither can hand over, and discovery tells the new one nothing.
+#[test]
+fn nobody_waits_in_the_queue_of_a_process_that_does_not_serve_yet() {
+    run(async {
+        let up = upstream().await;
+        let folder = folder("queue");
+        let at = TcpSocket::new_v4().expect("a socket");
+        at.set_reuseport(true).expect("it may be shared");
+        at.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        // Bound for as long as the test runs, so that nobody else gets the port; it never listens.
+        let address = at.local_addr().expect("an address");
+        let listen = format!("\"listen\":\"{address}\"");
+        let file = format!("fernroute-n0-{}.sock", address.to_string().replace(':', "_"));
+        std::fs::write(folder.join(file), "somebody's").expect("a file");
+        let told = stand_in(lists(up.address)).await;
+        let silent = stand_in(|_, _| Deed::Silence).await;
+        let list_of =
+            |discovery| page(&[up.address], discovery, &[("\"listen\":\"127.0.0.1:0\"", listen.as_str())]);
+        let old = Program::start(&folder, &list_of(told.address)).await;
+        let new = Program::launch(&folder, &list_of(silent.address), Some(&folder));
+        let (mut asked, mut wrong) = (0, Vec::new());
+        while !new.says("serving on ") {
+            assert!(listeners(address) == 1 || new.says("serving on "), "two queues, and one is served from");
+            let rpc = rpc("GET", "/look", "Connection: close\r\n").replace("4000", "500");
+            let answer = tokio::time::timeout(Duration::from_secs(1), ask(address, rpc)).await;
+            asked += 1;
+            match answer {
+                Ok(answer) if answer.status() == 200 => {}
+                Ok(answer) => wrong.push(answer.head),
+                Err(_) => wrong.push("no answer in twice its time".to_owned()),
+            }
+            actix_rt::time::sleep(Duration::from_millis(2)).await;
+        }
+        assert!(wrong.is_empty() && asked > 20, "{asked}: {wrong:?}");
+        let new = new.serving().await;
+        assert!(new.address == address && is_ready(old.door).await && is_ready(new.door).await);
+        drop(at);
+    });
+}
+
+/// Guards against a start that keeps callers waiting for discovery where no other process is, and against two processes
+/// that don't find each other, because no `$TMPDIR` says where.
+#[test]
+fn processes_without_a_tmpdir_meet_all_the_same() {
+    run(async {
+        let (up, silent) = (upstream().await, stand_in(|_, _| Deed::Silence).await);
+        let folder = folder("plain");
+        let name = format!("\"name\":\"plain-{}\"", std::process::id());
+        let text = page(&[up.address], silent.address, &[("\"name\":\"n0\"", name.as_str())]);
+        let old = Program::launch(&folder, &text, None).serving().await;
+        let first = ask(old.address, rpc("GET", "/look", "").replace("4000", "500")).await;
+        assert_eq!(first.status(), 200, "{}", first.head);
+        assert!(!old.says("starting as if alone"));
+        let load = Load::start(8, old.address);
+        load.more(100).await;
+        let new = Program::launch(&folder, &text, None).serving().await;
+        assert!(new.says("taking over") && new.address == old.address);
+        load.more(100).await;
+        old.ends_well().await;
+        load.more(100).await;
+        load.end().await;
+        new.signal("-TERM");
+        new.ends_well().await;
+    });
+}
+
+/// Guards against a queue that nobody serves from: the old process is killed after it gave its socket away, before the
+/// new one has a list.
+#[test]
+fn a_socket_given_by_a_process_that_dies_at_once_is_served_from() {
+    run(async {
+        let silent = stand_in(|_, _| Deed::Silence).await;
+        let folder = folder("given");
+        let text = page(&[], silent.address, &[]);
+        let old = Program::start(&folder, &text).await;
+        until(|| meeting(&folder).exists()).await;
+        let new = Program::launch(&folder, &text, Some(&folder));
+        until(|| new.says("taking over")).await;
+        assert!(!new.says("serving on ") && !is_ready(new.door).await);
+        old.signal("-KILL");
+        old.ends().await;
+        let new = new.serving().await;
+        // No upstream is known: that is an answer too.
+        assert_eq!(ask(new.address, rpc("GET", "/look", "")).await.status(), 503);
+    });
+}
