--- a/crates/fernroute-lab/src/lib.rs
+++ b/crates/fernroute-lab/src/lib.rs
@@ -5,7 +5,6 @@
 pub mod charts;
 pub mod demand;
 pub mod experiment;
-mod http;
 pub mod live;
 pub mod player;
 pub mod referee;
--- a/crates/fernroute-lab/src/live.rs
+++ b/crates/fernroute-lab/src/live.rs
@@ -4,13 +4,14 @@
 
 use crate::books::Books;
 use crate::demand::{balancer_seed, stream, victims, Arrivals, Want, CHANCE, LINGER};
-use crate::http::{answer, Message, Peer};
 use crate::player::Post;
 use crate::referee::{Breach, Referee};
 use crate::scenario::{millis, seconds, zone_name, Effect, Fault, Kind, Scenario};
 use crate::trace::{Event, Final, Told, Witness as _};
 use crate::upstream::{Affliction, State, Upstream};
 use fernroute::{Outcome, Time};
+use fernroute_rig::http::{answer, Message, Peer};
+use fernroute_rig::process::Process;
 use fernroute_server::routing::clock::{duration, tenths};
 use rand::RngExt as _;
 use rand_chacha::ChaCha8Rng;
@@ -19,12 +20,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::process::{Command, Stdio};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::io::{AsyncBufReadExt as _, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::process::{Child, Command};
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::{spawn_local, AbortHandle, LocalSet};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
@@ -69,11 +68,12 @@
 
 /// A real balancer, by its number in the run.
 struct Node {
+    name: String,
     tier: usize,
     zone: usize,
     address: SocketAddr,
     agent: Rc<Agent>,
-    child: RefCell<Child>,
+    process: Process,
     alive: Cell<bool>,
     /// Connections to it that stand idle.
     idle: RefCell<Vec<Peer>>,
@@ -157,8 +157,10 @@
         let result = lab.clone().played().await;
         for node in lab.nodes.borrow().iter() {
             node.agent.serving.abort();
-            // One that has ended by itself needs no ending.
-            let _ = node.child.borrow_mut().start_kill();
+            node.process.kill();
+            let log = lab.folder.join(format!("{}.log", node.name));
+            // For whoever looks into the run; it is judged without.
+            let _ = std::fs::write(log, node.process.log().join("\n") + "\n");
         }
         result
     }
@@ -323,51 +325,33 @@
         let known: Vec<Value> = known.into_iter().map(|n| self.entry(n, Told::Ready)).collect();
         let post = Post { tier, number, instances: self.scenario.instances(tier), zone };
         let seed = balancer_seed(self.seed, node);
+        let name = format!("b{node}");
         let page = json!({
-            "name": format!("b{node}"), "listen": "127.0.0.1:0", "discovery": agent.address, "seed": format!("{seed:016x}"),
+            "name": name, "listen": "127.0.0.1:0", "discovery": agent.address, "seed": format!("{seed:016x}"),
             "limits": {"sockets": 1024}, "known": {"version": 0, "full": true, "servers": known},
             "settings": self.scenario.settings(post),
         });
-        let file = self.folder.join(format!("b{node}.json"));
+        let file = self.folder.join(format!("{name}.json"));
         std::fs::write(&file, page.to_string()).map_err(|e| format!("{}: {e}", file.display()))?;
         let (word, words) = self.program.split_first().ok_or("no program is named")?;
-        let mut child = Command::new(word)
-            .args(words)
-            .arg("--config")
-            .arg(&file)
-            // Else it would take over from the balancer of that name of another run.
-            .env("TMPDIR", &self.folder)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(|e| format!("{word}: {e}"))?;
-        let mut lines = BufReader::new(child.stderr.take().ok_or("no standard error")?).lines();
-        let address = timeout(START, async {
-            let mut last = String::new();
-            while let Ok(Some(line)) = lines.next_line().await {
-                let place = line.split("serving on ").nth(1).and_then(|rest| rest.split(',').next());
-                if let Some(Ok(address)) = place.map(str::parse::<SocketAddr>) {
-                    return Ok(address);
-                }
-                last = line;
-            }
-            Err(format!("{word} ended before it served: {last}"))
-        });
-        let address = address.await.map_err(|_| format!("{word} does not say where it serves"))??;
-        let log = self.folder.join(format!("b{node}.log"));
-        spawn_local(async move {
-            let mut text = String::new();
-            while let Ok(Some(line)) = lines.next_line().await {
-                text.push_str(&line);
-                text.push('\n');
-            }
-            // For whoever looks into the run; it goes on without.
-            let _ = std::fs::write(log, text);
-        });
-        let (child, alive, idle) = (RefCell::new(child), Cell::new(true), RefCell::default());
-        self.nodes.borrow_mut().push(Rc::new(Node { tier, zone, address, agent, child, alive, idle }));
+        let mut command = Command::new(word);
+        command.args(words).arg("--config").arg(&file).stdout(Stdio::null());
+        // Else it would take over from the balancer of that name of another run.
+        command.env("TMPDIR", &self.folder);
+        let process = Process::launch(command).map_err(|e| format!("{word}: {e}"))?;
+        let address =
+            process.address_after("serving on ", START).await.map_err(|why| format!("{word}: {why}"))?;
+        let (alive, idle) = (Cell::new(true), RefCell::default());
+        self.nodes.borrow_mut().push(Rc::new(Node {
+            name,
+            tier,
+            zone,
+            address,
+            agent,
+            process,
+            alive,
+            idle,
+        }));
         Ok(node)
     }
 
@@ -388,7 +372,7 @@
 
     /// Answers one balancer's calls for the list.
     async fn serve_list(self: Rc<Self>, number: usize, mut peer: Peer) {
-        while let Ok(Some(message)) = peer.read(false).await {
+        while let Ok(Some(message)) = peer.read().await {
             let query = |name: &str| {
                 let text = message.target.split_once('?')?.1;
                 text.split('&')
@@ -485,7 +469,7 @@
     // -------------------------------------------------------------------------------------------- upstreams
 
     async fn connection(self: Rc<Self>, upstream: usize, mut peer: Peer) {
-        while let Ok(Some(message)) = peer.read(false).await {
+        while let Ok(Some(message)) = peer.read().await {
             let gone = Rc::new(Cell::new(false));
             let handled = Rc::clone(&self).handle(upstream, message, Rc::clone(&gone));
             // Work goes on when its caller has gone; what still waits may be dropped.
@@ -655,8 +639,7 @@
         node.alive.set(false);
         self.see(&Event::BalancerDied { balancer: number });
         node.agent.serving.abort();
-        // One that has ended by itself needs no ending.
-        let _ = node.child.borrow_mut().start_kill();
+        node.process.kill();
         node.idle.borrow_mut().clear();
     }
 
@@ -752,7 +735,7 @@
         });
         let exchange = async {
             peer.write(bytes.as_bytes()).await.ok()?;
-            peer.read(true).await.ok()?
+            peer.read().await.ok()?
         };
         // Beyond any answer that could still count: what does not come by then never does.
         let most = duration(hard.saturating_sub(self.now())) + Duration::from_secs(1);
@@ -760,7 +743,7 @@
             end.broke = true;
             return None;
         };
-        let last = match message.status {
+        let last = match message.status() {
             // Served with what no upstream made is not served.
             200 if message.body == rpc.as_bytes() => Final::Completed,
             429 | 503 => Final::Exhausted,
@@ -768,7 +751,7 @@
         };
         end.last = Some(last);
         let stay_away = message.number::<f64>("retry-after").filter(|s| s.is_finite() && *s >= 0.0);
-        if message.header("connection").is_none_or(|c| !c.eq_ignore_ascii_case("close")) && node.alive.get() {
+        if !message.closes() && node.alive.get() {
             node.idle.borrow_mut().push(peer);
         }
         Some((last, stay_away.map(Duration::from_secs_f64)))
--- a/crates/fernroute-lab/tests/live.rs
+++ b/crates/fernroute-lab/tests/live.rs
@@ -68,7 +68,7 @@
 fn a_program_that_does_not_serve_is_named() {
     let folder = Folder::new("none");
     for (word, what) in
-        [("/nonexistent/balancer", "/nonexistent/balancer"), ("true", "ended before it served")]
+        [("/nonexistent/balancer", "/nonexistent/balancer"), ("true", "it ended before it said")]
     {
         let why = run(&scenario(""), 1, &[word.to_owned()], &folder.0).err().expect(word);
         assert!(why.contains(what), "{why}");
--- /dev/null
+++ b/crates/fernroute-rig/src/caller.rs
@@ -0,0 +1,133 @@
+//! Callers that write plain bytes, and a load of them.
+
+use crate::http::{read, Message};
+use crate::until;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+
+/// The head of an RPC with a new id.
+pub fn rpc(verb: &str, path: &str, more: &str) -> String {
+    static IDS: AtomicUsize = AtomicUsize::new(0);
+    let id = IDS.fetch_add(1, Ordering::Relaxed);
+    let method = path.trim_start_matches('/').split(['/', '?']).next().unwrap_or("");
+    format!(
+        "{verb} {path} HTTP/1.1\r\nHost: app.svc\r\nReq-Id: r{id}\r\nReq-Kind: {method}\r\n\
+        Req-Deadline-Ms: 4000\r\n{more}\r\n"
+    )
+}
+
+pub async fn connect(address: SocketAddr) -> TcpStream {
+    TcpStream::connect(address).await.expect("it accepts")
+}
+
+/// Sends bytes on a connection of their own.
+pub async fn send(address: SocketAddr, bytes: impl AsRef<[u8]>) -> TcpStream {
+    let mut stream = connect(address).await;
+    stream.write_all(bytes.as_ref()).await.expect("it reads");
+    stream
+}
+
+/// The same, and reads the answer.
+pub async fn ask(address: SocketAddr, bytes: impl AsRef<[u8]>) -> Message {
+    read(&mut send(address, bytes).await).await.expect("an answer")
+}
+
+/// The status of the answer to a call without a body, at an operators' door say.
+pub async fn told(at: SocketAddr, verb: &str, path: &str) -> u16 {
+    ask(at, format!("{verb} {path} HTTP/1.1\r\nHost: n0\r\n\r\n")).await.status()
+}
+
+pub async fn is_ready(at: SocketAddr) -> bool {
+    told(at, "GET", "/-/ready").await == 200
+}
+
+pub async fn until_ready(at: SocketAddr) {
+    while !is_ready(at).await {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Callers that ask one non-retriable RPC after another on kept connections, for as long as they are told to.
+#[derive(Default)]
+pub struct Load {
+    stop: Cell<bool>,
+    pub answered: Cell<usize>,
+    /// Connections that were closed as an RPC was written to them; it is sent once more, as callers do.
+    pub crossed: Cell<usize>,
+    pub failed: RefCell<Vec<String>>,
+    running: Cell<usize>,
+}
+
+impl Load {
+    pub fn start(callers: usize, at: SocketAddr) -> Rc<Self> {
+        let load = Rc::new(Load { running: Cell::new(callers), ..Load::default() });
+        for _ in 0..callers {
+            let load = Rc::clone(&load);
+            spawn_local(async move {
+                let mut kept: Option<TcpStream> = None;
+                while !load.stop.get() {
+                    kept = load.one(at, kept).await;
+                    tokio::time::sleep(Duration::from_millis(3)).await;
+                }
+                load.running.set(load.running.get() - 1);
+            });
+        }
+        load
+    }
+
+    async fn one(&self, at: SocketAddr, kept: Option<TcpStream>) -> Option<TcpStream> {
+        let fail = |what: String| self.failed.borrow_mut().push(what);
+        let request = rpc("POST", "/pay", "Content-Length: 0\r\n");
+        let again = kept.is_some();
+        let mut stream = match kept {
+            Some(stream) => stream,
+            None => match TcpStream::connect(at).await {
+                Ok(stream) => stream,
+                Err(why) => {
+                    fail(format!("connect: {why}"));
+                    return None;
+                }
+            },
+        };
+        let answer = match stream.write_all(request.as_bytes()).await {
+            Ok(()) => read(&mut stream).await,
+            Err(_) => None,
+        };
+        match answer {
+            Some(answer) if answer.status() == 200 && answer.body == b"whole" => {
+                self.answered.set(self.answered.get() + 1);
+                (!answer.closes()).then_some(stream)
+            }
+            Some(answer) => {
+                fail(answer.head + &String::from_utf8_lossy(&answer.body));
+                None
+            }
+            None if again => {
+                self.crossed.set(self.crossed.get() + 1);
+                None
+            }
+            None => {
+                fail("a fresh connection ended with no whole answer".to_owned());
+                None
+            }
+        }
+    }
+
+    /// Waits for so many more answers.
+    pub async fn more(&self, answers: usize) {
+        let goal = self.answered.get() + answers;
+        until(|| self.answered.get() >= goal || !self.failed.borrow().is_empty()).await;
+    }
+
+    pub async fn end(&self) {
+        self.stop.set(true);
+        until(|| self.running.get() == 0).await;
+        assert!(self.failed.borrow().is_empty(), "{:?}", self.failed.borrow());
+    }
+}
--- /dev/null
+++ b/crates/fernroute-rig/src/http.rs
@@ -0,0 +1,146 @@
+//! As much of HTTP/1.1 as the stand-ins need: messages of stated length on kept connections.
+
+use std::io;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+/// One message: its head as it came, and its body.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub head: String,
+    /// Of a request; empty for an answer.
+    pub target: String,
+    status: u16,
+    headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+    }
+
+    pub fn number<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
+        self.header(name)?.parse().ok()
+    }
+
+    /// Of an answer; 0 for a request.
+    pub fn status(&self) -> u16 {
+        self.status
+    }
+
+    /// Whether the connection ends with this message.
+    pub fn closes(&self) -> bool {
+        self.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"))
+    }
+
+    /// The message as it goes over a connection.
+    pub fn bytes(&self) -> Vec<u8> {
+        [self.head.as_bytes(), &self.body].concat()
+    }
+
+    /// The head that these bytes begin with, and its length; none while it is not whole.
+    fn decode_head(bytes: &[u8]) -> io::Result<Option<(Message, usize)>> {
+        let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut message = Message::default();
+        let wrong = |e: httparse::Error| bad(&e.to_string());
+        let (length, headers) = if bytes.starts_with(b"HTTP/") {
+            let mut parsed = httparse::Response::new(&mut headers);
+            let length = parsed.parse(bytes).map_err(wrong)?;
+            message.status = parsed.code.unwrap_or(0);
+            (length, parsed.headers)
+        } else {
+            let mut parsed = httparse::Request::new(&mut headers);
+            let length = parsed.parse(bytes).map_err(wrong)?;
+            message.target = parsed.path.unwrap_or("").to_owned();
+            (length, parsed.headers)
+        };
+        let httparse::Status::Complete(length) = length else { return Ok(None) };
+        let text =
+            |h: &httparse::Header<'_>| (h.name.to_owned(), String::from_utf8_lossy(h.value).into_owned());
+        message.headers = headers.iter().map(text).collect();
+        message.head = String::from_utf8_lossy(&bytes[..length]).into_owned();
+        Ok(Some((message, length)))
+    }
+
+    fn length(&self) -> usize {
+        self.number("content-length").unwrap_or(0)
+    }
+}
+
+/// A connection and what has come of the next message.
+pub struct Peer {
+    pub stream: TcpStream,
+    heard: Vec<u8>,
+}
+
+const MOST_HEADERS: usize = 32;
+const MOST_BYTES: usize = 1 << 20;
+
+fn bad(why: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, why.to_owned())
+}
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Self {
+        // Only makes it quicker.
+        let _ = stream.set_nodelay(true);
+        Peer { stream, heard: Vec::new() }
+    }
+
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// The next message; none where the connection ends between two.
+    pub async fn read(&mut self) -> io::Result<Option<Message>> {
+        loop {
+            if let Some((message, length)) = take(&self.heard)? {
+                self.heard.drain(..length);
+                return Ok(Some(message));
+            }
+            if self.stream.read_buf(&mut self.heard).await? == 0 {
+                return match self.heard.is_empty() {
+                    true => Ok(None),
+                    false => Err(io::ErrorKind::UnexpectedEof.into()),
+                };
+            }
+        }
+    }
+
+    /// Waits for the other side to close; what it sends meanwhile is kept.
+    pub async fn closed(&mut self) {
+        while self.stream.read_buf(&mut self.heard).await.is_ok_and(|n| n > 0) {}
+    }
+}
+
+/// The whole message that these bytes begin with, and its length; none while it is not whole.
+pub fn take(bytes: &[u8]) -> io::Result<Option<(Message, usize)>> {
+    let Some((mut message, head)) = Message::decode_head(bytes)? else {
+        return if bytes.len() > MOST_BYTES { Err(bad("too long")) } else { Ok(None) };
+    };
+    let length = message.length();
+    if length > MOST_BYTES {
+        return Err(bad("too long"));
+    }
+    let Some(body) = bytes.get(head..head + length) else { return Ok(None) };
+    message.body = body.to_vec();
+    Ok(Some((message, head + length)))
+}
+
+/// Reads one message of any stated length and nothing after it; none where the connection ends or what comes is none.
+pub async fn read(stream: &mut TcpStream) -> Option<Message> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let (mut message, _) = Message::decode_head(&head).ok()??;
+    message.body.resize(message.length(), 0);
+    stream.read_exact(&mut message.body).await.ok()?;
+    Some(message)
+}
+
+/// An answer's bytes.
+pub fn answer(status: u16, headers: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status} .\r\nContent-Length: {}\r\n{headers}\r\n{body}", body.len()).into_bytes()
+}
--- /dev/null
+++ b/crates/fernroute-rig/src/process.rs
@@ -0,0 +1,160 @@
+//! Real processes: started, stopped for a while, killed, started again with a disk of one's choice.
+
+use crate::until;
+use rustix::process::{kill_process, Pid, Signal};
+use std::cell::RefCell;
+use std::fs;
+use std::io::{self, BufRead as _, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// A running program, and all that it has said on standard error.
+pub struct Process {
+    child: RefCell<Child>,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Process {
+    pub fn launch(mut command: Command) -> io::Result<Self> {
+        let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn()?;
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let kept = Arc::clone(&log);
+        if let Some(stderr) = child.stderr.take() {
+            std::thread::spawn(move || {
+                let lines = BufReader::new(stderr).lines().map_while(Result::ok);
+                lines.for_each(|line| kept.lock().unwrap_or_else(PoisonError::into_inner).push(line));
+            });
+        }
+        Ok(Process { child: RefCell::new(child), log })
+    }
+
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub fn says(&self, what: &str) -> bool {
+        self.times(what) > 0
+    }
+
+    /// How many lines say this.
+    pub fn times(&self, what: &str) -> usize {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        log.iter().filter(|line| line.contains(what)).count()
+    }
+
+    /// The address that stands after these words in its log; an error is why it will never be there.
+    pub async fn address_after(&self, what: &str, within: Duration) -> Result<SocketAddr, String> {
+        let of = |line: &String| line.split_once(what)?.1.split(',').next()?.parse().ok();
+        let from = Instant::now();
+        loop {
+            // Looked at before the log is: what it said last is in there, or comes a moment later.
+            let ended = !self.is_running();
+            if let Some(address) = self.log().iter().find_map(of) {
+                return Ok(address);
+            }
+            if ended && from.elapsed() > Duration::from_millis(100) {
+                return Err(format!("it ended before it said \"{what}\": {}", self.log().join("; ")));
+            }
+            if from.elapsed() > within {
+                return Err(format!("it does not say \"{what}\": {}", self.log().join("; ")));
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    pub fn is_running(&self) -> bool {
+        self.child.borrow_mut().try_wait().is_ok_and(|ended| ended.is_none())
+    }
+
+    /// One that has ended by itself gets none.
+    pub fn signal(&self, signal: Signal) {
+        // Asked first: once it has been waited for, its number may be another's.
+        if self.is_running() {
+            if let Some(pid) = Pid::from_raw(self.child.borrow_mut().id() as i32) {
+                let _ = kill_process(pid, signal);
+            }
+        }
+    }
+
+    /// At once, and waits for its end.
+    pub fn kill(&self) {
+        let _ = self.child.borrow_mut().kill();
+        let _ = self.child.borrow_mut().wait();
+    }
+
+    /// Stands still as on a machine that is paused; its connections stay open.
+    pub fn stop(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub fn go_on(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Its code, or none where a signal ended it.
+    pub async fn ends(&self) -> Option<i32> {
+        let mut status = None;
+        until(|| {
+            status = self.child.borrow_mut().try_wait().ok().flatten();
+            status.is_some()
+        })
+        .await;
+        status.and_then(|status| status.code())
+    }
+}
+
+/// A run that fails leaves nothing behind that runs.
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// What a process keeps over its starts: a folder that can be lost, brought back as it once was, or changed for another's.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Disk {
+    pub folder: PathBuf,
+}
+
+impl Disk {
+    pub fn new(folder: PathBuf) -> io::Result<Self> {
+        fs::create_dir_all(&folder)?;
+        Ok(Disk { folder })
+    }
+
+    /// All is lost.
+    pub fn wipe(&self) -> io::Result<()> {
+        fs::remove_dir_all(&self.folder)?;
+        fs::create_dir(&self.folder)
+    }
+
+    /// A copy as it is now, of a process that does not run or stands still.
+    pub fn copy(&self, to: PathBuf) -> io::Result<Disk> {
+        let copy = Disk::new(to)?;
+        copy.become_like(self)?;
+        Ok(copy)
+    }
+
+    /// What is here is replaced by what the other holds: an older copy, or another process's.
+    pub fn become_like(&self, other: &Disk) -> io::Result<()> {
+        self.wipe()?;
+        copy_all(&other.folder, &self.folder)
+    }
+}
+
+fn copy_all(from: &Path, to: &Path) -> io::Result<()> {
+    for entry in fs::read_dir(from)? {
+        let entry = entry?;
+        let to = to.join(entry.file_name());
+        if entry.file_type()?.is_dir() {
+            fs::create_dir(&to)?;
+            copy_all(&entry.path(), &to)?;
+        } else {
+            fs::copy(entry.path(), to)?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/fernroute-rig/src/stand_in.rs
@@ -0,0 +1,136 @@
+//! Stand-ins that follow a script.
+
+use crate::http::{answer, read, Message, Peer};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// What a stand-in does with one message.
+pub enum Deed {
+    Say(Vec<u8>),
+    SayAndClose(Vec<u8>),
+    /// Nothing, and it notes when the other side has closed.
+    Silence,
+}
+
+pub fn ok(body: &str) -> Deed {
+    Deed::Say(answer(200, "", body))
+}
+
+pub fn say(status: &str) -> Deed {
+    Deed::Say(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").into_bytes())
+}
+
+/// A stand-in's address and what it saw.
+pub struct StandIn {
+    pub address: SocketAddr,
+    pub seen: RefCell<Vec<Message>>,
+    pub connections: Cell<usize>,
+    pub left: Cell<usize>,
+}
+
+/// Answers messages as the script says, which is told how many came before.
+pub async fn stand_in(script: impl Fn(usize, &Message) -> Deed + 'static) -> Rc<StandIn> {
+    stand_in_at(SocketAddr::from(([127, 0, 0, 1], 0)), script).await.expect("a port")
+}
+
+/// The same, at an address of one's own.
+pub async fn stand_in_at(
+    at: SocketAddr,
+    script: impl Fn(usize, &Message) -> Deed + 'static,
+) -> io::Result<Rc<StandIn>> {
+    let listener = TcpListener::bind(at).await?;
+    let address = listener.local_addr()?;
+    let this =
+        Rc::new(StandIn { address, seen: RefCell::default(), connections: Cell::new(0), left: Cell::new(0) });
+    let (stand, script) = (Rc::clone(&this), Rc::new(script));
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (stand, script) = (Rc::clone(&stand), Rc::clone(&script));
+            stand.connections.set(stand.connections.get() + 1);
+            spawn_local(async move {
+                while let Some(message) = read(&mut stream).await {
+                    let deed = script(stand.seen.borrow().len(), &message);
+                    stand.seen.borrow_mut().push(message);
+                    match deed {
+                        Deed::Say(bytes) => stream.write_all(&bytes).await.unwrap_or(()),
+                        Deed::SayAndClose(bytes) => return stream.write_all(&bytes).await.unwrap_or(()),
+                        Deed::Silence => {}
+                    }
+                }
+                stand.left.set(stand.left.get() + 1);
+            });
+        }
+    });
+    Ok(this)
+}
+
+/// One upstream of a list, as discovery tells it.
+pub fn entry(id: &str, at: SocketAddr, zone: &str, state: &str) -> String {
+    format!(r#"{{"id":"{id}","addr":"{at}","zone":"{zone}","cell":0,"state":"{state}","started_ms":0}}"#)
+}
+
+/// Discovery that has one list, and says it; a watch waits for the next one.
+pub struct Discovery {
+    pub address: SocketAddr,
+    list: RefCell<(u64, String)>,
+    changed: Notify,
+}
+
+impl Discovery {
+    /// `entries` as in the list's own form, without its brackets.
+    pub async fn start(at: SocketAddr, entries: String) -> io::Result<Rc<Self>> {
+        let listener = TcpListener::bind(at).await?;
+        let (address, list) = (listener.local_addr()?, RefCell::new((1, entries)));
+        let this = Rc::new(Discovery { address, list, changed: Notify::new() });
+        let serving = Rc::clone(&this);
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(Rc::clone(&serving).serve(Peer::new(stream)));
+            }
+        });
+        Ok(this)
+    }
+
+    /// Tells all who wait.
+    pub fn tell(&self, entries: String) {
+        let version = self.list.borrow().0 + 1;
+        self.list.replace((version, entries));
+        self.changed.notify_waiters();
+    }
+
+    async fn serve(self: Rc<Self>, mut peer: Peer) {
+        while let Ok(Some(message)) = peer.read().await {
+            let query = |name: &str| {
+                let text = message.target.split_once('?')?.1;
+                text.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
+            };
+            if let (Some(after), Some(wait)) = (query("index"), query("wait")) {
+                let news = async {
+                    while self.list.borrow().0 <= after {
+                        self.changed.notified().await;
+                    }
+                };
+                // Nothing new is an answer too.
+                let _ = timeout(Duration::from_millis(wait), news).await;
+            }
+            let list = {
+                let (version, entries) = &*self.list.borrow();
+                // What changed since is not kept: the whole list says it too, but only where something did.
+                let news = query("index").is_none_or(|after| after < *version);
+                let entries = if news { entries } else { "" };
+                format!(r#"{{"version":{version},"full":{news},"servers":[{entries}]}}"#)
+            };
+            if peer.write(&answer(200, "", &list)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -293,9 +293,9 @@
             kept.write_all(rpc("GET", "/look", "").as_bytes()).await.expect("it reads");
             assert_eq!(read(&mut kept).await.expect("an answer").status(), 200);
             if n == 0 {
-                program.signal("-TERM");
+                program.term();
                 // Read again or not, it goes on ending.
-                program.signal("-HUP");
+                program.signal(rustix::process::Signal::HUP);
             }
         }
         program.ends_well().await;
@@ -331,7 +331,7 @@
             assert!(new.seen.borrow()[n].head.starts_with(line), "{}", new.seen.borrow()[n].head);
         }
         assert_eq!((body().await, old.connections.get()), (b"two".to_vec(), 1));
-        program.signal("-TERM");
+        program.term();
         program.ends_well().await;
     });
 }
@@ -559,7 +559,7 @@
         assert!(ends.len() > 20 && ends.iter().all(|end| *end == 200), "{ends:?}");
         let seen = [&one, &two].map(|up| up.seen.borrow().iter().filter(|m| m.head.contains("/pay")).count());
         assert_eq!(seen[0] + seen[1], ends.len(), "each once");
-        program.signal("-TERM");
+        program.term();
         program.ends_well().await;
     });
 }
--- a/crates/fernroute-server/tests/upgrade.rs
+++ b/crates/fernroute-server/tests/upgrade.rs
@@ -5,30 +5,17 @@
 #[path = "common/process.rs"]
 mod process;
 
-use common::{ask, ok, page, read, rpc, run, stand_in, until, Deed, StandIn};
+use common::{
+    ask, entry, is_ready, ok, page, read, rpc, run, stand_in, told, until, until_ready, Deed, Load, StandIn,
+};
 use process::{folder, Program};
-use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpSocket, TcpStream, UnixListener, UnixStream};
-
-async fn told(at: SocketAddr, verb: &str, path: &str) -> u16 {
-    ask(at, format!("{verb} {path} HTTP/1.1\r\nHost: n0\r\n\r\n")).await.status()
-}
-
-async fn is_ready(at: SocketAddr) -> bool {
-    told(at, "GET", "/-/ready").await == 200
-}
-
-async fn until_ready(at: SocketAddr) {
-    while !is_ready(at).await {
-        actix_rt::time::sleep(Duration::from_millis(5)).await;
-    }
-}
+use tokio::net::{TcpSocket, UnixListener, UnixStream};
 
 /// Where the processes of a balancer with the tests' file meet.
 fn meeting(folder: &Path) -> PathBuf {
@@ -39,86 +26,6 @@
     stand_in(|_, message| if message.head.contains("/silent") { Deed::Silence } else { ok("whole") }).await
 }
 
-/// Callers that ask one RPC after another on kept connections, for as long as they are told to.
-#[derive(Default)]
-struct Load {
-    stop: Cell<bool>,
-    answered: Cell<usize>,
-    /// Connections that were closed as an RPC was written to them; it is sent once more, as callers do.
-    crossed: Cell<usize>,
-    failed: RefCell<Vec<String>>,
-    running: Cell<usize>,
-}
-
-impl Load {
-    fn start(callers: usize, at: SocketAddr) -> Rc<Self> {
-        let load = Rc::new(Load { running: Cell::new(callers), ..Load::default() });
-        for _ in 0..callers {
-            let load = Rc::clone(&load);
-            actix_rt::spawn(async move {
-                let mut kept: Option<TcpStream> = None;
-                while !load.stop.get() {
-                    kept = load.one(at, kept).await;
-                    actix_rt::time::sleep(Duration::from_millis(3)).await;
-                }
-                load.running.set(load.running.get() - 1);
-            });
-        }
-        load
-    }
-
-    async fn one(&self, at: SocketAddr, kept: Option<TcpStream>) -> Option<TcpStream> {
-        let fail = |what: String| self.failed.borrow_mut().push(what);
-        let request = rpc("POST", "/pay", "Content-Length: 0\r\n");
-        let again = kept.is_some();
-        let mut stream = match kept {
-            Some(stream) => stream,
-            None => match TcpStream::connect(at).await {
-                Ok(stream) => stream,
-                Err(why) => {
-                    fail(format!("connect: {why}"));
-                    return None;
-                }
-            },
-        };
-        let answer = match stream.write_all(request.as_bytes()).await {
-            Ok(()) => read(&mut stream).await,
-            Err(_) => None,
-        };
-        match answer {
-            Some(answer) if answer.status() == 200 && answer.body == b"whole" => {
-                self.answered.set(self.answered.get() + 1);
-                let close = answer.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
-                (!close).then_some(stream)
-            }
-            Some(answer) => {
-                fail(answer.head + &String::from_utf8_lossy(&answer.body));
-                None
-            }
-            None if again => {
-                self.crossed.set(self.crossed.get() + 1);
-                None
-            }
-            None => {
-                fail("a fresh connection ended with no whole answer".to_owned());
-                None
-            }
-        }
-    }
-
-    /// Waits for so many more answers.
-    async fn more(&self, answers: usize) {
-        let goal = self.answered.get() + answers;
-        until(|| self.answered.get() >= goal || !self.failed.borrow().is_empty()).await;
-    }
-
-    async fn end(&self) {
-        self.stop.set(true);
-        until(|| self.running.get() == 0).await;
-        assert!(self.failed.borrow().is_empty(), "{:?}", self.failed.borrow());
-    }
-}
-
 /// Guards against callers refused, reset or unanswered as one process takes over from another, twice in a row; the list
 /// that discovery has not told the new process comes from the old one.
 #[test]
@@ -134,7 +41,7 @@
             let new = Program::start(&folder, &page(&[], dead.address, &[])).await;
             assert_eq!(new.address, old.address);
             until_ready(new.door).await;
-            old.signal("-TERM");
+            old.term();
             load.more(200).await;
             old.ends_well().await;
             assert!(is_ready(new.address).await);
@@ -144,7 +51,7 @@
         load.end().await;
         // Of each caller's connection the one that was idle may be closed as it writes.
         assert!(load.crossed.get() <= 2, "{}", load.crossed.get());
-        old.signal("-TERM");
+        old.term();
         old.ends_well().await;
         assert!(!meeting(&folder).exists());
         std::fs::remove_dir_all(folder).expect("it was there");
@@ -192,7 +99,7 @@
         load.more(50).await;
         let new = Program::start(&folder, &text).await;
         until(|| old.says("a successor serves")).await;
-        new.signal("-KILL");
+        new.kill();
         assert_eq!(new.ends().await, None);
         until(|| old.says("the successor has ended, serving again")).await;
         // What the dead process had taken is lost; who comes now is served.
@@ -256,7 +163,7 @@
         let killed = folder("killed");
         let old = Program::start(&killed, &text).await;
         until(|| meeting(&killed).exists()).await;
-        old.signal("-KILL");
+        old.kill();
         assert_eq!(old.ends().await, None);
         assert!(meeting(&killed).exists());
         let new = Program::start(&killed, &text).await;
@@ -298,9 +205,7 @@
 
 /// Discovery's script: the list with this upstream, once.
 fn lists(up: SocketAddr) -> impl Fn(usize, &common::Message) -> Deed {
-    let list = format!(
-        r#"{{"version":9,"full":true,"servers":[{{"id":"s-0","addr":"{up}","zone":"z","cell":0,"state":"SERVING"}}]}}"#
-    );
+    let list = format!(r#"{{"version":9,"full":true,"servers":[{}]}}"#, entry("s-0", up, "z", "SERVING"));
     move |n, _| if n == 0 { ok(&list) } else { Deed::Silence }
 }
 
@@ -351,7 +256,7 @@
         until(|| new.says("read again")).await;
         assert!(is_ready(new.address).await);
         // Killed in the middle: its file is the new process's by now.
-        old.signal("-KILL");
+        old.kill();
         old.ends().await;
         until(|| new.says("the old process has ended")).await;
         until(|| meeting(&folder).exists()).await;
@@ -359,11 +264,11 @@
         load.more(50).await;
         let last = Program::start(&folder, &text).await;
         until_ready(last.door).await;
-        new.signal("-TERM");
+        new.term();
         load.more(50).await;
         new.ends_well().await;
         load.end().await;
-        last.signal("-TERM");
+        last.term();
         last.ends_well().await;
     });
 }
@@ -388,7 +293,7 @@
         let list_of =
             |discovery| page(&[up.address], discovery, &[("\"listen\":\"127.0.0.1:0\"", listen.as_str())]);
         let old = Program::start(&folder, &list_of(told.address)).await;
-        let new = Program::launch(&folder, &list_of(silent.address), Some(&folder));
+        let new = Program::launch(&folder, &list_of(silent.address), Some(&folder)).await;
         let (mut asked, mut wrong) = (0, Vec::new());
         while !new.says("serving on ") {
             assert!(listeners(address) == 1 || new.says("serving on "), "two queues, and one is served from");
@@ -418,19 +323,19 @@
         let folder = folder("plain");
         let name = format!("\"name\":\"plain-{}\"", std::process::id());
         let text = page(&[up.address], silent.address, &[("\"name\":\"n0\"", name.as_str())]);
-        let old = Program::launch(&folder, &text, None).serving().await;
+        let old = Program::launch(&folder, &text, None).await.serving().await;
         let first = ask(old.address, rpc("GET", "/look", "").replace("4000", "500")).await;
         assert_eq!(first.status(), 200, "{}", first.head);
         assert!(!old.says("starting as if alone"));
         let load = Load::start(8, old.address);
         load.more(100).await;
-        let new = Program::launch(&folder, &text, None).serving().await;
+        let new = Program::launch(&folder, &text, None).await.serving().await;
         assert!(new.says("taking over") && new.address == old.address);
         load.more(100).await;
         old.ends_well().await;
         load.more(100).await;
         load.end().await;
-        new.signal("-TERM");
+        new.term();
         new.ends_well().await;
     });
 }
@@ -445,10 +350,10 @@
         let text = page(&[], silent.address, &[]);
         let old = Program::start(&folder, &text).await;
         until(|| meeting(&folder).exists()).await;
-        let new = Program::launch(&folder, &text, Some(&folder));
+        let new = Program::launch(&folder, &text, Some(&folder)).await;
         until(|| new.says("taking over")).await;
         assert!(!new.says("serving on ") && !is_ready(new.door).await);
-        old.signal("-KILL");
+        old.kill();
         old.ends().await;
         let new = new.serving().await;
         // No upstream is known: that is an answer too.
