make run serves RPCs; the laboratory's real runs stand in a folder

Change: fernroute-lab beside starts a balancer with stand-ins for the upstreams and discovery of its file, on a server of the rig that keeps nothing of what comes; make run uses it. live.rs is a folder: run, balancers, discovery, upstreams, callers, faults; no behaviour changes.

Measured: make run and the README's curl: "served by s-1", SIGINT ends both in order.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,6 @@
 	cargo fmt --all -- --check
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 
-# A balancer on this machine's loopback, before the one upstream that the example names.
+# A balancer on this machine's loopback, with stand-ins for the upstream and the discovery that the example names.
 run: build
-	target/release/fernroute serve --config deploy/example.json
+	target/release/fernroute-lab beside --config deploy/example.json --program "target/release/fernroute serve"
--- /dev/null
+++ b/crates/fernroute-lab/src/beside.rs
@@ -0,0 +1,68 @@
+//! One balancer on this machine with all that it needs beside it: stand-ins for the upstreams and the discovery that
+//! its file names, at the addresses that it names.
+
+use fernroute_rig::http::answer;
+use fernroute_rig::stand_in::{entry, serve, Deed, Discovery};
+use fernroute_server::program::station::Station;
+use std::path::Path;
+use std::process::Command;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+/// Runs until the balancer ends, by itself or because this program is told to; the balancer's exit code.
+pub fn run(config: &Path, program: &[String]) -> Result<u8, String> {
+    let station = Station::read(config)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, async { play(&station, config, program).await })
+}
+
+async fn play(station: &Station, config: &Path, program: &[String]) -> Result<u8, String> {
+    let upstreams = station.known.iter().flat_map(|known| &known.entries);
+    let upstreams = upstreams.filter_map(|upstream| Some((upstream, upstream.address?)));
+    let mut list = Vec::new();
+    for (upstream, at) in upstreams {
+        let id = upstream.id.clone();
+        let said =
+            move |_: &_| Deed::Say(answer(200, "Srv-Load: util=0.10\r\n", &format!("served by {id}\n")));
+        serve(at, said).await.map_err(|e| format!("a stand-in upstream at {at}: {e}"))?;
+        eprintln!("a stand-in upstream, {}, serves on {at}", upstream.id);
+        list.push(entry(&upstream.id, at, &upstream.zone, "SERVING"));
+    }
+    let discovery = Discovery::start(station.discovery, list.join(",")).await;
+    discovery.map_err(|e| format!("a stand-in for discovery at {}: {e}", station.discovery))?;
+    eprintln!("a stand-in for discovery serves on {}", station.discovery);
+    // From here on neither ends this program: the balancer is to answer what it has taken.
+    let trouble = |e| format!("signals: {e}");
+    let mut term = signal(SignalKind::terminate()).map_err(trouble)?;
+    let mut int = signal(SignalKind::interrupt()).map_err(trouble)?;
+    let (word, words) = program.split_first().ok_or("no program is named")?;
+    let mut command = Command::new(word);
+    command.args(words).arg("--config").arg(config);
+    let mut child = command.spawn().map_err(|e| format!("{word}: {e}"))?;
+    let id = rustix::process::Pid::from_raw(child.id() as i32);
+    loop {
+        match child.try_wait() {
+            Ok(None) => {}
+            // Without a code a signal ended it.
+            Ok(Some(status)) => return Ok(status.code().map_or(1, |code| code as u8)),
+            Err(e) => return Err(format!("{word}: {e}")),
+        }
+        let told = async {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+        };
+        tokio::select! {
+            () = told => {
+                // A terminal tells both; twice is as once.
+                let tell = |id| rustix::process::kill_process(id, rustix::process::Signal::TERM);
+                let _ = id.map(tell);
+            }
+            () = sleep(Duration::from_millis(50)) => {}
+        }
+    }
+}
--- a/crates/fernroute-lab/src/lib.rs
+++ b/crates/fernroute-lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! A laboratory for fernroute: fleets of real balancers in virtual time, a referee who judges the rules from what
 //! happened, plain rules to compare with, and experiments over scenarios, variants and seeds.
 
+pub mod beside;
 pub mod books;
 pub mod charts;
 pub mod demand;
--- /dev/null
+++ b/crates/fernroute-lab/src/live/callers.rs
@@ -0,0 +1,163 @@
+//! Callers: requests, their tries, and how each ended.
+
+use super::Lab;
+use crate::demand::Want;
+use crate::scenario::{millis, Effect};
+use crate::trace::{Event, Final};
+use fernroute::Time;
+use fernroute_rig::http::Peer;
+use fernroute_server::routing::clock::{duration, tenths};
+use rand::RngExt as _;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, Instant};
+
+impl Lab {
+    /// One request of a caller, over its tries. `asked` is in the scenario's time.
+    pub(super) async fn request(self: Rc<Self>, number: u64, want: Want, intended: Instant, asked: Time) {
+        let m = &self.scenario.method[want.method];
+        self.books.borrow_mut().offered(asked, want.method, m.gain);
+        let from = tenths(intended - self.start);
+        let hard = from + millis(m.hard_ms);
+        let calls = want.calls.iter().map(u32::to_string).collect::<Vec<_>>().join(",");
+        for n in 0..=self.scenario.load.retries {
+            let count = self.first.borrow().len();
+            let place = if n == 0 { want.balancer } else { self.chance.borrow_mut().random_range(0..count) };
+            let node = self.first.borrow()[place];
+            let rpc: Rc<str> = Rc::from(format!("r{number}.{n}"));
+            if hard <= self.now() + 10 {
+                break;
+            }
+            let asking = self.ask(node, &rpc, want.method, hard, want.work, &calls);
+            let last = match want.leaves {
+                None => asking.await,
+                Some(share) => {
+                    let stays = duration((millis(m.hard_ms) as f64 * share) as Time);
+                    // Dropping the call closes its connection.
+                    timeout(stays, asking).await.unwrap_or(None)
+                }
+            };
+            let now = asked + self.now().saturating_sub(from);
+            match last {
+                Some((Final::Completed, _)) => {
+                    return self.books.borrow_mut().completed(
+                        asked,
+                        now,
+                        want.method,
+                        m.gain,
+                        millis(m.soft_ms),
+                    );
+                }
+                Some((Final::Exhausted, stay_away)) if n < self.scenario.load.retries => {
+                    let backoff = Duration::from_secs_f64(self.scenario.load.backoff_ms / 1000.0);
+                    sleep(stay_away.unwrap_or(backoff)).await;
+                }
+                Some((Final::Exhausted, _)) => return self.books.borrow_mut().exhausted(asked),
+                _ => break,
+            }
+        }
+        self.books.borrow_mut().errored(asked);
+    }
+
+    /// Puts an RPC before a balancer; none where its connection ended without an answer.
+    pub(super) async fn ask(
+        &self,
+        number: usize,
+        rpc: &Rc<str>,
+        method: usize,
+        hard: Time,
+        work: Time,
+        calls: &str,
+    ) -> Option<(Final, Option<Duration>)> {
+        let (node, m) = (self.node(number), &self.scenario.method[method]);
+        let ms = hard.saturating_sub(self.now()) / 10;
+        let (verb, key) = match m.effect {
+            Effect::Retriable => ("GET", String::new()),
+            Effect::Deduped => ("POST", format!("Idempotency-Key: k-{rpc}\r\nContent-Length: 0\r\n")),
+            Effect::NonRetriable => ("POST", "Content-Length: 0\r\n".to_owned()),
+        };
+        let name = &m.name;
+        let bytes = format!(
+            "{verb} /{name} HTTP/1.1\r\nHost: app.svc\r\nReq-Id: {rpc}\r\nReq-Kind: {name}\r\nReq-Deadline-Ms: {ms}\r\n\
+             Lab-Work: {work}\r\nLab-Calls: {calls}\r\n{key}\r\n"
+        );
+        self.books.borrow_mut().ends.arrived += 1;
+        let mut end = Ending { lab: self, rpc, last: None, broke: false };
+        let kept = node.idle.borrow_mut().pop();
+        let mut peer = match kept {
+            Some(peer) => peer,
+            None => {
+                let Ok(stream) = TcpStream::connect(node.address).await else {
+                    end.broke = true;
+                    return None;
+                };
+                Peer::new(stream)
+            }
+        };
+        self.open.borrow_mut().insert(Rc::clone(rpc), (number, 0));
+        self.see(&Event::Arrived {
+            rpc: Rc::clone(rpc),
+            balancer: number,
+            method,
+            hard: self.now() + ms * 10,
+        });
+        let exchange = async {
+            peer.write(bytes.as_bytes()).await.ok()?;
+            peer.read().await.ok()?
+        };
+        // Beyond any answer that could still count: what does not come by then never does.
+        let most = duration(hard.saturating_sub(self.now())) + Duration::from_secs(1);
+        let Ok(Some(message)) = timeout(most, exchange).await else {
+            end.broke = true;
+            return None;
+        };
+        let last = match message.status() {
+            // Served with what no upstream made is not served.
+            200 if message.body == rpc.as_bytes() => Final::Completed,
+            429 | 503 => Final::Exhausted,
+            _ => Final::Errored,
+        };
+        end.last = Some(last);
+        let stay_away = message.number::<f64>("retry-after").filter(|s| s.is_finite() && *s >= 0.0);
+        if !message.closes() && node.alive.get() {
+            node.idle.borrow_mut().push(peer);
+        }
+        Some((last, stay_away.map(Duration::from_secs_f64)))
+    }
+}
+
+/// Notes an RPC's end, also when its caller leaves and the call is dropped.
+struct Ending<'a> {
+    lab: &'a Lab,
+    rpc: &'a Rc<str>,
+    last: Option<Final>,
+    /// The connection ended without an answer.
+    broke: bool,
+}
+
+impl Drop for Ending<'_> {
+    fn drop(&mut self) {
+        let open = self.lab.open.borrow_mut().remove(self.rpc);
+        let ends = &mut self.lab.books.borrow_mut().ends;
+        let rpc = Rc::clone(self.rpc);
+        match self.last {
+            Some(last) => {
+                match last {
+                    Final::Completed => ends.completed += 1,
+                    Final::Exhausted => ends.exhausted += 1,
+                    Final::Errored => ends.errored += 1,
+                }
+                self.lab.see(&Event::Answered { rpc, last });
+            }
+            // The referee finds it unanswered, unless its balancer has died.
+            None if self.broke => ends.lost += 1,
+            None => {
+                ends.abandoned += 1;
+                if open.is_some() {
+                    self.lab.see(&Event::CallerLeft { rpc });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/live/discovery.rs
@@ -0,0 +1,140 @@
+//! Discovery as each balancer meets it: an agent of its own, told late and not all at once.
+
+use super::balancers::Node;
+use super::Lab;
+use crate::scenario::zone_name;
+use crate::trace::{Event, Told};
+use crate::upstream::State;
+use fernroute_rig::http::{answer, Peer};
+use fernroute_server::routing::clock::duration;
+use rand::RngExt as _;
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{sleep, timeout};
+
+/// A discovery agent of one balancer: what it has been told, and who waits.
+pub(super) struct Agent {
+    pub(super) address: SocketAddr,
+    /// Each change with its version; the whole list is the last word on each.
+    pub(super) told: RefCell<Vec<(u64, usize, Told, Value)>>,
+    pub(super) changed: Notify,
+    pub(super) serving: AbortHandle,
+}
+
+impl Lab {
+    pub(super) async fn new_agent(self: &Rc<Self>, node: usize) -> Result<Rc<Agent>, String> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.map_err(|e| format!("discovery: {e}"))?;
+        let address = listener.local_addr().map_err(|e| format!("discovery: {e}"))?;
+        let lab = Rc::clone(self);
+        let serving = spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(Rc::clone(&lab).serve_list(node, Peer::new(stream)));
+            }
+        });
+        let (told, changed) = (RefCell::default(), Notify::new());
+        Ok(Rc::new(Agent { address, told, changed, serving: serving.abort_handle() }))
+    }
+
+    /// Answers one balancer's calls for the list.
+    pub(super) async fn serve_list(self: Rc<Self>, number: usize, mut peer: Peer) {
+        while let Ok(Some(message)) = peer.read().await {
+            let query = |name: &str| {
+                let text = message.target.split_once('?')?.1;
+                text.split('&')
+                    .find_map(|part| part.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
+            };
+            // It may ask before this laboratory has noted that it serves.
+            let known = || self.nodes.borrow().get(number).cloned();
+            while known().is_none() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            let Some(node) = known() else { return };
+            let agent = &node.agent;
+            let after = query("index");
+            let version = || agent.told.borrow().last().map_or(0, |(version, ..)| *version);
+            if let (Some(after), Some(wait)) = (after, query("wait")) {
+                let news = async {
+                    while version() <= after {
+                        agent.changed.notified().await;
+                    }
+                };
+                // Nothing new is an answer too.
+                let _ = timeout(Duration::from_millis(wait), news).await;
+            }
+            while self.now() < self.list_down_until.get() {
+                sleep(duration(self.list_down_until.get() - self.now())).await;
+            }
+            let news: Vec<(u64, usize, Told, Value)> = agent
+                .told
+                .borrow()
+                .iter()
+                .filter(|(v, ..)| after.is_none_or(|after| *v > after))
+                .cloned()
+                .collect();
+            let mut entries: BTreeMap<usize, Value> = BTreeMap::new();
+            if after.is_none() {
+                let stands = self.stands.borrow();
+                for (n, stand) in stands.iter().enumerate() {
+                    if stand.model.borrow().tier == node.tier && stand.model.borrow().state == State::Up {
+                        entries.insert(n, self.entry(n, Told::Ready));
+                    }
+                }
+            }
+            news.iter().for_each(|(_, n, _, entry)| {
+                entries.insert(*n, entry.clone());
+            });
+            let list = json!({"version": version(), "full": after.is_none(),
+                "servers": entries.into_values().collect::<Vec<_>>()});
+            for (_, upstream, told, _) in news {
+                self.see(&Event::Heard { balancer: number, upstream, told });
+            }
+            if peer.write(&answer(200, "", &list.to_string())).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    pub(super) fn entry(&self, upstream: usize, told: Told) -> Value {
+        let stand = self.stand(upstream);
+        let model = stand.model.borrow();
+        let state = match told {
+            Told::Ready => "SERVING",
+            Told::Drains => "DRAINING",
+            Told::Gone => "DELETED",
+        };
+        let started = if model.cold { self.unix_ms + model.started / 10 } else { 0 };
+        json!({"id": &*model.name, "addr": stand.address.get(), "zone": zone_name(model.zone),
+            "cell": model.cell.to_string(), "state": state, "started_ms": started})
+    }
+
+    pub(super) fn announce(self: &Rc<Self>, upstream: usize, told: Told, late_ms: f64) {
+        let (tier, life) = {
+            let stand = self.stand(upstream);
+            let model = stand.model.borrow();
+            (model.tier, model.life)
+        };
+        let nodes: Vec<Rc<Node>> = self.nodes.borrow().iter().filter(|n| n.tier == tier).cloned().collect();
+        for node in nodes.into_iter().filter(|n| n.alive.get()) {
+            let spread = self.scenario.discovery.spread_ms * self.chance.borrow_mut().random::<f64>();
+            let lab = Rc::clone(self);
+            spawn_local(async move {
+                sleep(Duration::from_secs_f64((late_ms + spread) / 1000.0)).await;
+                // What is overtaken by a later start or end is not told any more.
+                if lab.stand(upstream).model.borrow().life == life {
+                    let entry = lab.entry(upstream, told);
+                    let mut all = node.agent.told.borrow_mut();
+                    let version = all.last().map_or(0, |(version, ..)| *version) + 1;
+                    all.push((version, upstream, told, entry));
+                    node.agent.changed.notify_waiters();
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/live/faults.rs
@@ -0,0 +1,145 @@
+//! The faults of a scenario, as they come due.
+
+use super::Lab;
+use crate::demand::{victims, LINGER};
+use crate::scenario::{seconds, Fault, Kind};
+use crate::trace::Told;
+use crate::upstream::{Affliction, State};
+use fernroute::Time;
+use fernroute_server::routing::clock::duration;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until};
+
+impl Lab {
+    pub(super) async fn fault(self: Rc<Self>, i: usize, fault: &Fault, from: Time) {
+        let at = |s: f64| self.start + duration(from + seconds(s));
+        sleep_until(at(fault.at_s)).await;
+        let tier = self.scenario.tier_of(fault);
+        let d = &self.scenario.discovery;
+        let up = |n: &usize| {
+            let stand = self.stand(*n);
+            let model = stand.model.borrow();
+            model.tier == tier && model.state == State::Up
+        };
+        let all = (0..self.stands.borrow().len()).filter(up);
+        let all = all.map(|n| (n, self.stand(n).model.borrow().zone)).collect();
+        let all = victims(fault, i, self.seed, all);
+        for n in &all {
+            let afflict = |a| {
+                self.stand(*n).model.borrow_mut().afflicted.insert(i, a);
+            };
+            match fault.kind {
+                Kind::Crash => {
+                    self.die(*n, State::Dead);
+                    self.announce(*n, Told::Gone, d.late_ms);
+                }
+                Kind::Vanish | Kind::ZoneLoss => {
+                    self.die(*n, State::Silent);
+                    self.announce(*n, Told::Gone, d.gone_late_ms);
+                }
+                Kind::Drain => {
+                    self.stand(*n).model.borrow_mut().state = State::Draining;
+                    self.announce(*n, Told::Drains, d.late_ms);
+                }
+                Kind::Slow => afflict(Affliction::Slow(fault.size)),
+                Kind::FastErrors => afflict(Affliction::Errors(fault.size)),
+                Kind::Hang => afflict(Affliction::Hang),
+                _ => {}
+            }
+        }
+        match fault.kind {
+            Kind::ReportsLate => drop(self.reports_late.borrow_mut().insert(i, seconds(fault.size))),
+            Kind::ListDown => {
+                let until = from + seconds(fault.at_s + fault.for_s);
+                self.list_down_until.set(self.list_down_until.get().max(until));
+            }
+            _ => {}
+        }
+        let end = fault.at_s + fault.for_s;
+        match fault.kind {
+            Kind::Replace => {
+                let apart = fault.for_s / all.len().max(1) as f64;
+                for (n, old) in all.iter().enumerate() {
+                    sleep_until(at(fault.at_s + apart * n as f64)).await;
+                    let (tier, zone, cell, state) = {
+                        let stand = self.stand(*old);
+                        let model = stand.model.borrow();
+                        (model.tier, model.zone, model.cell, model.state)
+                    };
+                    if state != State::Up {
+                        continue;
+                    }
+                    self.stand(*old).model.borrow_mut().state = State::Draining;
+                    self.announce(*old, Told::Drains, d.late_ms);
+                    let (lab, old, late) = (Rc::clone(&self), *old, d.late_ms);
+                    spawn_local(async move {
+                        sleep(Duration::from_secs_f64(late / 1000.0 + LINGER)).await;
+                        lab.die(old, State::Dead);
+                        lab.announce(old, Told::Gone, late);
+                    });
+                    let new = match self.new_stand(tier, zone, cell).await {
+                        Ok(new) => self.new_balancer_of(new).await.map(|()| new),
+                        Err(why) => Err(why),
+                    };
+                    match new {
+                        Ok(new) => self.announce(new, Told::Ready, d.late_ms),
+                        Err(why) => drop(self.trouble.replace(Some(why))),
+                    }
+                }
+            }
+            Kind::Flap => {
+                for n in 0..(fault.for_s / fault.every_s).ceil() as usize {
+                    sleep_until(at(fault.at_s + fault.every_s * n as f64)).await;
+                    for u in &all {
+                        let state = self.stand(*u).model.borrow().state;
+                        if n.is_multiple_of(2) && state.serves() {
+                            self.die(*u, State::Dead);
+                            self.announce(*u, Told::Gone, d.late_ms);
+                        } else if !n.is_multiple_of(2) && state == State::Dead {
+                            self.revive(*u).await;
+                        }
+                    }
+                }
+            }
+            Kind::Pauses => {
+                for n in 0..(fault.for_s / fault.every_s).ceil() as usize {
+                    sleep_until(at(fault.at_s + fault.every_s * n as f64)).await;
+                    let until = self.now() + seconds(fault.size);
+                    all.iter().for_each(|u| self.stand(*u).model.borrow_mut().paused_until = until);
+                }
+            }
+            Kind::BalancerRestart => {
+                let count = self.first.borrow().len();
+                for n in 0..count {
+                    sleep_until(at(fault.at_s + fault.for_s * n as f64 / count as f64)).await;
+                    let old = self.first.borrow()[n];
+                    let zone = self.node(old).zone;
+                    self.balancer_dies(old);
+                    match self.new_node(0, n, zone).await {
+                        Ok(node) => self.first.borrow_mut()[n] = node,
+                        Err(why) => drop(self.trouble.replace(Some(why))),
+                    }
+                }
+            }
+            _ => {}
+        }
+        sleep_until(at(end)).await;
+        self.reports_late.borrow_mut().remove(&i);
+        for n in all {
+            self.stand(n).model.borrow_mut().afflicted.remove(&i);
+            let state = self.stand(n).model.borrow().state;
+            match fault.kind {
+                Kind::Crash | Kind::Vanish | Kind::ZoneLoss | Kind::Flap if !state.serves() => {
+                    self.revive(n).await;
+                }
+                Kind::Drain if state == State::Draining => {
+                    self.stand(n).model.borrow_mut().state = State::Up;
+                    self.announce(n, Told::Ready, d.late_ms);
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- a/crates/fernroute-lab/src/main.rs
+++ b/crates/fernroute-lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The program `fernroute-lab`.
 
 use argh::FromArgs;
+use fernroute_lab::beside;
 use fernroute_lab::books::Books;
 use fernroute_lab::experiment::{self, Experiment};
 use fernroute_lab::live;
@@ -29,6 +30,7 @@
     Experiment(Compare),
     Live(Live),
     Balancer(RealOne),
+    Beside(Beside),
 }
 
 /// Read scenarios and say whether they will do.
@@ -98,6 +100,18 @@
     config: String,
 }
 
+/// Start a balancer, and beside it stand-ins for the upstreams and the discovery that its file names; until Ctrl-C.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "beside")]
+struct Beside {
+    /// file that tells the balancer its place and terms
+    #[argh(option)]
+    config: PathBuf,
+    /// words that start a balancer, but for --config FILE (default: this program's own)
+    #[argh(option)]
+    program: Option<String>,
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let line: Line = match commands::parse(NAME, &arguments) {
@@ -130,6 +144,12 @@
             Ok(code) => return ExitCode::from(code),
             Err(why) => Err(why),
         },
+        Command::Beside(one) => {
+            match balancer_words(one.program.as_deref()).and_then(|words| beside::run(&one.config, &words)) {
+                Ok(code) => return ExitCode::from(code),
+                Err(why) => Err(why),
+            }
+        }
         Command::Balancer(one) => {
             let words = ["fernroute", "serve", "--config", &one.config];
             return commands::run(words.map(str::to_owned).to_vec());
@@ -176,14 +196,19 @@
     }
 }
 
+/// What starts a balancer: these words, or this program's own.
+fn balancer_words(named: Option<&str>) -> Result<Vec<String>, String> {
+    if let Some(words) = named {
+        return Ok(words.split_whitespace().map(str::to_owned).collect());
+    }
+    let own = std::env::current_exe().map_err(|e| format!("this program does not know its place: {e}"))?;
+    Ok(vec![own.display().to_string(), "balancer".to_owned()])
+}
+
 /// The exit code.
 fn play_live(one: &Live) -> Result<u8, String> {
     let scenario = Scenario::read(&one.scenario)?;
-    let own = || std::env::current_exe().map(|path| vec![path.display().to_string(), "balancer".to_owned()]);
-    let program = match &one.program {
-        Some(words) => words.split_whitespace().map(str::to_owned).collect(),
-        None => own().map_err(|e| format!("this program does not know its place: {e}"))?,
-    };
+    let program = balancer_words(one.program.as_deref())?;
     let folder = one
         .keep
         .clone()
--- a/crates/fernroute-rig/src/stand_in.rs
+++ b/crates/fernroute-rig/src/stand_in.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt as _;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -38,38 +38,50 @@
 
 /// Answers messages as the script says, which is told how many came before.
 pub async fn stand_in(script: impl Fn(usize, &Message) -> Deed + 'static) -> Rc<StandIn> {
-    stand_in_at(SocketAddr::from(([127, 0, 0, 1], 0)), script).await.expect("a port")
-}
-
-/// The same, at an address of one's own.
-pub async fn stand_in_at(
-    at: SocketAddr,
-    script: impl Fn(usize, &Message) -> Deed + 'static,
-) -> io::Result<Rc<StandIn>> {
-    let listener = TcpListener::bind(at).await?;
-    let address = listener.local_addr()?;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
     let this =
         Rc::new(StandIn { address, seen: RefCell::default(), connections: Cell::new(0), left: Cell::new(0) });
     let (stand, script) = (Rc::clone(&this), Rc::new(script));
     spawn_local(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
+        while let Ok((stream, _)) = listener.accept().await {
             let (stand, script) = (Rc::clone(&stand), Rc::clone(&script));
             stand.connections.set(stand.connections.get() + 1);
             spawn_local(async move {
-                while let Some(message) = read(&mut stream).await {
+                let answer = |message: Message| {
                     let deed = script(stand.seen.borrow().len(), &message);
                     stand.seen.borrow_mut().push(message);
-                    match deed {
-                        Deed::Say(bytes) => stream.write_all(&bytes).await.unwrap_or(()),
-                        Deed::SayAndClose(bytes) => return stream.write_all(&bytes).await.unwrap_or(()),
-                        Deed::Silence => {}
-                    }
-                }
+                    deed
+                };
+                answer_all(stream, answer).await;
                 stand.left.set(stand.left.get() + 1);
             });
         }
     });
-    Ok(this)
+    this
+}
+
+/// The same at an address, or at port 0 of one's own choice; nothing is kept of what came.
+pub async fn serve(at: SocketAddr, script: impl Fn(&Message) -> Deed + 'static) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(at).await?;
+    let (address, script) = (listener.local_addr()?, Rc::new(script));
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let script = Rc::clone(&script);
+            spawn_local(async move { answer_all(stream, |message| script(&message)).await });
+        }
+    });
+    Ok(address)
+}
+
+async fn answer_all(mut stream: TcpStream, mut script: impl FnMut(Message) -> Deed) {
+    while let Some(message) = read(&mut stream).await {
+        match script(message) {
+            Deed::Say(bytes) => stream.write_all(&bytes).await.unwrap_or(()),
+            Deed::SayAndClose(bytes) => return stream.write_all(&bytes).await.unwrap_or(()),
+            Deed::Silence => {}
+        }
+    }
 }
 
 /// One upstream of a list, as discovery tells it.
