The decisions of a fleet: ledger, leases, division, members; schedules that try to break them

Need: a balancer divides budgets by a number in its file. What all spend together has to stay within the whole while balancers, the ledger's processes and the network between them fail.

Change: the crate fernroute-fleet, no I/O, no clock. The ledger counts the most that each member may hold and refuses any step beyond the whole; the leader knows of whom it heard by its own clock; a member counts leases from when it asked; division is max-min fair with floors. docs/fleet.md has the design and the argument.

Found on the way: three processes of one balancer at once shared what two may (none is handed over while two share).

--- /dev/null
+++ b/crates/fernroute-fleet/src/leader.rs
@@ -0,0 +1,248 @@
+//! What only the leader of the ledger's processes knows, and decides: when it heard of whom by its own clock, what each
+//! asked for, and what to enter next. It is made anew with each leadership, and then knows nothing: it takes every member
+//! for heard of at that moment, since the leader before it may have answered until then.
+//!
+//! The caller answers a beat with [`Leader::answer`] only once it is certain that it still led after the beat came, and
+//! has applied all that was entered before: a leader that is none any more must promise nothing.
+
+use crate::division::{fair, is_due};
+use crate::lease::Lease;
+use crate::ledger::{Budget, Entry, Holder, Ledger, Step};
+use crate::message::{Answer, Beat, Grant, Refusal};
+use crate::{Identity, Shares, Units};
+use fernroute::Time;
+use std::collections::BTreeMap;
+
+/// A name longer than this is none that a person gave.
+const MOST_NAME: usize = 64;
+
+/// What the leader knows of one member.
+#[derive(Clone, Debug)]
+struct Known {
+    /// The last beat, by this leader's clock; its leadership's begin before there was one.
+    heard: Time,
+    /// What the last beat asked for; none before there was one.
+    wants: Option<Shares>,
+    /// The epoch that it goes by.
+    epoch: u64,
+    leaves: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Leader {
+    shares: Lease,
+    floors: Lease,
+    /// Members at the most, so that all their floors fit into each whole.
+    most: usize,
+    begun: Time,
+    /// Members and those who would be; emptied as they go, and of those who would be as they are not heard of.
+    known: BTreeMap<Identity, (String, Known)>,
+    /// What is being entered, until it is known to be applied, or never to be.
+    entering: Option<Step>,
+}
+
+impl Leader {
+    pub fn new(now: Time, ledger: &Ledger, shares: Lease, floors: Lease, most: usize) -> Self {
+        let known = |(identity, holder): (&Identity, &Holder)| {
+            let known = Known { heard: now, wants: None, epoch: 0, leaves: false };
+            (*identity, (holder.name.clone(), known))
+        };
+        let known = ledger.holders().iter().map(known).collect();
+        Leader { shares, floors, most, begun: now, known, entering: None }
+    }
+
+    /// Notes a beat. An error is an answer, too.
+    pub fn hear(&mut self, now: Time, beat: &Beat, ledger: &Ledger) -> Result<(), Refusal> {
+        if beat.name.is_empty() || beat.name.len() > MOST_NAME {
+            return Err(Refusal::BadName);
+        }
+        if !ledger.holders().contains_key(&beat.identity) {
+            if beat.leaves {
+                return Ok(());
+            }
+            let other = |(identity, (name, _)): (&Identity, &(String, Known))| {
+                *identity != beat.identity && *name == beat.name
+            };
+            if self.known.iter().any(other) {
+                return Err(Refusal::NameTaken);
+            }
+            if self.known.len() >= self.most && !self.known.contains_key(&beat.identity) {
+                return Err(Refusal::Full);
+            }
+        }
+        let new = Known { heard: now, wants: None, epoch: 0, leaves: false };
+        let (_, known) = self.known.entry(beat.identity).or_insert_with(|| (beat.name.clone(), new));
+        // One that says it leaves never comes again: what still comes is late.
+        if !known.leaves {
+            known.heard = now;
+            known.wants = Some(beat.wants.clone());
+            known.epoch = known.epoch.max(beat.epoch);
+            known.leaves = beat.leaves;
+        }
+        Ok(())
+    }
+
+    /// What the member of this beat may be told now.
+    pub fn answer(&self, beat: &Beat, ledger: &Ledger) -> Result<Answer, Refusal> {
+        let holder = ledger.holders().get(&beat.identity).ok_or(Refusal::Later)?;
+        // Guards against a promise to a member whose lapse is being entered.
+        let ends = |step: &Step| step.lapsed.contains(&beat.identity) || step.gone.contains(&beat.identity);
+        if beat.leaves || self.entering.as_ref().is_some_and(ends) {
+            return Err(Refusal::Later);
+        }
+        let (shares_for, floors_for) = (self.shares.length, self.floors.length);
+        Ok(Answer {
+            identity: beat.identity,
+            number: beat.number,
+            grant: holder.latest().clone(),
+            shares_for,
+            floors_for,
+        })
+    }
+
+    /// What is to be entered now, if anything. Until [`Leader::entered`] is called there is nothing more.
+    pub fn due(&mut self, now: Time, ledger: &Ledger) -> Option<Step> {
+        if self.entering.is_some() {
+            return None;
+        }
+        self.forget(now, ledger);
+        let mut step = Step { base: ledger.epoch(), ..Step::default() };
+        for (identity, (name, known)) in &self.known {
+            let Some(holder) = ledger.holders().get(identity) else {
+                step.joins.push((*identity, name.clone()));
+                continue;
+            };
+            let silent = now.saturating_sub(known.heard);
+            if known.leaves || silent > self.floors.lapse() {
+                step.gone.push(*identity);
+            } else if holder.offered.as_ref().is_some_and(|offered| offered.epoch == known.epoch) {
+                step.accepted.push((*identity, known.epoch));
+            } else if silent > self.shares.lapse() && holds_shares(holder) {
+                step.lapsed.push(*identity);
+            }
+        }
+        // What the members would hold after that is divided.
+        let mut after = ledger.clone();
+        let entry = Entry::Step(step.clone());
+        if !step.is_empty() && after.apply(&entry).is_err() {
+            return None;
+        }
+        step.offers = self.divide(now, &after);
+        if step.is_empty() {
+            return None;
+        }
+        self.entering = Some(step.clone());
+        Some(step)
+    }
+
+    /// The step has been applied, or refused, or will never be: the ledger says which.
+    pub fn entered(&mut self) {
+        self.entering = None;
+    }
+
+    /// Who would be a member and is not heard of any more, and members that the ledger has let go.
+    fn forget(&mut self, now: Time, ledger: &Ledger) {
+        let (begun, lapse) = (self.begun, self.shares.lapse());
+        self.known.retain(|identity, (_, known)| {
+            let member = ledger.holders().contains_key(identity);
+            member || !known.leaves && now.saturating_sub(known.heard.max(begun)) <= lapse
+        });
+        for (identity, holder) in ledger.holders() {
+            let new = Known { heard: now, wants: None, epoch: 0, leaves: false };
+            self.known.entry(*identity).or_insert_with(|| (holder.name.clone(), new));
+        }
+    }
+
+    /// Offers to those whose share is to be another. Who is offered less frees it by accepting; what is free is offered
+    /// to who is short, so it takes two rounds.
+    fn divide(&self, now: Time, ledger: &Ledger) -> BTreeMap<Identity, (Shares, Shares)> {
+        let mut offers: BTreeMap<Identity, (Shares, Shares)> = BTreeMap::new();
+        // A budget that is no more is not offered any more.
+        let gone = |grant: &Grant| {
+            let mut names = grant.floors.keys().chain(grant.shares.keys());
+            names.any(|name| !ledger.budgets().contains_key(name))
+        };
+        for (identity, holder) in ledger.holders() {
+            if holder.offered.is_none() && gone(&holder.accepted) {
+                let kept = |of: &Shares| {
+                    let kept = of.iter().filter(|(name, _)| ledger.budgets().contains_key(*name));
+                    kept.map(|(name, amount)| (name.clone(), *amount)).collect()
+                };
+                offers.insert(*identity, (kept(&holder.accepted.floors), kept(&holder.accepted.shares)));
+            }
+        }
+        for (name, budget) in ledger.budgets() {
+            for (identity, floor, share) in self.divide_one(now, ledger, name, budget) {
+                let offer = offers.entry(identity).or_insert_with(|| {
+                    let latest = ledger.holders().get(&identity).map(|holder| holder.latest().clone());
+                    let latest = latest.unwrap_or_default();
+                    (latest.floors, latest.shares)
+                });
+                offer.0.insert(name.clone(), floor);
+                offer.1.insert(name.clone(), share);
+            }
+        }
+        offers
+    }
+
+    /// Floors and shares of one budget that are to be others than they are.
+    fn divide_one(
+        &self,
+        now: Time,
+        ledger: &Ledger,
+        name: &str,
+        budget: &Budget,
+    ) -> Vec<(Identity, Units, Units)> {
+        let amount = |shares: &Shares| shares.get(name).copied().unwrap_or(0);
+        let all: Vec<(&Identity, &Holder)> = ledger.holders().iter().collect();
+        let floors = budget.floor.saturating_mul(all.len() as Units).min(budget.whole);
+        let floor = floors / (all.len().max(1) as Units);
+        // Who is silent for longer than a share may be held gets none until it is heard of again. Of whom a new leader
+        // has not heard yet it is known only what it has.
+        let reached = |identity: &Identity| {
+            let known = self.known.get(identity).map(|(_, known)| known);
+            known.filter(|known| !known.leaves && now.saturating_sub(known.heard) <= self.shares.lapse())
+        };
+        let shared: Vec<(&Identity, &Holder)> =
+            all.iter().copied().filter(|(identity, _)| reached(identity).is_some()).collect();
+        let has: Vec<Units> = shared.iter().map(|(_, holder)| amount(&holder.latest().shares)).collect();
+        let wants = shared.iter().zip(&has).map(|((identity, _), has)| {
+            let wants = reached(identity).and_then(|known| known.wants.as_ref());
+            wants.map_or(*has, |wants| amount(wants).min(budget.whole).saturating_sub(floor))
+        });
+        let wants: Vec<Units> = wants.collect();
+        let rest = budget.whole - floor * all.len() as Units;
+        let fair = fair(rest, &wants);
+        let divided = is_due(rest, &wants, &has, &fair);
+        let mut free = budget.whole.saturating_sub(ledger.held(name));
+        /// Less than this part of what is missing waits until more is free.
+        const FEW: Units = 8;
+        let mut offers = Vec::new();
+        for (n, (identity, holder)) in shared.iter().enumerate() {
+            let has_floor = amount(&holder.latest().floors);
+            if holder.offered.is_some() || !divided && has_floor == floor {
+                continue;
+            }
+            let share = if divided { fair[n] } else { has[n] };
+            // More only as far as it is free; what is less is free once it is accepted.
+            let more = (floor + share).saturating_sub(holder.holds(name));
+            let short = more.saturating_sub(free);
+            // Guards against a step for each crumb that is free.
+            if short > 0 && (more - short) * FEW < more {
+                continue;
+            }
+            let (floor, share) =
+                (floor.saturating_sub(short.saturating_sub(share)), share.saturating_sub(short));
+            free -= (floor + share).saturating_sub(holder.holds(name)).min(free);
+            if (floor, share) != (has_floor, has[n]) {
+                offers.push((**identity, floor, share));
+            }
+        }
+        offers
+    }
+}
+
+fn holds_shares(holder: &Holder) -> bool {
+    let any = |grant: &Grant| grant.shares.values().any(|share| *share > 0);
+    any(&holder.accepted) || holder.offered.as_ref().is_some_and(any)
+}
--- /dev/null
+++ b/crates/fernroute-fleet/src/lib.rs
@@ -0,0 +1,29 @@
+//! The decisions of a fleet: who may spend how much of what all balancers share. No I/O and no clock: time is passed in,
+//! in tenths of a millisecond of the caller's own clock, which counts while its process stands still.
+//!
+//! - [`ledger`]: what is replicated: who is a member, and what each may hold at the most. It refuses whatever would let
+//!   all together hold more than the whole, whoever asks for it.
+//! - [`leader`]: what only the leader of the ledger's processes knows: when it heard of whom, and what each asked for.
+//!   It decides what to enter next, and what a member is told.
+//! - [`member`]: a balancer's side: what it holds, and until when.
+//! - [`division`]: who should get how much. [`lease`]: how long who believes what. [`message`]: what they say.
+//!
+//! The argument why budgets never sum to more than the whole stands in `docs/fleet.md`.
+
+pub mod division;
+pub mod leader;
+pub mod lease;
+pub mod ledger;
+pub mod member;
+pub mod message;
+
+use std::collections::BTreeMap;
+
+/// Thousandths of a budget's unit: whole numbers, so that sums are exact.
+pub type Units = u64;
+
+/// Amounts by the name of the budget; one that is not named is none.
+pub type Shares = BTreeMap<String, Units>;
+
+/// Tells members apart: drawn at random by each, and kept for as long as it is the same balancer.
+pub type Identity = u64;
--- /dev/null
+++ b/crates/fernroute-fleet/src/message.rs
@@ -0,0 +1,57 @@
+//! What members and the leader say to each other, whatever carries it. Fields that are not known are passed over.
+
+use crate::{Identity, Shares};
+use fernroute::Time;
+use serde::{Deserialize, Serialize};
+
+/// A member says that it is there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    pub name: String,
+    pub identity: Identity,
+    /// Counts up; the answer to it says it again.
+    pub number: u64,
+    /// Of the grant that it goes by: it never goes by an older one again.
+    pub epoch: u64,
+    /// What it could use of each budget, a second.
+    pub wants: Shares,
+    /// It spends nothing any more, and comes no more.
+    #[serde(default)]
+    pub leaves: bool,
+}
+
+/// What a member may hold, as of one epoch of the ledger.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    pub epoch: u64,
+    /// Held for the long lease.
+    pub floors: Shares,
+    /// Held beside the floors for the short one.
+    pub shares: Shares,
+}
+
+/// The leader's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    pub identity: Identity,
+    /// The number of the beat that it answers.
+    pub number: u64,
+    pub grant: Grant,
+    /// For how long the grant's two parts hold, from when the beat left, by the member's clock.
+    pub shares_for: Time,
+    pub floors_for: Time,
+}
+
+/// Why a beat gets no grant.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// Another member has this name, and may still hold something.
+    NameTaken,
+    /// As many members as the ledger may have are there.
+    Full,
+    /// What is being entered now concerns this member: it is told again shortly.
+    Later,
+    /// Longer than a name may be, or empty.
+    BadName,
+}
--- /dev/null
+++ b/crates/fernroute-fleet/tests/world/mod.rs
@@ -0,0 +1,400 @@
+//! A fleet in virtual time: processes with clocks of their own, a network that loses, doubles and overtakes, leaders that
+//! come and go. Consensus is taken for granted: one log, and only the last elected leader enters anything.
+
+// Each file of tests uses a part of this.
+#![allow(dead_code)]
+
+use fernroute::Time;
+use fernroute_fleet::leader::Leader;
+use fernroute_fleet::lease::Lease;
+use fernroute_fleet::ledger::{Budget, Entry, Holder, Ledger, Step};
+use fernroute_fleet::member::{Heard, Member};
+use fernroute_fleet::message::{Answer, Beat, Refusal};
+use fernroute_fleet::{Identity, Shares, Units};
+use std::collections::BTreeMap;
+
+pub const BUDGET: &str = "acme";
+pub const WHOLE: Units = 1200;
+pub const FLOOR: Units = 50;
+pub const MOST: usize = 8;
+/// A thousandth either way: much, so that a wrong bound shows.
+pub const DRIFT: u32 = 1000;
+pub const SHARES: Lease = Lease { length: 15_000, drift: DRIFT };
+pub const FLOORS: Lease = Lease { length: 60_000, drift: DRIFT };
+
+/// A version that is broken on purpose; each must be caught.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    None,
+    RegrantsBeforeTheLapse,
+    LetsAFloorOutTwice,
+    ForgetsTheOldProcess,
+    TrustsAnOlderEpoch,
+    AppliesAReplay,
+    AnswersWithoutLeading,
+    HandsOverAllTwice,
+    TakesAnOfferForAccepted,
+    CountsFromTheAnswer,
+}
+
+/// A clock that is off by up to `DRIFT` millionths, read in whole ticks.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    off: i64,
+    begun: Time,
+}
+
+impl Clock {
+    pub fn new(off: i64, begun: Time) -> Self {
+        Clock { off: off.clamp(-i64::from(DRIFT), i64::from(DRIFT)), begun }
+    }
+
+    fn read(&self, now: Time) -> Time {
+        self.begun + (i128::from(now) * i128::from(1_000_000 + self.off) / 1_000_000) as Time
+    }
+}
+
+pub struct Process {
+    pub member: Member,
+    pub name: String,
+    pub clock: Clock,
+    pub wants: Units,
+    /// Stopped processes hear and say nothing; what they hold they may spend once they go on.
+    pub stopped: bool,
+    /// Handed over to the process of this number: it sends no beat any more.
+    pub successor: Option<usize>,
+}
+
+/// A steward that leads, or led.
+struct Led {
+    leader: Leader,
+    clock: Clock,
+    /// The ledger as it knows it: the log's while it leads.
+    ledger: Ledger,
+    /// Beats that it heard and has not answered; whether it has made sure since that it leads.
+    heard: Vec<(Beat, bool)>,
+    entering: Option<Step>,
+}
+
+#[derive(Clone, Debug)]
+pub enum Packet {
+    Beat(Beat),
+    Answer(Answer),
+}
+
+pub struct World {
+    pub flaw: Flaw,
+    pub now: Time,
+    pub ledger: Ledger,
+    leaders: Vec<Led>,
+    /// By number; none once it has ended.
+    pub processes: Vec<Option<Process>>,
+    pub network: Vec<Packet>,
+    identities: u64,
+    /// What was granted and ever went wrong with it.
+    pub refusals: Vec<Refusal>,
+}
+
+pub fn whole(amount: Units) -> BTreeMap<String, Budget> {
+    BTreeMap::from([(BUDGET.to_owned(), Budget { whole: amount, floor: FLOOR })])
+}
+
+impl World {
+    pub fn new(flaw: Flaw) -> Self {
+        let mut ledger = Ledger::default();
+        ledger.apply(&Entry::Budgets(whole(WHOLE))).expect("budgets are taken");
+        let mut world = World {
+            flaw,
+            now: 1_000_000,
+            ledger,
+            leaders: Vec::new(),
+            processes: Vec::new(),
+            network: Vec::new(),
+            identities: 100,
+            refusals: Vec::new(),
+        };
+        world.elect(0);
+        world
+    }
+
+    // ------------------------------------------------------------------------------------------- what happens
+
+    pub fn pass(&mut self, time: Time) {
+        self.now += time;
+    }
+
+    /// A new leader. The one before does not know yet that it is none any more.
+    pub fn elect(&mut self, off: i64) {
+        if let Some(last) = self.leaders.last_mut() {
+            last.ledger = self.ledger.clone();
+        }
+        let clock = Clock::new(off, 77);
+        let early = |lease: Lease| Lease { length: lease.length / 3, ..lease };
+        let shares = if self.flaw == Flaw::RegrantsBeforeTheLapse { early(SHARES) } else { SHARES };
+        let floors = if self.flaw == Flaw::LetsAFloorOutTwice { early(FLOORS) } else { FLOORS };
+        let leader = Leader::new(clock.read(self.now), &self.ledger, shares, floors, MOST);
+        let ledger = self.ledger.clone();
+        self.leaders.push(Led { leader, clock, ledger, heard: Vec::new(), entering: None });
+    }
+
+    pub fn leaders(&self) -> usize {
+        self.leaders.len()
+    }
+
+    pub fn whole_is(&mut self, amount: Units) {
+        self.ledger.apply(&Entry::Budgets(whole(amount))).expect("budgets are taken");
+    }
+
+    /// A new process; under an identity that it found where the process before it, which has ended, left it, or a new one.
+    pub fn start(&mut self, name: &str, identity: Option<Identity>, off: i64, wants: Units) -> usize {
+        self.identities += 1;
+        let first = (self.processes.len() as u64 + 1) << 32;
+        let member = Member::new(name, identity.unwrap_or(self.identities), first);
+        let clock = Clock::new(off, 5_000 * self.identities);
+        let (name, stopped, successor) = (name.to_owned(), false, None);
+        self.processes.push(Some(Process { member, name, clock, wants, stopped, successor }));
+        self.processes.len() - 1
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        // Its successor finds out, and has all; the one before it takes back what it gave.
+        self.end_old(n);
+        self.processes[n] = None;
+        let first = (1_000_000 + self.now) << 24;
+        for process in self.processes.iter_mut().flatten().filter(|p| p.successor == Some(n)) {
+            process.successor = None;
+            process.member.take_back(first);
+        }
+    }
+
+    /// The old process has ended, and its successor hears of it.
+    pub fn end_old(&mut self, n: usize) {
+        let Some(successor) = self.processes[n].as_ref().and_then(|old| old.successor) else { return };
+        self.processes[n] = None;
+        if let Some(new) = &mut self.processes[successor] {
+            new.member.take_all();
+        }
+    }
+
+    /// A new process of the same balancer beside the old one.
+    pub fn upgrade(&mut self, n: usize) -> Option<usize> {
+        let number = self.processes.len();
+        let first = (number as u64 + 1) << 32;
+        let flaw = self.flaw;
+        let old = self.processes[n].as_mut().filter(|old| old.successor.is_none() && !old.stopped)?;
+        let mut member = old.member.hand_over(first)?;
+        if flaw == Flaw::HandsOverAllTwice {
+            member.take_all();
+        }
+        old.successor = Some(number);
+        // On one machine: one clock.
+        let new = Process {
+            member,
+            name: old.name.clone(),
+            clock: old.clock,
+            wants: old.wants,
+            stopped: false,
+            successor: None,
+        };
+        self.processes.push(Some(new));
+        Some(number)
+    }
+
+    pub fn process(&mut self, n: usize) -> &mut Process {
+        self.processes[n].as_mut().expect("it runs")
+    }
+
+    pub fn identity(&self, n: usize) -> Identity {
+        self.processes[n].as_ref().expect("it runs").member.identity()
+    }
+
+    /// Sends a beat.
+    pub fn beat(&mut self, n: usize) {
+        let Some(process) = &mut self.processes[n] else { return };
+        if process.stopped || process.successor.is_some() {
+            return;
+        }
+        let wants = Shares::from([(BUDGET.to_owned(), process.wants)]);
+        let beat = process.member.beat(process.clock.read(self.now), wants);
+        self.network.push(Packet::Beat(beat));
+    }
+
+    pub fn leave(&mut self, n: usize) {
+        if let Some(process) = self.processes[n].take() {
+            self.network.push(Packet::Beat(process.member.leave()));
+        }
+    }
+
+    /// The message of this number gets there: beats to the leader of the number `to`, however long ago it led.
+    pub fn deliver(&mut self, n: usize, to: usize) {
+        match self.network.remove(n) {
+            Packet::Beat(beat) => self.hear(&beat, to),
+            Packet::Answer(answer) => self.take(&answer),
+        }
+    }
+
+    fn hear(&mut self, beat: &Beat, to: usize) {
+        let led = &mut self.leaders[to];
+        match led.leader.hear(led.clock.read(self.now), beat, &led.ledger) {
+            Ok(()) => led.heard.push((beat.clone(), false)),
+            Err(Refusal::NameTaken) if self.flaw == Flaw::ForgetsTheOldProcess => {
+                let gone = self.ledger.named(&beat.name).into_iter().collect();
+                let step = Step { base: self.ledger.epoch(), gone, ..Step::default() };
+                let _ = self.ledger.apply(&Entry::Step(step));
+                self.sync();
+            }
+            Err(why) => self.refusals.push(why),
+        }
+    }
+
+    /// The leader of this number makes sure that it leads.
+    pub fn confirm(&mut self, leader: usize) {
+        if leader + 1 == self.leaders.len() || self.flaw == Flaw::AnswersWithoutLeading {
+            self.leaders[leader].heard.iter_mut().for_each(|(_, sure)| *sure = true);
+        }
+    }
+
+    /// It answers those beats that came before it made sure.
+    pub fn speak(&mut self, leader: usize) {
+        self.sync();
+        let led = &mut self.leaders[leader];
+        let (sure, unsure) = std::mem::take(&mut led.heard).into_iter().partition(|(_, sure)| *sure);
+        led.heard = unsure;
+        let sure: Vec<(Beat, bool)> = sure;
+        for (beat, _) in sure {
+            match led.leader.answer(&beat, &led.ledger) {
+                Ok(answer) => {
+                    // A leader that lapses early promises as long as any.
+                    let (shares_for, floors_for) = (SHARES.length, FLOORS.length);
+                    self.network.push(Packet::Answer(Answer { shares_for, floors_for, ..answer }));
+                }
+                Err(why) => self.refusals.push(why),
+            }
+        }
+    }
+
+    /// It decides what to enter, and what it decided last is entered if it still leads.
+    pub fn enter(&mut self, leader: usize) {
+        self.sync();
+        let leads = leader + 1 == self.leaders.len();
+        let flaw = self.flaw;
+        let led = &mut self.leaders[leader];
+        if let Some(step) = led.entering.take() {
+            if leads {
+                // What is out of date is refused, and decided anew.
+                let _ = self.ledger.apply(&Entry::Step(step));
+            }
+            led.leader.entered();
+        } else {
+            led.entering = led.leader.due(led.clock.read(self.now), &led.ledger);
+        }
+        if flaw == Flaw::TakesAnOfferForAccepted {
+            let offered =
+                |(identity, holder): (&Identity, &Holder)| Some((*identity, holder.offered.as_ref()?.epoch));
+            let accepted: Vec<(Identity, u64)> = self.ledger.holders().iter().filter_map(offered).collect();
+            if !accepted.is_empty() {
+                let step = Step { base: self.ledger.epoch(), accepted, ..Step::default() };
+                let _ = self.ledger.apply(&Entry::Step(step));
+            }
+        }
+        self.sync();
+    }
+
+    /// Who leads has applied all that was entered.
+    fn sync(&mut self) {
+        if let Some(led) = self.leaders.last_mut() {
+            led.ledger.clone_from(&self.ledger);
+        }
+    }
+
+    /// An answer reaches every process that may take it for its own: the network does not know which is meant.
+    fn take(&mut self, answer: &Answer) {
+        let (now, flaw) = (self.now, self.flaw);
+        for process in self.processes.iter_mut().flatten().filter(|p| !p.stopped) {
+            let clock = process.clock.read(now);
+            let mut answer = answer.clone();
+            if answer.identity != process.member.identity() {
+                continue;
+            }
+            if flaw == Flaw::TrustsAnOlderEpoch && answer.grant.epoch < process.member.epoch() {
+                answer.grant.epoch = process.member.epoch() + 1;
+            }
+            if flaw == Flaw::CountsFromTheAnswer {
+                let (shares, _) = process.member.until();
+                answer.shares_for += shares.min(clock).saturating_sub(clock.saturating_sub(20_000));
+            }
+            if process.member.hear(clock, &answer) == Heard::Stale && flaw == Flaw::AppliesAReplay {
+                answer.number = process.member.beat(clock, Shares::new()).number;
+                process.member.hear(clock, &answer);
+            }
+        }
+    }
+
+    // --------------------------------------------------------------------------------------------- the whole
+
+    /// Sent, heard, answered and taken, with what is to be entered.
+    pub fn round(&mut self, n: usize) {
+        self.round_by(n, self.leaders.len() - 1);
+    }
+
+    /// The same with the leader of this number, however long ago it led.
+    pub fn round_by(&mut self, n: usize, last: usize) {
+        let before = self.network.len();
+        self.ask(n, last);
+        while self.network.len() > before {
+            self.deliver(self.network.len() - 1, last);
+        }
+        self.settle();
+    }
+
+    /// Sent, heard and answered; the answer is on its way.
+    pub fn ask(&mut self, n: usize, leader: usize) {
+        let before = self.network.len();
+        self.beat(n);
+        while self.network.len() > before {
+            self.deliver(self.network.len() - 1, leader);
+        }
+        self.confirm(leader);
+        self.speak(leader);
+    }
+
+    /// All that the leader has to enter is entered.
+    pub fn settle(&mut self) {
+        let last = self.leaders.len() - 1;
+        for _ in 0..4 {
+            self.enter(last);
+        }
+    }
+
+    /// Everybody who runs is heard for this long, every 250 ms.
+    pub fn calm(&mut self, time: Time) {
+        const BEAT: Time = 2_500;
+        for _ in 0..time / BEAT {
+            (0..self.processes.len()).for_each(|n| self.round(n));
+            self.pass(BEAT);
+        }
+    }
+
+    pub fn holds(&self, n: usize) -> Units {
+        self.processes[n].as_ref().map_or(0, |p| p.member.holds(p.clock.read(self.now), BUDGET))
+    }
+
+    /// What all that run may spend at this moment.
+    pub fn spent(&self) -> Units {
+        (0..self.processes.len()).map(|n| self.holds(n)).sum()
+    }
+
+    /// The promise.
+    pub fn check(&self) -> Result<(), String> {
+        let whole = self.ledger.budgets()[BUDGET].whole;
+        let (spent, held) = (self.spent(), self.ledger.held(BUDGET));
+        if spent > whole.max(held) {
+            let each: Vec<Units> = (0..self.processes.len()).map(|n| self.holds(n)).collect();
+            return Err(format!(
+                "at {} all may spend {spent} of {whole} ({held} by the ledger): {each:?}",
+                self.now
+            ));
+        }
+        Ok(())
+    }
+}
