Tenants' shares may be granted by a fleet; scenarios with tenants, a referee of budgets

Need: a tenant's rate is divided by the number in the file once and for all. How much of a whole that leaves unused when traffic is uneven or balancers are lost was not measured, nor could what a ledger grants reach the decisions.

Change: Balancer::new_shares takes two rates for each tenant, each until a time, whole or not at all; the bucket looks at the clock and counts each part to its end only. RPCs beyond a share are refused where the terms say so (refuse_over_share; off). Scenarios have tenants, uneven over balancers, and faults balancer_loss and stewards_down; the referee holds what is sent on in each second and ten seconds against the whole and what may be saved up. The simulator plays the fleet crate as the variant `fleet`.

--- a/crates/fernroute-config/src/lib.rs
+++ b/crates/fernroute-config/src/lib.rs
@@ -106,6 +106,7 @@
     ("load.warm_keys", "warm_keys", Flag, false),
     ("load.crossing_cost", "prices.cross_zone", Number(0.0, 1.0), false),
     ("load.over_share_gain", "over_share_gain", Number(0.0, 1.0), false),
+    ("load.refuse_over_share", "refuse_over_share", Flag, false),
     ("limits.transmissions", "limits.max_transmissions", Count(1.0, 100.0), false),
     ("limits.cancel", "limits.cancel", Flag, false),
     ("limits.connect_ms", "limits.connect_time_out", Millis, false),
--- /dev/null
+++ b/crates/fernroute-fleet/src/demand.rs
@@ -0,0 +1,104 @@
+//! What a member could use of a budget, told by what was asked of it lately.
+
+use crate::Units;
+use fernroute::host::SECOND;
+use fernroute::Time;
+
+/// A rate, from counts that fade.
+#[derive(Clone, Debug)]
+struct Rate {
+    memory: f64,
+    count: f64,
+    at: Time,
+    /// How much of its memory it has seen, against all of it, is told by when it began.
+    begun: Time,
+}
+
+impl Rate {
+    fn count(&mut self, now: Time) {
+        self.count = self.kept(now) + 1.0;
+        self.at = now;
+    }
+
+    fn kept(&self, now: Time) -> f64 {
+        self.count * (-(now.saturating_sub(self.at) as f64) / self.memory).exp()
+    }
+
+    /// A second; the time before it began counts for nothing.
+    fn rate(&self, now: Time) -> f64 {
+        let seen = 1.0 - (-(now.saturating_sub(self.begun) as f64) / self.memory).exp();
+        self.kept(now) * SECOND as f64 / (self.memory * seen.max(0.05))
+    }
+}
+
+/// Tells a change within about a second, and a steady rate to a few percent: two memories, of which the long one starts
+/// anew from the short one where they differ by more than chance would have them. Guards against a division anew for
+/// each bunch of RPCs, and against shares sized by one.
+#[derive(Clone, Debug)]
+pub struct Meter {
+    short: Rate,
+    long: Rate,
+}
+
+const SHORT: f64 = SECOND as f64;
+const LONG: f64 = 10.0 * SECOND as f64;
+
+impl Meter {
+    pub fn new(now: Time) -> Self {
+        let rate = |memory| Rate { memory, count: 0.0, at: now, begun: now };
+        Meter { short: rate(SHORT), long: rate(LONG) }
+    }
+
+    pub fn count(&mut self, now: Time) {
+        self.short.count(now);
+        self.long.count(now);
+    }
+
+    /// A second, in thousandths.
+    pub fn wants(&mut self, now: Time) -> Units {
+        /// In standard deviations: less comes by chance too often with several looks a second.
+        const SURE: f64 = 3.0;
+        let (short, long) = (self.short.rate(now), self.long.rate(now));
+        // Of a count that fades over a second, at this rate.
+        let chance = (long.max(1.0) / 2.0).sqrt();
+        if (short - long).abs() <= SURE * chance {
+            return (long * 1000.0) as Units;
+        }
+        // As if the short memory's second were all that was seen.
+        let seen = SHORT.min(now.saturating_sub(self.short.begun) as f64);
+        self.long.begun = now - seen as Time;
+        (self.long.count, self.long.at) = (short * LONG / SECOND as f64 * (1.0 - (-seen / LONG).exp()), now);
+        (short * 1000.0) as Units
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against shares that follow bunches, and against shares that stay where nobody asks any more.
+    #[test]
+    fn a_steady_rate_is_told_closely_and_a_change_soon() {
+        let mut meter = Meter::new(0);
+        assert_eq!(meter.wants(0), 0);
+        let mut now = 0;
+        let mut ask = |meter: &mut Meter, rate: u64, for_s: u64| {
+            for n in 0..rate * for_s {
+                // In bunches of five.
+                now += if n % 5 == 0 { 5 * SECOND / rate } else { 0 };
+                meter.count(now);
+                if n % 5 == 0 {
+                    meter.wants(now);
+                }
+            }
+            meter.wants(now)
+        };
+        let steady = ask(&mut meter, 50, 10);
+        assert!((46_000..=54_000).contains(&steady), "{steady}");
+        let more = ask(&mut meter, 200, 2);
+        assert!((150_000..=220_000).contains(&more), "{more}");
+        let less = ask(&mut meter, 10, 3);
+        assert!((5_000..=30_000).contains(&less), "{less}");
+        assert!(meter.wants(now + 5 * SECOND) < 1_000);
+    }
+}
--- a/crates/fernroute-fleet/src/leader.rs
+++ b/crates/fernroute-fleet/src/leader.rs
@@ -5,7 +5,7 @@
 //! The caller answers a beat with [`Leader::answer`] only once it is certain that it still led after the beat came, and
 //! has applied all that was entered before: a leader that is none any more must promise nothing.
 
-use crate::division::{fair, is_due};
+use crate::division::divide;
 use crate::lease::Lease;
 use crate::ledger::{Budget, Entry, Holder, Ledger, Step};
 use crate::message::{Answer, Beat, Grant, Refusal};
@@ -212,18 +212,20 @@
         });
         let wants: Vec<Units> = wants.collect();
         let rest = budget.whole - floor * all.len() as Units;
-        let fair = fair(rest, &wants);
-        let divided = is_due(rest, &wants, &has, &fair);
+        // A beat or two after its begin it knows who is there and what they ask for: before that the first to come would
+        // get all, and would have to give it back.
+        let knows = now.saturating_sub(self.begun) >= self.shares.length / 3;
+        let next = if knows { divide(rest, &wants, &has) } else { has.clone() };
         let mut free = budget.whole.saturating_sub(ledger.held(name));
         /// Less than this part of what is missing waits until more is free.
         const FEW: Units = 8;
         let mut offers = Vec::new();
         for (n, (identity, holder)) in shared.iter().enumerate() {
             let has_floor = amount(&holder.latest().floors);
-            if holder.offered.is_some() || !divided && has_floor == floor {
+            if holder.offered.is_some() || next[n] == has[n] && has_floor == floor {
                 continue;
             }
-            let share = if divided { fair[n] } else { has[n] };
+            let share = next[n];
             // More only as far as it is free; what is less is free once it is accepted.
             let more = (floor + share).saturating_sub(holder.holds(name));
             let short = more.saturating_sub(free);
--- a/crates/fernroute-lab/src/books.rs
+++ b/crates/fernroute-lab/src/books.rs
@@ -40,7 +40,25 @@
     pub served: u64,
 }
 
+/// One tenant's requests by the second of their first try: asked, and answered whole.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ByTenant {
+    pub name: String,
+    pub rate: f64,
+    pub seconds: Vec<(u64, u64)>,
+}
+
+impl ByTenant {
+    /// Of what could have been used of the whole, second by second, what was.
+    pub fn used(&self) -> f64 {
+        let could: f64 = self.seconds.iter().map(|(asked, _)| (*asked as f64).min(self.rate)).sum();
+        let used: f64 = self.seconds.iter().map(|(_, served)| *served as f64).sum();
+        used / could.max(1.0)
+    }
+}
+
 pub struct Books {
+    pub tenants: Vec<ByTenant>,
     pub seconds: Vec<Second>,
     pub methods: Vec<ByMethod>,
     /// From the first try's arrival to the whole answer, in tenths of a millisecond.
@@ -59,7 +77,12 @@
         let longest = scenario.method.iter().map(|m| m.hard_ms).fold(1000.0, f64::max);
         let most = (seconds(longest / 1000.0) * 2).max(1000);
         let times = Histogram::new_with_bounds(1, most, DIGITS);
+        let tenant = |t: &crate::scenario::Tenant| {
+            let seconds = vec![(0, 0); scenario.seconds.ceil() as usize];
+            ByTenant { name: t.name.clone(), rate: t.rate, seconds }
+        };
         Books {
+            tenants: scenario.tenant.iter().map(tenant).collect(),
             seconds: vec![Second::default(); scenario.seconds.ceil() as usize],
             methods: scenario.method.iter().map(name).collect(),
             times: times.unwrap_or_else(|why| unreachable!("the bounds are in order: {why}")),
@@ -90,6 +113,20 @@
         }
     }
 
+    /// What a request for a tenant came to, once it has ended.
+    pub fn tenant(&mut self, asked: Time, tenant: Option<usize>, served: bool) {
+        let Some(of) = tenant.and_then(|tenant| self.tenants.get_mut(tenant)) else { return };
+        let last = of.seconds.len() - 1;
+        let second = &mut of.seconds[((asked / seconds(1.0)) as usize).min(last)];
+        *second = (second.0 + 1, second.1 + u64::from(served));
+    }
+
+    /// The mean over tenants of what is used of what could be; none where there are none.
+    pub fn used(&self) -> Option<f64> {
+        let sum: f64 = self.tenants.iter().map(ByTenant::used).sum();
+        (!self.tenants.is_empty()).then(|| sum / self.tenants.len() as f64)
+    }
+
     pub fn exhausted(&mut self, asked: Time) {
         self.second(asked).exhausted += 1;
     }
--- a/crates/fernroute-lab/src/lib.rs
+++ b/crates/fernroute-lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod charts;
 pub mod demand;
 pub mod experiment;
+mod fleet;
 pub mod live;
 pub mod player;
 pub mod referee;
--- a/crates/fernroute-lab/src/live/upstreams.rs
+++ b/crates/fernroute-lab/src/live/upstreams.rs
@@ -234,7 +234,7 @@
         let Some(node) = stand.balancer.get() else { return false };
         self.calls.set(self.calls.get() + 1);
         let rpc: Rc<str> = Rc::from(format!("c{}", self.calls.get()));
-        let last = self.ask(node, &rpc, method, hard, work, calls).await;
+        let last = self.ask(node, &rpc, method, None, hard, work, calls).await;
         matches!(last, Some((Final::Completed, _)))
     }
 
--- a/crates/fernroute-lab/src/referee.rs
+++ b/crates/fernroute-lab/src/referee.rs
@@ -24,6 +24,8 @@
     DrainsKept,
     /// Cold upstreams are not pushed over.
     ColdSpared,
+    /// What is sent on for a tenant stays within its budget.
+    WithinBudget,
 }
 
 struct Tx {
@@ -36,6 +38,7 @@
 struct Rpc {
     balancer: usize,
     method: usize,
+    tenant: Option<usize>,
     hard: Time,
     answered: bool,
     left: bool,
@@ -53,7 +56,23 @@
     fell: bool,
 }
 
+/// What was sent on of one tenant's RPCs in the last seconds; time empties it.
+struct Spent {
+    name: String,
+    rate: f64,
+    sends: VecDeque<Time>,
+}
+
+/// In windows of so many seconds what was sent on for a tenant is held against its budget.
+const WINDOWS: [f64; 2] = [1.0, 10.0];
+
+/// Of a budget that is a rate, balancers may save up what they leave: for so long, in seconds, and some RPCs each.
+const SAVED: f64 = 2.0;
+const BUNCH: f64 = 4.0;
+
 pub struct Referee {
+    tenants: Vec<Spent>,
+    bunch: f64,
     effects: Vec<(Effect, Group, Time)>,
     grace: Time,
     slack: Time,
@@ -76,7 +95,14 @@
 impl Referee {
     pub fn new(scenario: &Scenario) -> Self {
         let r = &scenario.rules;
+        let spent = |t: &crate::scenario::Tenant| Spent {
+            name: t.name.clone(),
+            rate: t.rate,
+            sends: VecDeque::new(),
+        };
         Referee {
+            tenants: scenario.tenant.iter().map(spent).collect(),
+            bunch: BUNCH * scenario.tier[0].balancers as f64,
             effects: scenario.method.iter().map(|m| (m.effect, m.group, seconds(m.window_s))).collect(),
             grace: millis(r.drain_grace_ms),
             slack: millis(r.answer_slack_ms),
@@ -114,6 +140,9 @@
             self.broken(at, Rule::DrainsKept, what);
         }
         self.count_cold(at, upstream);
+        if n == 0 {
+            self.count_tenant(at, id);
+        }
         let place = |u: &Cold, group: Group| match group {
             Group::All => 0,
             Group::Zone => u.zone,
@@ -153,6 +182,29 @@
         }
     }
 
+    /// What all balancers together sent on for its tenant of late.
+    fn count_tenant(&mut self, at: Time, id: &Rc<str>) {
+        let tenant = self.rpcs.get(id).and_then(|rpc| rpc.tenant);
+        let Some(of) = tenant.and_then(|tenant| self.tenants.get_mut(tenant)) else { return };
+        of.sends.push_back(at);
+        let longest = seconds(WINDOWS.into_iter().fold(0.0, f64::max));
+        while of.sends.front().is_some_and(|sent| sent + longest <= at) {
+            of.sends.pop_front();
+        }
+        let beyond = WINDOWS.into_iter().find_map(|window| {
+            let begin = at.saturating_sub(seconds(window));
+            let sent = of.sends.len() - of.sends.partition_point(|sent| *sent <= begin);
+            let most = of.rate * (window + SAVED) + self.bunch;
+            (sent as f64 > most)
+                .then(|| format!("{sent} RPCs of {} in {window} s, at most {most:.0} may be", of.name))
+        });
+        if let Some(what) = beyond {
+            // Told once for all of them.
+            of.sends.clear();
+            self.broken(at, Rule::WithinBudget, what);
+        }
+    }
+
     /// All that the fleet sent it in the last window, against what it could do in that time.
     fn count_cold(&mut self, at: Time, upstream: usize) {
         let (from, within, multiple, window) = (self.cold_from, self.warm_within, self.multiple, self.window);
@@ -213,9 +265,10 @@
 impl Witness for Referee {
     fn see(&mut self, at: Time, event: &Event) {
         match event {
-            Event::Arrived { rpc, balancer, method, hard } => {
-                let (balancer, method, hard) = (*balancer, *method, *hard);
-                let new = Rpc { balancer, method, hard, answered: false, left: false, txs: Vec::new() };
+            Event::Arrived { rpc, balancer, method, hard, tenant } => {
+                let (balancer, method, hard, tenant) = (*balancer, *method, *hard, *tenant);
+                let new =
+                    Rpc { balancer, method, tenant, hard, answered: false, left: false, txs: Vec::new() };
                 self.rpcs.insert(Rc::clone(rpc), new);
             }
             Event::Sent { rpc, tx, balancer, upstream } => self.sent(at, rpc, *tx, *balancer, *upstream),
--- a/crates/fernroute-lab/src/scenario.rs
+++ b/crates/fernroute-lab/src/scenario.rs
@@ -16,6 +16,11 @@
     pub load: Load,
     pub method: Vec<Method>,
     pub tier: Vec<Tier>,
+    /// Whom RPCs are asked for, where that counts: what goes beyond a tenant's rate is refused.
+    #[serde(default)]
+    pub tenant: Vec<Tenant>,
+    #[serde(default)]
+    pub fleet: Fleet,
     #[serde(default)]
     pub network: Network,
     #[serde(default)]
@@ -144,6 +149,47 @@
     pub choke: Option<Choke>,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    pub name: String,
+    /// Its budget: RPCs a second over all balancers of the first tier.
+    pub rate: f64,
+    /// Of all requests, against the other tenants.
+    pub share: f64,
+    /// One balancer gets so many times the mean of its requests, the others share the rest: which one goes by the
+    /// tenant's place in the file.
+    #[serde(default = "one")]
+    pub busiest: f64,
+}
+
+/// How balancers of the first tier share budgets, where the variant has them do so.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Fleet {
+    pub beat_ms: f64,
+    pub shares_for_ms: f64,
+    pub floors_for_s: f64,
+    /// The part of a whole that all floors together are.
+    pub floors: f64,
+    pub drift_ppm: u32,
+    /// What the ledger takes to make sure that it leads, or to enter a step.
+    pub confirm_ms: f64,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Fleet {
+            beat_ms: 250.0,
+            shares_for_ms: 1500.0,
+            floors_for_s: 60.0,
+            floors: 0.05,
+            drift_ppm: 200,
+            confirm_ms: 3.0,
+        }
+    }
+}
+
 /// A slowdown that outlives its load.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -264,6 +310,10 @@
     ListDown,
     /// Balancers of the first tier start anew, one after another over the fault's time.
     BalancerRestart,
+    /// The share `part` of the first tier's balancers die, and start again when the fault ends.
+    BalancerLoss,
+    /// No steward answers; another leads when it ends.
+    StewardsDown,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -345,6 +395,25 @@
             within(&at("gain"), m.gain, 0.0, MOST)?;
             within(&at("window_s"), m.window_s, 0.0, DAY)?;
         }
+        let (n, f) = (self.tier[0].balancers as f64, &self.fleet);
+        for (i, t) in self.tenant.iter().enumerate() {
+            let at = |what: &str| format!("tenant[{i}].{what}");
+            if self.tenant[..i].iter().any(|other| other.name == t.name) {
+                return Err(format!("{}: {} is there twice", at("name"), t.name));
+            }
+            within(&at("rate"), t.rate, 0.001, MOST)?;
+            within(&at("share"), t.share, 0.0, MOST)?;
+            within(&at("busiest"), t.busiest, 0.0, n.max(1.0))?;
+        }
+        if !self.tenant.is_empty() {
+            within("tenant: the sum of share", self.tenant.iter().map(|t| t.share).sum(), 0.001, MOST)?;
+        }
+        within("fleet.beat_ms", f.beat_ms, 1.0, MOST)?;
+        within("fleet.shares_for_ms", f.shares_for_ms, 3.0 * f.beat_ms, MOST)?;
+        within("fleet.floors_for_s", f.floors_for_s, f.shares_for_ms / 1000.0, DAY)?;
+        within("fleet.floors", f.floors, 0.0, 1.0)?;
+        within("fleet.drift_ppm", f64::from(f.drift_ppm), 0.0, 100_000.0)?;
+        within("fleet.confirm_ms", f.confirm_ms, 0.0, MOST)?;
         within("method: the sum of share", self.method.iter().map(|m| m.share).sum(), 0.001, MOST)?;
         for (i, t) in self.tier.iter().enumerate() {
             let at = |what: &str| format!("tier[{i}].{what}");
@@ -462,7 +531,11 @@
                     "soft-deadline-s": m.soft_ms / 1000.0, "hard-deadline-s": m.hard_ms / 1000.0, "gain": m.gain})
             })
             .collect();
+        // Only the first tier knows whom RPCs are for.
+        let tenants = self.tenant.iter().filter(|_| post.tier == 0);
+        let tenants: Vec<Value> = tenants.map(|t| json!({"name": t.name, "quota-per-s": t.rate})).collect();
         json!({
+            "orgs": tenants, "refuse-beyond-share": true,
             "n-instances": post.instances, "me": post.number, "layer": post.tier, "zone": zone_name(post.zone), "quantum-s": 0.0001,
             "methods": methods, "feedback": {"names": ["cpu"]}, "membership-mode": "automatic",
             "ceilings": {"max-transmissions": r.max_transmissions, "cancel": true, "connect-timeout-s": 0.25,
--- a/crates/fernroute-lab/src/trace.rs
+++ b/crates/fernroute-lab/src/trace.rs
@@ -27,6 +27,8 @@
         balancer: usize,
         method: usize,
         hard: Time,
+        /// Whom it is for, where it comes from a caller and there are tenants.
+        tenant: Option<usize>,
     },
     Sent {
         rpc: Rc<str>,
--- a/crates/fernroute-terms/src/lib.rs
+++ b/crates/fernroute-terms/src/lib.rs
@@ -12,6 +12,7 @@
     ("quantum-s", "tick", Form::Seconds),
     ("membership-mode", "list_mode", Form::Words),
     ("beyond-share-gain", "over_share_gain", Form::Plain),
+    ("refuse-beyond-share", "refuse_over_share", Form::Plain),
     ("family-info.warm-keys", "warm_keys", Form::Plain),
     ("tariffs.cross-zone", "prices.cross_zone", Form::Plain),
     ("feedback.names", "load.names", Form::Words),
--- a/crates/fernroute/src/agreed.rs
+++ b/crates/fernroute/src/agreed.rs
@@ -52,6 +52,8 @@
     /// The longest advice to callers; 0 where they get none.
     pub max_stay_away: Time,
     pub over_share_gain: f64,
+    /// RPCs beyond a tenant's share are exhausted, whatever room there is.
+    pub refuse_over_share: bool,
     /// Where the list must be asked for: time within which a balancer must have asked.
     pub ask_within: Option<Time>,
     /// Places in a report of the utilisation, of what is held and of what waits.
@@ -130,6 +132,7 @@
             cancel: term(terms, "limits.cancel")?.unwrap_or(false),
             max_stay_away: term(terms, "limits.max_stay_away")?.filter(|_| advice).unwrap_or(0),
             over_share_gain: number(terms, "over_share_gain", 0.0, MANY, Some(1.0))?,
+            refuse_over_share: term(terms, "refuse_over_share")?.unwrap_or(false),
             ask_within: if ask { Some(needed(terms, "rules.ask_within")?) } else { None },
             report: ["utilisation", "in_flight", "queued"]
                 .map(|word| names.split(',').position(|name| name == word)),
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -185,9 +185,6 @@
     Method { promise: promise.clone(), times: Cell::new(times) }
 }
 
-/// RPCs of one tenant that come together by chance now and then, at any rate.
-const BUNCH: f64 = 4.0;
-
 /// About the time of an answer: shorter is noise, longer keeps the gate open into a trouble.
 const ANSWERS_FOR: f64 = 1.5 * SECOND as f64;
 
@@ -271,10 +268,8 @@
         };
         let methods = agreed.methods.iter().map(known).collect();
         let tenant = |(name, rate): &(String, f64)| {
-            let rate = rate / agreed.instances;
             let before = self.tenants.iter().find(|t| t.name == *name);
-            let (unspent, filled) = before.map_or((rate.max(BUNCH), now), |t| (t.unspent, t.filled));
-            Tenant { name: name.clone(), rate, unspent, filled }
+            Tenant::new(name, rate / agreed.instances, before, now)
         };
         self.tenants = agreed.tenants.iter().map(tenant).collect();
         (self.methods, self.agreed) = (methods, agreed);
@@ -290,6 +285,22 @@
         Ok(())
     }
 
+    /// What the fleet grants this balancer of each tenant's share from now on, in place of even parts: two rates,
+    /// RPCs a second, each until a time. A tenant that is not named has none. Whole or not at all.
+    pub fn new_shares(&mut self, now: Time, of: &[(&str, [(f64, Time); 2])]) -> Result<(), BadTerm> {
+        let known = |name: &str| self.tenants.iter().any(|t| t.name == name);
+        let fits = |(rate, _): &(f64, Time)| rate.is_finite() && *rate >= 0.0;
+        if let Some((name, _)) = of.iter().find(|(name, parts)| !known(name) || !parts.iter().all(fits)) {
+            return Err(BadTerm { term: (*name).to_owned(), why: "no tenant, or no rate" });
+        }
+        self.now = now;
+        for tenant in &mut self.tenants {
+            let part = of.iter().find(|(name, _)| *name == tenant.name).map(|(_, part)| *part);
+            tenant.grant(now, part.unwrap_or_default());
+        }
+        Ok(())
+    }
+
     /// Whether upstreams report what they hold, or what waits there.
     fn counted(&self) -> bool {
         let [_, held, waiting] = self.agreed.report;
@@ -704,19 +715,13 @@
 
     // ------------------------------------------------------------------------------------------- admission
 
-    /// What an RPC is worth, as a share of the highest gain, by its method's gain and tenant share.
-    fn value(&mut self, gain: f64, tenant: &str) -> f64 {
+    /// What an RPC is worth, as a share of the highest gain, by its method's gain and tenant share; none if what is
+    /// beyond the share is refused.
+    fn value(&mut self, gain: f64, tenant: &str) -> Option<f64> {
         let now = self.now;
-        if let Some(t) = self.tenants.iter_mut().find(|t| t.name == tenant) {
-            // Two seconds of share can be saved up, and some RPCs: less would count bunching as excess.
-            let filled = t.unspent + t.rate * (now - t.filled) as f64 / SECOND as f64;
-            (t.unspent, t.filled) = (filled.min((2.0 * t.rate).max(BUNCH)), now);
-            if t.unspent < 1.0 {
-                return gain * self.agreed.over_share_gain;
-            }
-            t.unspent -= 1.0;
-        }
-        gain
+        let within = self.tenants.iter_mut().find(|t| t.name == tenant).is_none_or(|t| t.spend(now));
+        let over = (!self.agreed.refuse_over_share).then_some(gain * self.agreed.over_share_gain);
+        Some(gain).filter(|_| within).or(over)
     }
 
     /// Until when an answer counts as in time. A client's tries share one soft deadline, so what is left
@@ -845,11 +850,9 @@
         };
         let (soft, hard) = (self.soft_deadline(&method, time_left), now + time_left);
         let (gain, late_gain) = (method.promise.gain, method.promise.late_gain);
-        let mut value = self.value(gain, tenant);
-        if soft as f64 <= now as f64 + method.times.get().mean {
-            value *= late_gain;
-        }
-        let admitted = self.admits(value);
+        let late = if soft as f64 <= now as f64 + method.times.get().mean { late_gain } else { 1.0 };
+        let value = self.value(gain, tenant);
+        let admitted = value.is_some_and(|value| self.admits(value * late));
         let until = if late_gain > 0.0 { hard } else { soft };
         let (key, places) = self.count_key(key);
         let (done, waiting, txs) = (false, false, Vec::new());
--- a/crates/fernroute/src/records.rs
+++ b/crates/fernroute/src/records.rs
@@ -1,7 +1,7 @@
 //! What the decisions keep of RPCs, methods and tenants. Nothing is decided here.
 
 use crate::agreed::Promise;
-use crate::host::{Outcome, Time};
+use crate::host::{Outcome, Time, SECOND};
 use std::cell::Cell;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
@@ -25,12 +25,58 @@
     pub times: Cell<Times>,
 }
 
+/// What of a tenant's share this balancer may take, and what of it is unspent.
 pub struct Tenant {
     pub name: String,
-    /// RPCs a second at this balancer that are within the tenant's share, and the unspent ones.
-    pub rate: f64,
-    pub unspent: f64,
-    pub filled: Time,
+    /// RPCs a second that are within it: some until one time, some beside them until another.
+    rates: [(f64, Time); 2],
+    granted: bool,
+    unspent: f64,
+    filled: Time,
+}
+
+/// RPCs of one tenant that come together by chance now and then, at any rate.
+const BUNCH: f64 = 4.0;
+
+impl Tenant {
+    /// An even part for good; with what is unspent of before, and what was granted stays granted.
+    pub fn new(name: &str, rate: f64, before: Option<&Tenant>, now: Time) -> Self {
+        let rates = [(rate, Time::MAX), (0.0, 0)];
+        let name = name.to_owned();
+        match before {
+            None => Tenant { name, rates, granted: false, unspent: rate.max(BUNCH), filled: now },
+            Some(t) => {
+                let rates = if t.granted { t.rates } else { rates };
+                Tenant { name, rates, granted: t.granted, unspent: t.unspent, filled: t.filled }
+            }
+        }
+    }
+
+    pub fn grant(&mut self, now: Time, rates: [(f64, Time); 2]) {
+        self.fill(now);
+        (self.rates, self.granted) = (rates, true);
+        // What was saved under a larger grant is somebody else's by now.
+        self.fill(now);
+    }
+
+    /// Guards against a process that stood still and goes on: each part counts up to its end, and no further.
+    fn fill(&mut self, now: Time) {
+        let part = |(rate, until): &(f64, Time)| rate * now.min(*until).saturating_sub(self.filled) as f64;
+        let rate: f64 = self.rates.iter().filter(|(_, until)| now < *until).map(|(rate, _)| rate).sum();
+        // Two seconds of a share can be saved up, and some RPCs: less would count bunching as excess. What is nobody's
+        // any more saves nothing.
+        let most = if rate > 0.0 || !self.granted { (2.0 * rate).max(BUNCH) } else { 0.0 };
+        let filled = self.unspent + self.rates.iter().map(part).sum::<f64>() / SECOND as f64;
+        (self.unspent, self.filled) = (filled.min(most), now);
+    }
+
+    /// Whether one more RPC is within the share; it is spent then.
+    pub fn spend(&mut self, now: Time) -> bool {
+        self.fill(now);
+        let within = self.unspent >= 1.0;
+        self.unspent -= f64::from(u8::from(within));
+        within
+    }
 }
 
 #[derive(Clone)]
--- a/crates/fernroute/tests/shapes.rs
+++ b/crates/fernroute/tests/shapes.rs
@@ -218,3 +218,55 @@
     let times = |id: &str| notes.0.borrow().sent.iter().filter(|(rpc, _, _)| rpc == id).count();
     assert_eq!((times("before"), times("after")), (2, 1));
 }
+
+/// The tenant of the grants below, with a share of 60 RPCs a second over six balancers.
+const TENANT: &[(&str, &str)] = &[
+    ("tenants.count", "1"),
+    ("tenants.0.name", "acme"),
+    ("tenants.0.rate", "60"),
+    ("instances", "6"),
+    ("refuse_over_share", "true"),
+];
+
+/// Puts so many RPCs of the tenant at one moment; tells how many went out.
+fn taken(b: &mut Balancer<Notebook>, notes: &Notebook, at: Time, count: usize) -> usize {
+    let before = notes.0.borrow().sent.len();
+    (0..count).for_each(|n| b.rpc_arrived(at, &format!("t{at}.{n}"), "m0", "acme", "", SECOND));
+    notes.0.borrow().sent.len() - before
+}
+
+/// Guards against a share that outlives its time in a balancer that stood still, against one that is spent twice, and
+/// against a floor that goes with it.
+#[test]
+fn what_the_fleet_grants_is_spent_until_its_time_and_no_further() {
+    let (mut b, notes) = balancer(8, TENANT);
+    b.new_shares(START, &[("acme", [(2.0, START + 100 * SECOND), (18.0, START + 10 * SECOND)])])
+        .expect("it fits");
+    // What the even part had saved is there, and no more than before.
+    assert_eq!(taken(&mut b, &notes, START, 30), 10);
+    assert_eq!(taken(&mut b, &notes, START + SECOND / 4, 30), 5);
+    // Stopped for longer than the share: two seconds of the floor are there, and no more than a few RPCs.
+    assert_eq!(taken(&mut b, &notes, START + 30 * SECOND, 90), 4);
+    assert_eq!(taken(&mut b, &notes, START + 31 * SECOND, 30), 2);
+    assert_eq!(taken(&mut b, &notes, START + 32 * SECOND, 30), 2);
+    assert_eq!(taken(&mut b, &notes, START + 200 * SECOND, 30), 0);
+    // Nothing granted is nothing; new terms do not bring the even part back; and who is no tenant changes nothing.
+    b.new_shares(START + 300 * SECOND, &[("acme", [(10.0, Time::MAX), (0.0, 0)])]).expect("it fits");
+    let bad = [("other", [(1.0, 1); 2]), ("acme", [(f64::NAN, 1), (0.0, 0)])];
+    for bad in bad {
+        assert!(b.new_shares(START + 300 * SECOND, &[bad]).is_err());
+    }
+    b.new_terms(START + 301 * SECOND, &terms(TENANT)).expect("terms");
+    assert_eq!(taken(&mut b, &notes, START + 302 * SECOND, 30), 20);
+    b.new_shares(START + 303 * SECOND, &[]).expect("it fits");
+    assert_eq!(taken(&mut b, &notes, START + 310 * SECOND, 30), 0);
+}
+
+/// Guards against RPCs beyond a share that are served where nothing asks for their refusal, or refused as errors.
+#[test]
+fn beyond_an_even_part_rpcs_are_refused_only_where_the_terms_say_so() {
+    let (mut b, notes) = balancer(8, TENANT);
+    assert_eq!(taken(&mut b, &notes, START, 30), 10);
+    let (mut b, notes) = balancer(8, &TENANT[..4]);
+    assert_eq!(taken(&mut b, &notes, START, 30), 30);
+}
