Stewards: the ledger's processes, on openraft and redb; three real ones under kills and stops

Need: the ledger of the fleet has to outlive the loss of the process that keeps it, and a leader may answer a member only while a majority says that it leads.

Change: fernroute-steward serve, check, status. HTTP/1.1 with JSON, an envelope with cluster, version and the steward that is meant. A steward's identity is drawn with its disk: one whose disk is lost is another, and has no vote. A ledger is begun only when all stewards are there and blank, and what one before may have granted has lapsed. A member that holds nothing any more takes grants of a ledger that begins anew.

Measured: tests of real processes, repeated: the leader killed twice, no share lapses; two of three stopped, shares end and floors stay; a disk wiped, its steward is blank and the two others' majority is gone with one more.

--- /dev/null
+++ b/crates/fernroute-steward/src/commands.rs
@@ -0,0 +1,167 @@
+//! The command line.
+
+use crate::keep::{Keeper, Status};
+use crate::peers::{Peers, STATUS};
+use crate::{door, terms::Terms};
+use argh::FromArgs;
+use futures_util::future::{select, Either};
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::pin::pin;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tracing_subscriber::filter::LevelFilter;
+
+const NAME: &str = "fernroute-steward";
+
+/// Keeps the ledger of a fleet of balancers.
+#[derive(FromArgs)]
+struct Line {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+    Check(Check),
+    Status(Ask),
+}
+
+/// Serve until told to stop (SIGTERM or SIGINT).
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct Serve {
+    /// file that says who this steward is
+    #[argh(option)]
+    config: PathBuf,
+    /// there never was a ledger of this cluster: one is begun without waiting for grants of one before to lapse
+    #[argh(switch)]
+    first: bool,
+    /// log lines as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Say whether serve would take the file.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// file that says who this steward is
+    #[argh(option)]
+    config: PathBuf,
+}
+
+/// Print who leads, the budgets and the members, as one steward knows them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct Ask {
+    /// address of a steward
+    #[argh(positional)]
+    at: SocketAddr,
+    /// as JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs one command. Bad use and bad files are one line on standard error and exit with 2.
+pub fn run(arguments: &[String]) -> ExitCode {
+    let words: Vec<&str> = arguments.iter().skip(1).map(String::as_str).collect();
+    let line = match Line::from_args(&[NAME], &words) {
+        Ok(line) => line,
+        Err(early) if early.status.is_ok() => {
+            println!("{}", early.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(early) => return refuse(&early.output),
+    };
+    let done = match line.command {
+        Command::Serve(serve) => Terms::read(&serve.config).and_then(|terms| {
+            log(serve.json);
+            run_on_one_thread(keep(terms, serve.first))
+        }),
+        Command::Check(check) => Terms::read(&check.config).map(|terms| {
+            let (stewards, budgets) = (terms.stewards.len(), terms.budgets.len());
+            println!("{} of {}: {stewards} stewards, {budgets} budgets", terms.name, terms.cluster);
+        }),
+        Command::Status(ask) => run_on_one_thread(async move {
+            const WITHIN: Duration = Duration::from_secs(2);
+            let status: Status = Peers::new("").ask(&ask.at.to_string(), STATUS, WITHIN).await?;
+            if ask.json {
+                println!("{}", serde_json::to_string_pretty(&status).map_err(|e| e.to_string())?);
+            } else {
+                print!("{}", table(&status));
+            }
+            Ok(())
+        }),
+    };
+    done.map_or_else(|why| refuse(&why), |()| ExitCode::SUCCESS)
+}
+
+fn refuse(why: &str) -> ExitCode {
+    eprintln!("{NAME}: {}", why.split_whitespace().collect::<Vec<_>>().join(" "));
+    ExitCode::from(2)
+}
+
+fn run_on_one_thread(what: impl std::future::Future<Output = Result<(), String>>) -> Result<(), String> {
+    actix_rt::Runtime::new().map_err(|e| format!("runtime: {e}"))?.block_on(what)
+}
+
+/// A line to standard error for each thing that happens, at the level that `FERNROUTE_LOG` names; info where it names none.
+fn log(json: bool) {
+    let level = std::env::var("FERNROUTE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(LevelFilter::INFO);
+    let lines = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr);
+    if json {
+        lines.json().init();
+    } else {
+        lines.init();
+    }
+}
+
+async fn keep(terms: Terms, first: bool) -> Result<(), String> {
+    let trouble = |e| format!("signals: {e}");
+    let mut term = signal(SignalKind::terminate()).map_err(trouble)?;
+    let mut int = signal(SignalKind::interrupt()).map_err(trouble)?;
+    let at = terms.address;
+    let listener = TcpListener::bind(at).await.map_err(|e| format!("listen on {at}: {e}"))?;
+    let keeper = Keeper::open(terms).await?;
+    tracing::info!("steward {} serving on {at}", keeper.terms.name);
+    actix_rt::spawn(Rc::clone(&keeper).lead());
+    let founder = Rc::clone(&keeper);
+    actix_rt::spawn(async move { founder.found(first).await });
+    let served = pin!(door::serve(Rc::clone(&keeper), listener));
+    let (term, int) = (pin!(term.recv()), pin!(int.recv()));
+    if let Either::Left((Err(why), _)) = select(served, select(term, int)).await {
+        return Err(why);
+    }
+    tracing::info!("told to stop");
+    keeper.raft.shutdown().await.map_err(|e| e.to_string())
+}
+
+/// The status for people.
+fn table(s: &Status) -> String {
+    let leader = s.leader.as_deref().unwrap_or("nobody");
+    let mut out = format!(
+        "{}: {} is {}, {leader} leads (term {}), epoch {}\n\n",
+        s.cluster, s.steward, s.state, s.term, s.epoch
+    );
+    // Writing to a text does not fail.
+    let _ = writeln!(out, "{:<24} {:>12} {:>12} {:>12}", "budget", "whole", "held", "floor each");
+    for (name, b) in &s.budgets {
+        let _ = writeln!(out, "{name:<24} {:>12.3} {:>12.3} {:>12.3}", b.whole, b.held, b.floor);
+    }
+    let _ = write!(out, "\n{:<24} {:>8}", "member", "epoch");
+    s.budgets.keys().for_each(|name| out += &format!(" {name:>12}"));
+    out.push('\n');
+    for m in &s.members {
+        let _ = write!(out, "{:<24} {:>8}", m.name, m.epoch);
+        m.holds.values().for_each(|holds| out += &format!(" {holds:>12.3}"));
+        out.push('\n');
+    }
+    out
+}
--- /dev/null
+++ b/crates/fernroute-steward/src/door.rs
@@ -0,0 +1,134 @@
+//! Answers other stewards, members and people.
+
+use crate::keep::Keeper;
+use crate::peers::{Envelope, APPEND, BEAT, MOST_BYTES, SNAPSHOT, STATUS, VERSION, VOTE, WHO};
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, Method, Payload, Request, Response, StatusCode};
+use actix_service::{fn_service, Service as _, ServiceFactory as _};
+use fernroute_fleet::message::Beat;
+use futures_util::StreamExt as _;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// A caller has this long for a head, and gives up on an answer sooner.
+const HEAD: Duration = Duration::from_secs(5);
+
+/// A message of a member is short: its name and what it wants of each budget.
+const MOST_BEAT: usize = 64 << 10;
+
+/// Messages that could not be read, since the start.
+#[derive(Default)]
+pub struct Door {
+    pub unread: Cell<u64>,
+}
+
+/// Why a message is not taken.
+struct Unfit(StatusCode, String);
+
+/// Serves for as long as the program runs.
+pub async fn serve(keeper: Rc<Keeper>, listener: TcpListener) -> Result<(), String> {
+    let door = Rc::new(Door::default());
+    let answer = move |request: Request| {
+        let (keeper, door) = (Rc::clone(&keeper), Rc::clone(&door));
+        async move { Ok::<_, Infallible>(answer(&keeper, &door, request).await) }
+    };
+    let service = HttpService::<_, _, BoxBody>::build().client_request_timeout(HEAD).h1(fn_service(answer));
+    let service = service.new_service(()).await.map_err(|()| "the door did not open".to_owned())?;
+    let service = Rc::new(service);
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                // Only makes it quicker.
+                let _ = stream.set_nodelay(true);
+                let service = Rc::clone(&service);
+                actix_rt::spawn(async move {
+                    let served = service.call((stream, Some::<SocketAddr>(peer))).await;
+                    served.unwrap_or_else(|why| tracing::debug!("a connection: {why}"));
+                });
+            }
+            Err(why) => {
+                tracing::warn!("accept: {why}");
+                actix_rt::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn answer(keeper: &Rc<Keeper>, door: &Door, mut request: Request) -> Response<BoxBody> {
+    let path = request.path().to_owned();
+    let done = match (request.method(), path.as_str()) {
+        (&Method::GET, WHO) => json(&keeper.who().await),
+        (&Method::GET, STATUS) => json(&keeper.status().await),
+        (&Method::POST, APPEND) => match read(keeper, &mut request, MOST_BYTES, true).await {
+            Ok(message) => json(&keeper.raft.append_entries(message).await),
+            Err(why) => Err(why),
+        },
+        (&Method::POST, VOTE) => match read(keeper, &mut request, MOST_BYTES, true).await {
+            Ok(message) => json(&keeper.raft.vote(message).await),
+            Err(why) => Err(why),
+        },
+        (&Method::POST, SNAPSHOT) => match read(keeper, &mut request, MOST_BYTES, true).await {
+            Ok(message) => json(&keeper.raft.install_snapshot(message).await),
+            Err(why) => Err(why),
+        },
+        (&Method::POST, BEAT) => match read::<Beat>(keeper, &mut request, MOST_BEAT, false).await {
+            Ok(beat) => json(&keeper.beat(&beat).await),
+            Err(why) => Err(why),
+        },
+        (_, APPEND | VOTE | SNAPSHOT | BEAT | WHO | STATUS) => {
+            Err(Unfit(StatusCode::METHOD_NOT_ALLOWED, "another verb".to_owned()))
+        }
+        _ => Err(Unfit(StatusCode::NOT_FOUND, "nothing is here".to_owned())),
+    };
+    match done {
+        Ok(body) => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
+        Err(Unfit(status, why)) => {
+            door.unread.set(door.unread.get() + 1);
+            tracing::debug!("{path}: {why}");
+            Response::build(status).body(why).map_into_boxed_body()
+        }
+    }
+}
+
+fn json(what: &impl Serialize) -> Result<Vec<u8>, Unfit> {
+    serde_json::to_vec(what).map_err(|e| Unfit(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()))
+}
+
+/// The message of a request. One that is for a steward of before, whose disk is gone, is not taken: this one would vote
+/// again where that one has voted.
+async fn read<M: DeserializeOwned>(
+    keeper: &Keeper,
+    request: &mut Request,
+    most: usize,
+    mine: bool,
+) -> Result<M, Unfit> {
+    let mut payload: Payload = request.take_payload();
+    let mut body = Vec::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|e| Unfit(StatusCode::BAD_REQUEST, e.to_string()))?;
+        if body.len() + part.len() > most {
+            return Err(Unfit(StatusCode::PAYLOAD_TOO_LARGE, format!("over {most} bytes")));
+        }
+        body.extend_from_slice(&part);
+    }
+    let bad = |why: String| Unfit(StatusCode::BAD_REQUEST, why);
+    // The envelope first: of another version nothing else may be readable.
+    let envelope: Envelope<serde_json::Value> =
+        serde_json::from_slice(&body).map_err(|e| bad(e.to_string()))?;
+    if envelope.version != VERSION {
+        return Err(bad(format!("version {} is not known here, {VERSION} is", envelope.version)));
+    }
+    if envelope.cluster != keeper.own.cluster {
+        return Err(Unfit(StatusCode::CONFLICT, format!("this is the cluster {}", keeper.own.cluster)));
+    }
+    if mine && envelope.to != keeper.own.id {
+        return Err(Unfit(StatusCode::CONFLICT, format!("this is the steward {}", keeper.own.id)));
+    }
+    serde_json::from_value(envelope.message).map_err(|e| bad(e.to_string()))
+}
--- /dev/null
+++ b/crates/fernroute-steward/src/peers.rs
@@ -0,0 +1,164 @@
+//! What stewards say to each other, and members to them: HTTP/1.1 with JSON, an envelope round each message that names the
+//! cluster, the version and whom it is for.
+
+use crate::Kinds;
+use awc::Client;
+use openraft::error::{InstallSnapshotError, NetworkError, RPCError, RaftError, RemoteError, Unreachable};
+use openraft::network::{RPCOption, RaftNetwork, RaftNetworkFactory};
+use openraft::raft::{
+    AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse,
+    VoteRequest, VoteResponse,
+};
+use openraft::{AnyError, BasicNode};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Of the messages between stewards and from members. Another one is refused by name.
+pub const VERSION: u32 = 1;
+
+pub const APPEND: &str = "/-/append";
+pub const VOTE: &str = "/-/vote";
+pub const SNAPSHOT: &str = "/-/snapshot";
+pub const WHO: &str = "/-/who";
+pub const BEAT: &str = "/-/beat";
+pub const STATUS: &str = "/-/status";
+
+/// The longest message: a ledger of some ten thousand members.
+pub const MOST_BYTES: usize = 16 << 20;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Envelope<M> {
+    pub cluster: String,
+    pub version: u32,
+    /// The steward that it is for; 0 for whichever it reaches.
+    pub to: u64,
+    pub message: M,
+}
+
+/// Who a steward is, and whether it has ever been of a ledger's processes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Who {
+    pub cluster: String,
+    pub name: String,
+    pub id: u64,
+    pub blank: bool,
+}
+
+/// Carries messages to other stewards.
+#[derive(Clone)]
+pub struct Peers {
+    pub cluster: String,
+    pub client: Client,
+}
+
+/// What came of a message that got no answer of its own kind.
+pub type Failed = String;
+
+impl Peers {
+    pub fn new(cluster: &str) -> Self {
+        // No redirect, no decompression; the time-out is each call's.
+        let client = Client::builder().disable_redirects().no_default_headers().finish();
+        Peers { cluster: cluster.to_owned(), client }
+    }
+
+    pub async fn say<M: Serialize, A: DeserializeOwned>(
+        &self,
+        at: &str,
+        path: &str,
+        to: u64,
+        message: &M,
+        within: Duration,
+    ) -> Result<A, Failed> {
+        let envelope = Envelope { cluster: self.cluster.clone(), version: VERSION, to, message };
+        let call = self.client.post(format!("http://{at}{path}")).timeout(within);
+        let sent = call.send_json(&envelope).await;
+        let mut answer = sent.map_err(|e| format!("{at}: {e}"))?;
+        let body = answer.body().limit(MOST_BYTES).await.map_err(|e| format!("{at}: {e}"))?;
+        if !answer.status().is_success() {
+            return Err(format!("{at}: {}: {}", answer.status(), String::from_utf8_lossy(&body)));
+        }
+        serde_json::from_slice(&body).map_err(|e| format!("{at}: {e}"))
+    }
+
+    pub async fn ask<A: DeserializeOwned>(
+        &self,
+        at: &str,
+        path: &str,
+        within: Duration,
+    ) -> Result<A, Failed> {
+        let sent = self.client.get(format!("http://{at}{path}")).timeout(within).send().await;
+        let mut answer = sent.map_err(|e| format!("{at}: {e}"))?;
+        let body = answer.body().limit(MOST_BYTES).await.map_err(|e| format!("{at}: {e}"))?;
+        if !answer.status().is_success() {
+            return Err(format!("{at}: {}: {}", answer.status(), String::from_utf8_lossy(&body)));
+        }
+        serde_json::from_slice(&body).map_err(|e| format!("{at}: {e}"))
+    }
+}
+
+impl RaftNetworkFactory<Kinds> for Peers {
+    type Network = Peer;
+
+    async fn new_client(&mut self, id: u64, node: &BasicNode) -> Peer {
+        Peer { peers: self.clone(), id, address: node.addr.clone() }
+    }
+}
+
+/// The way to one other steward.
+pub struct Peer {
+    peers: Peers,
+    id: u64,
+    address: String,
+}
+
+type Answer<T, E> = Result<T, RPCError<u64, BasicNode, RaftError<u64, E>>>;
+
+impl Peer {
+    /// An answer is what the library at the other side said, an error of its own included.
+    async fn say<M, A, E>(&self, path: &str, message: &M, within: Duration) -> Answer<A, E>
+    where
+        M: Serialize,
+        A: DeserializeOwned,
+        E: DeserializeOwned + std::error::Error,
+    {
+        let said: Result<Result<A, RaftError<u64, E>>, Failed> =
+            self.peers.say(&self.address, path, self.id, message, within).await;
+        match said {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(why)) => Err(RPCError::RemoteError(RemoteError::new(self.id, why))),
+            // It waits a little before it tries again.
+            Err(why) => {
+                tracing::debug!("steward {}: {why}", self.id);
+                Err(RPCError::Unreachable(Unreachable::new(&NetworkError::new(&AnyError::error(why)))))
+            }
+        }
+    }
+}
+
+impl RaftNetwork<Kinds> for Peer {
+    async fn append_entries(
+        &mut self,
+        message: AppendEntriesRequest<Kinds>,
+        option: RPCOption,
+    ) -> Result<AppendEntriesResponse<u64>, RPCError<u64, BasicNode, RaftError<u64>>> {
+        self.say(APPEND, &message, option.hard_ttl()).await
+    }
+
+    async fn install_snapshot(
+        &mut self,
+        message: InstallSnapshotRequest<Kinds>,
+        option: RPCOption,
+    ) -> Result<InstallSnapshotResponse<u64>, RPCError<u64, BasicNode, RaftError<u64, InstallSnapshotError>>>
+    {
+        self.say(SNAPSHOT, &message, option.hard_ttl()).await
+    }
+
+    async fn vote(
+        &mut self,
+        message: VoteRequest<u64>,
+        option: RPCOption,
+    ) -> Result<VoteResponse<u64>, RPCError<u64, BasicNode, RaftError<u64>>> {
+        self.say(VOTE, &message, option.hard_ttl()).await
+    }
+}
--- /dev/null
+++ b/crates/fernroute-steward/src/store.rs
@@ -0,0 +1,291 @@
+//! What a steward keeps on its disk: the log, its vote, the last snapshot, and who it is. Everything is synced before it
+//! is said to be kept; a write that fails ends the part of the library that asked for it, and the steward votes no more.
+
+// The library's own error, which its traits ask for.
+#![allow(clippy::result_large_err)]
+
+use crate::{Applied, Kinds};
+use fernroute_fleet::ledger::Ledger;
+use openraft::storage::{LogFlushed, LogState, RaftLogStorage, RaftStateMachine, Snapshot};
+use openraft::{
+    AnyError, BasicNode, Entry, EntryPayload, ErrorSubject, ErrorVerb, LogId, OptionalSend, RaftLogReader,
+    RaftSnapshotBuilder, SnapshotMeta, StorageError, StorageIOError, StoredMembership, Vote,
+};
+use redb::{Database, ReadableDatabase as _, ReadableTable as _, TableDefinition};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::fmt::Debug;
+use std::io::Cursor;
+use std::ops::{Bound, RangeBounds};
+use std::path::Path;
+use std::rc::Rc;
+
+const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
+const NOTES: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("notes");
+
+/// Who this steward is: drawn when its folder was made, and never had by another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Own {
+    pub cluster: String,
+    pub id: u64,
+}
+
+type Bad = StorageError<u64>;
+
+fn broken(verb: ErrorVerb, why: impl ToString) -> Bad {
+    tracing::error!("the disk: {}", why.to_string());
+    let why = AnyError::error(why.to_string());
+    StorageIOError::<u64>::new(ErrorSubject::Store, verb, why).into()
+}
+
+fn unread(why: impl ToString) -> Bad {
+    broken(ErrorVerb::Read, why)
+}
+
+fn unwritten(why: impl ToString) -> Bad {
+    broken(ErrorVerb::Write, why)
+}
+
+/// The file of one steward.
+#[derive(Clone)]
+pub struct Disk {
+    file: Rc<Database>,
+}
+
+impl Disk {
+    /// Opens what is in the folder, or begins it; tells who this steward is.
+    pub fn open(folder: &Path, cluster: &str) -> Result<(Self, Own), String> {
+        let trouble = |why: String| format!("{}: {why}", folder.display());
+        std::fs::create_dir_all(folder).map_err(|e| trouble(e.to_string()))?;
+        let file = Database::create(folder.join("ledger.redb")).map_err(|e| trouble(e.to_string()))?;
+        let disk = Disk { file: Rc::new(file) };
+        let found: Option<Own> = disk.note("own").map_err(|e| trouble(e.to_string()))?;
+        let own = match found {
+            Some(own) if own.cluster == cluster => own,
+            Some(own) => {
+                return Err(trouble(format!("it is of the cluster {}, not of {cluster}", own.cluster)))
+            }
+            None => {
+                let own = Own { cluster: cluster.to_owned(), id: rand::random::<u64>() >> 1 };
+                disk.set_note("own", &own).map_err(|e| trouble(e.to_string()))?;
+                own
+            }
+        };
+        Ok((disk, own))
+    }
+
+    fn note<T: DeserializeOwned>(&self, name: &str) -> Result<Option<T>, Bad> {
+        let read = self.file.begin_read().map_err(unread)?;
+        let table = match read.open_table(NOTES) {
+            Ok(table) => table,
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+            Err(why) => return Err(unread(why)),
+        };
+        let found = table.get(name).map_err(unread)?;
+        found.map(|bytes| serde_json::from_slice(bytes.value()).map_err(unread)).transpose()
+    }
+
+    fn set_note<T: Serialize>(&self, name: &str, value: &T) -> Result<(), Bad> {
+        let bytes = serde_json::to_vec(value).map_err(unwritten)?;
+        let write = self.file.begin_write().map_err(unwritten)?;
+        write.open_table(NOTES).map_err(unwritten)?.insert(name, bytes.as_slice()).map_err(unwritten)?;
+        write.commit().map_err(unwritten)
+    }
+
+    fn log(&self, range: impl RangeBounds<u64>) -> Result<Vec<Entry<Kinds>>, Bad> {
+        let read = self.file.begin_read().map_err(unread)?;
+        let table = match read.open_table(LOG) {
+            Ok(table) => table,
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(Vec::new()),
+            Err(why) => return Err(unread(why)),
+        };
+        let entries = table.range::<u64>(range).map_err(unread)?;
+        entries
+            .map(|entry| serde_json::from_slice(entry.map_err(unread)?.1.value()).map_err(unread))
+            .collect()
+    }
+
+    fn last(&self) -> Result<Option<LogId<u64>>, Bad> {
+        let read = self.file.begin_read().map_err(unread)?;
+        let table = match read.open_table(LOG) {
+            Ok(table) => table,
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+            Err(why) => return Err(unread(why)),
+        };
+        let last = table.last().map_err(unread)?;
+        let entry =
+            last.map(|(_, bytes)| serde_json::from_slice::<Entry<Kinds>>(bytes.value()).map_err(unread));
+        Ok(entry.transpose()?.map(|entry| entry.log_id))
+    }
+
+    /// Takes these out of the log, with what else is to be noted, at once.
+    fn remove(&self, range: impl RangeBounds<u64>, purged: Option<&LogId<u64>>) -> Result<(), Bad> {
+        let write = self.file.begin_write().map_err(unwritten)?;
+        write.open_table(LOG).map_err(unwritten)?.retain_in(range, |_, _| false).map_err(unwritten)?;
+        if let Some(purged) = purged {
+            let bytes = serde_json::to_vec(purged).map_err(unwritten)?;
+            write
+                .open_table(NOTES)
+                .map_err(unwritten)?
+                .insert("purged", bytes.as_slice())
+                .map_err(unwritten)?;
+        }
+        write.commit().map_err(unwritten)
+    }
+}
+
+impl RaftLogReader<Kinds> for Disk {
+    async fn try_get_log_entries<RB: RangeBounds<u64> + Clone + Debug + OptionalSend>(
+        &mut self,
+        range: RB,
+    ) -> Result<Vec<Entry<Kinds>>, Bad> {
+        self.log((range.start_bound().cloned(), range.end_bound().cloned()))
+    }
+}
+
+impl RaftLogStorage<Kinds> for Disk {
+    type LogReader = Disk;
+
+    async fn get_log_state(&mut self) -> Result<LogState<Kinds>, Bad> {
+        let purged: Option<LogId<u64>> = self.note("purged")?;
+        Ok(LogState { last_purged_log_id: purged, last_log_id: self.last()?.or(purged) })
+    }
+
+    async fn get_log_reader(&mut self) -> Disk {
+        self.clone()
+    }
+
+    async fn save_vote(&mut self, vote: &Vote<u64>) -> Result<(), Bad> {
+        self.set_note("vote", vote)
+    }
+
+    async fn read_vote(&mut self) -> Result<Option<Vote<u64>>, Bad> {
+        self.note("vote")
+    }
+
+    async fn save_committed(&mut self, committed: Option<LogId<u64>>) -> Result<(), Bad> {
+        self.set_note("committed", &committed)
+    }
+
+    async fn read_committed(&mut self) -> Result<Option<LogId<u64>>, Bad> {
+        Ok(self.note::<Option<LogId<u64>>>("committed")?.flatten())
+    }
+
+    async fn append<I>(&mut self, entries: I, kept: LogFlushed<Kinds>) -> Result<(), Bad>
+    where
+        I: IntoIterator<Item = Entry<Kinds>> + OptionalSend,
+        I::IntoIter: OptionalSend,
+    {
+        let write = self.file.begin_write().map_err(unwritten)?;
+        {
+            let mut table = write.open_table(LOG).map_err(unwritten)?;
+            for entry in entries {
+                let bytes = serde_json::to_vec(&entry).map_err(unwritten)?;
+                table.insert(entry.log_id.index, bytes.as_slice()).map_err(unwritten)?;
+            }
+        }
+        write.commit().map_err(unwritten)?;
+        kept.log_io_completed(Ok(()));
+        Ok(())
+    }
+
+    async fn truncate(&mut self, from: LogId<u64>) -> Result<(), Bad> {
+        self.remove(from.index.., None)
+    }
+
+    async fn purge(&mut self, upto: LogId<u64>) -> Result<(), Bad> {
+        self.remove((Bound::Unbounded, Bound::Included(upto.index)), Some(&upto))
+    }
+}
+
+/// The ledger as it is applied, and as of which entry.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Kept {
+    pub ledger: Ledger,
+    applied: Option<LogId<u64>>,
+    membership: StoredMembership<u64, BasicNode>,
+}
+
+/// The ledger of this process. It is in memory; what the disk has of it is the last snapshot and the log since.
+#[derive(Clone)]
+pub struct Book {
+    disk: Disk,
+    pub kept: Rc<RefCell<Kept>>,
+}
+
+impl Book {
+    pub fn open(disk: Disk) -> Result<Self, String> {
+        let kept: Option<Kept> = disk.note("snapshot").map_err(|e| e.to_string())?;
+        Ok(Book { disk, kept: Rc::new(RefCell::new(kept.unwrap_or_default())) })
+    }
+
+    fn snapshot(&self, kept: &Kept) -> Result<Snapshot<Kinds>, Bad> {
+        let bytes = serde_json::to_vec(kept).map_err(unwritten)?;
+        let at = kept.applied.map_or(String::new(), |applied| applied.to_string());
+        let (last_log_id, last_membership) = (kept.applied, kept.membership.clone());
+        let meta = SnapshotMeta { last_log_id, last_membership, snapshot_id: at };
+        Ok(Snapshot { meta, snapshot: Box::new(Cursor::new(bytes)) })
+    }
+}
+
+impl RaftSnapshotBuilder<Kinds> for Book {
+    async fn build_snapshot(&mut self) -> Result<Snapshot<Kinds>, Bad> {
+        let kept = self.kept.borrow().clone();
+        self.disk.set_note("snapshot", &kept)?;
+        self.snapshot(&kept)
+    }
+}
+
+impl RaftStateMachine<Kinds> for Book {
+    type SnapshotBuilder = Book;
+
+    async fn applied_state(&mut self) -> Result<(Option<LogId<u64>>, StoredMembership<u64, BasicNode>), Bad> {
+        let kept = self.kept.borrow();
+        Ok((kept.applied, kept.membership.clone()))
+    }
+
+    async fn apply<I>(&mut self, entries: I) -> Result<Vec<Applied>, Bad>
+    where
+        I: IntoIterator<Item = Entry<Kinds>> + OptionalSend,
+        I::IntoIter: OptionalSend,
+    {
+        let mut kept = self.kept.borrow_mut();
+        let apply = |entry: Entry<Kinds>| {
+            kept.applied = Some(entry.log_id);
+            match entry.payload {
+                EntryPayload::Blank => Ok(()),
+                EntryPayload::Normal(entry) => kept.ledger.apply(&entry).map_err(|why| format!("{why:?}")),
+                EntryPayload::Membership(membership) => {
+                    kept.membership = StoredMembership::new(Some(entry.log_id), membership);
+                    Ok(())
+                }
+            }
+        };
+        Ok(entries.into_iter().map(apply).collect())
+    }
+
+    async fn get_snapshot_builder(&mut self) -> Book {
+        self.clone()
+    }
+
+    async fn begin_receiving_snapshot(&mut self) -> Result<Box<Cursor<Vec<u8>>>, Bad> {
+        Ok(Box::default())
+    }
+
+    async fn install_snapshot(
+        &mut self,
+        _: &SnapshotMeta<u64, BasicNode>,
+        snapshot: Box<Cursor<Vec<u8>>>,
+    ) -> Result<(), Bad> {
+        let kept: Kept = serde_json::from_slice(snapshot.get_ref()).map_err(unread)?;
+        self.disk.set_note("snapshot", &kept)?;
+        self.kept.replace(kept);
+        Ok(())
+    }
+
+    async fn get_current_snapshot(&mut self) -> Result<Option<Snapshot<Kinds>>, Bad> {
+        let kept: Option<Kept> = self.disk.note("snapshot")?;
+        kept.map(|kept| self.snapshot(&kept)).transpose()
+    }
+}
--- /dev/null
+++ b/crates/fernroute-steward/tests/fleet.rs
@@ -0,0 +1,303 @@
+//! Three real stewards on loopback, and members that beat: what happens as stewards are killed, stopped and come back.
+
+use fernroute_fleet::member::Member;
+use fernroute_fleet::message::Answer;
+use fernroute_fleet::{Shares, Units};
+use fernroute_rig::process::{Disk, Process};
+use fernroute_steward::keep::{now, Status, Unanswered};
+use fernroute_steward::peers::{Peers, BEAT, STATUS};
+use std::cell::Cell;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::Duration;
+
+const WHOLE: Units = 200_000;
+const WITHIN: Duration = Duration::from_millis(400);
+const START: Duration = Duration::from_secs(10);
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = actix_rt::Runtime::new().expect("a runtime");
+    let end = runtime.block_on(async { tokio::time::timeout(Duration::from_secs(40), test).await });
+    end.expect("the test ends");
+}
+
+/// Comes true, or the test ends by its own time-out.
+async fn until<F: Future<Output = bool>>(mut what: impl FnMut() -> F) {
+    while !what().await {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Addresses that were free a moment ago.
+fn free(count: usize) -> Vec<SocketAddr> {
+    let held: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+    held.iter().map(|l| l.local_addr().expect("an address")).collect()
+}
+
+/// A steward that may be started again.
+struct Place {
+    name: String,
+    address: SocketAddr,
+    disk: Disk,
+    page: PathBuf,
+    process: Option<Process>,
+}
+
+impl Place {
+    fn start(&mut self) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fernroute-steward"));
+        command.args(["serve", "--first", "--config"]).arg(&self.page).env_remove("FERNROUTE_LOG");
+        self.process = Some(Process::launch(command).expect("it starts"));
+    }
+
+    fn process(&self) -> &Process {
+        self.process.as_ref().expect("it was started")
+    }
+}
+
+struct Stewards {
+    folder: PathBuf,
+    places: Vec<Place>,
+    peers: Peers,
+}
+
+impl Stewards {
+    fn new(name: &str, cluster: &str, count: usize) -> Self {
+        let folder = std::env::temp_dir().join(format!("fernroute-steward-{name}-{}", std::process::id()));
+        let addresses = free(count);
+        let list =
+            |(n, at): (usize, &SocketAddr)| format!("[[steward]]\nname = \"s{n}\"\naddress = \"{at}\"\n");
+        let list: String = addresses.iter().enumerate().map(list).collect();
+        let place = |(n, address): (usize, &SocketAddr)| {
+            let disk = Disk::new(folder.join(format!("s{n}"))).expect("a folder");
+            let page = folder.join(format!("s{n}.toml"));
+            let text = format!(
+                "cluster = \"{cluster}\"\nname = \"s{n}\"\nfolder = \"{}\"\nmembers = 10\nshares_ms = 1500\nfloors_s = 8\n\
+                 {list}[[budget]]\nname = \"acme\"\nwhole = 200\nfloors = 0.1\n",
+                disk.folder.display()
+            );
+            std::fs::write(&page, text).expect("a file");
+            Place { name: format!("s{n}"), address: *address, disk, page, process: None }
+        };
+        let places = addresses.iter().enumerate().map(place).collect();
+        Stewards { folder, places, peers: Peers::new(cluster) }
+    }
+
+    fn start(&mut self) {
+        self.places.iter_mut().for_each(Place::start);
+    }
+
+    async fn status(&self, n: usize) -> Option<Status> {
+        self.peers.ask(&self.places[n].address.to_string(), STATUS, WITHIN).await.ok()
+    }
+
+    /// Which one leads, by its own word, once one does that is not this one.
+    async fn leader(&self, not: Option<usize>) -> usize {
+        let found = Cell::new(None);
+        until(|| async {
+            for n in (0..self.places.len()).filter(|n| Some(*n) != not) {
+                if self.status(n).await.is_some_and(|s| s.state == "leader") {
+                    found.set(Some(n));
+                }
+            }
+            found.get().is_some()
+        })
+        .await;
+        found.get().expect("one leads")
+    }
+}
+
+impl Drop for Stewards {
+    fn drop(&mut self) {
+        self.places.iter_mut().for_each(|place| place.process = None);
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A member as a balancer will be one: it asks one steward after another.
+struct Asks {
+    member: Member,
+    wants: Units,
+    /// The longest that it went without a share, in tenths of a millisecond, once it had one.
+    bare: u64,
+    had: bool,
+}
+
+impl Asks {
+    fn new(name: &str, identity: u64, wants: Units) -> Self {
+        Asks { member: Member::new(name, identity, now()), wants, bare: 0, had: false }
+    }
+
+    fn holds(&self) -> Units {
+        self.member.holds(now(), "acme")
+    }
+
+    async fn beat(&mut self, stewards: &Stewards) -> bool {
+        let bare = now().saturating_sub(self.member.until().0);
+        if self.had {
+            self.bare = self.bare.max(bare);
+        }
+        let beat = self.member.beat(now(), Shares::from([("acme".to_owned(), self.wants)]));
+        for place in &stewards.places {
+            let said: Result<Result<Answer, Unanswered>, String> =
+                stewards.peers.say(&place.address.to_string(), BEAT, 0, &beat, WITHIN).await;
+            if let Ok(Ok(answer)) = said {
+                self.member.hear(now(), &answer);
+                self.had |= self.member.parts("acme").1 > 0;
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// Everybody beats until this is so; what all hold is held against the whole at each look.
+async fn beat_until(stewards: &Stewards, members: &mut [Asks], what: impl Fn(&[Asks]) -> bool) {
+    loop {
+        for n in 0..members.len() {
+            members[n].beat(stewards).await;
+            let all: Units = members.iter().map(Asks::holds).sum();
+            assert!(all <= WHOLE, "{all}");
+        }
+        if what(members) {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn near_all(members: &[Asks]) -> bool {
+    members.iter().map(Asks::holds).sum::<Units>() * 20 >= WHOLE * 19
+}
+
+/// Guards against grants that lapse because a leader was killed, and against a ledger that forgets them.
+#[test]
+fn a_killed_leader_is_followed_by_another_and_no_grant_lapses() {
+    run(async {
+        let mut stewards = Stewards::new("leader", "c", 3);
+        stewards.start();
+        let mut members = [Asks::new("n0", 1, 150_000), Asks::new("n1", 2, 50_000)];
+        beat_until(&stewards, &mut members, |m| near_all(m) && m[0].holds() > m[1].holds()).await;
+        for _ in 0..2 {
+            let leader = stewards.leader(None).await;
+            let epoch = stewards.status(leader).await.expect("its word").epoch;
+            stewards.places[leader].process().kill();
+            members.iter_mut().for_each(|m| m.bare = 0);
+            let next = stewards.leader(Some(leader)).await;
+            beat_until(&stewards, &mut members, near_all).await;
+            assert!(members.iter().all(|m| m.bare == 0), "a share lapsed");
+            let status = stewards.status(next).await.expect("its word");
+            assert!(status.epoch >= epoch && status.members.len() == 2, "{status:?}");
+            // It comes back with its disk.
+            stewards.places[leader].start();
+            until(|| async { stewards.status(leader).await.is_some_and(|s| s.state == "follower") }).await;
+        }
+    });
+}
+
+/// Guards against a minority that grants, and against floors that end with the shares. All are stopped and go on.
+#[test]
+fn without_a_majority_shares_end_floors_stay_and_all_comes_back() {
+    run(async {
+        let mut stewards = Stewards::new("minority", "c", 3);
+        stewards.start();
+        let mut members = [Asks::new("n0", 1, 150_000), Asks::new("n1", 2, 150_000)];
+        beat_until(&stewards, &mut members, near_all).await;
+        let leader = stewards.leader(None).await;
+        let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
+        others.iter().for_each(|n| stewards.places[*n].process().stop());
+        // The leader alone answers nobody: what is held is the floor, a tenth of the whole by ten members.
+        beat_until(&stewards, &mut members, |m| m.iter().all(|m| m.holds() == WHOLE / 100)).await;
+        stewards.places[leader].process().stop();
+        others.iter().for_each(|n| stewards.places[*n].process().go_on());
+        beat_until(&stewards, &mut members, near_all).await;
+        // The old leader goes on where it stopped, and finds that it leads no more.
+        stewards.places[leader].process().go_on();
+        until(|| async { stewards.status(leader).await.is_some_and(|s| s.state == "follower") }).await;
+        beat_until(&stewards, &mut members, near_all).await;
+    });
+}
+
+/// Guards against a steward that votes a second time because it has lost what it voted, or speaks for another cluster.
+#[test]
+fn a_steward_without_its_disk_or_with_anothers_has_no_vote() {
+    run(async {
+        let mut stewards = Stewards::new("disk", "c", 3);
+        stewards.start();
+        let mut members = [Asks::new("n0", 1, 150_000)];
+        beat_until(&stewards, &mut members, near_all).await;
+        let leader = stewards.leader(None).await;
+        let lost = (leader + 1) % 3;
+        let id = stewards.status(lost).await.expect("its word").id;
+        stewards.places[lost].process().kill();
+        stewards.places[lost].disk.wipe().expect("it is gone");
+        stewards.places[lost].start();
+        until(|| async { stewards.status(lost).await.is_some_and(|s| s.state == "blank") }).await;
+        assert_ne!(stewards.status(lost).await.expect("its word").id, id);
+        beat_until(&stewards, &mut members, near_all).await;
+        // With it alone there is no majority, and it gives its vote to nobody.
+        stewards.places[leader].process().kill();
+        beat_until(&stewards, &mut members, |m| m[0].holds() == WHOLE / 100).await;
+        assert!(stewards.status(lost).await.is_some_and(|s| s.state == "blank"));
+        stewards.places[leader].start();
+        beat_until(&stewards, &mut members, near_all).await;
+        // Another cluster's disk ends the start, and says why.
+        let other = Stewards::new("other", "d", 1);
+        let place = &mut stewards.places[lost];
+        place.process().kill();
+        let text = std::fs::read_to_string(&place.page).expect("its file").replace("\"c\"", "\"d\"");
+        std::fs::write(&place.page, text).expect("a file");
+        place.start();
+        assert_eq!(place.process().ends().await, Some(2));
+        assert!(place.process().says("of the cluster c, not of d"), "{:?}", place.process().log());
+        drop(other);
+    });
+}
+
+/// Guards against a program that fails by what it is sent.
+#[test]
+fn what_cannot_be_read_is_refused_by_name_and_ends_nothing() {
+    run(async {
+        let mut stewards = Stewards::new("noise", "c", 1);
+        stewards.start();
+        let leader = stewards.leader(None).await;
+        let place = &stewards.places[leader];
+        let (name, at) = (&place.name, place.address);
+        assert_eq!(name, "s0");
+        let say = |path: &str, body: &str| {
+            let length = body.len();
+            format!("POST {path} HTTP/1.1\r\nHost: s\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}")
+        };
+        let envelope = |cluster: &str, version: u32, message: &str| {
+            format!(r#"{{"cluster":"{cluster}","version":{version},"to":0,"message":{message},"more":1}}"#)
+        };
+        let beat = r#"{"name":"n","identity":1,"number":1,"epoch":0,"wants":{"acme":-5}}"#;
+        for (path, body, status, what) in [
+            (BEAT, "no json".to_owned(), 400, "expected"),
+            (BEAT, envelope("c", 2, "{}"), 400, "version 2 is not known here, 1 is"),
+            (BEAT, envelope("other", 1, "{}"), 409, "this is the cluster c"),
+            (BEAT, envelope("c", 1, "{}"), 400, "name"),
+            (BEAT, envelope("c", 1, beat), 400, "invalid"),
+            (BEAT, "x".repeat(70_000), 413, "over"),
+            ("/-/vote", envelope("c", 1, "{}"), 409, "this is the steward"),
+            ("/-/none", String::new(), 404, "nothing"),
+        ] {
+            let answer = fernroute_rig::caller::ask(at, say(path, &body)).await;
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(answer.status() == status && text.contains(what), "{path}: {} {text}", answer.status());
+        }
+        let mut members = [Asks::new("n0", 1, 150_000)];
+        beat_until(&stewards, &mut members, near_all).await;
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fernroute-steward"));
+        let said = command.args(["status", &at.to_string()]).output().expect("it runs");
+        let text = String::from_utf8_lossy(&said.stdout).into_owned();
+        for what in ["s0 is leader, s0 leads", "acme", "200.000", "n0"] {
+            assert!(text.contains(what), "{text}");
+        }
+        assert!(place.process().is_running());
+        let _ = START;
+    });
+}
