A balancer of a fleet spends what the stewards grant; real balancers and stewards under faults

Need: what the ledger grants did not reach a balancer's decisions, and nothing showed balancers and stewards together.

Change: [fleet] in the TOML, checked; a task beside the RPCs that beats, follows the leader and hands what is granted to Balancer::new_shares; off where no fleet is named, as on the platform. A balancer's identity in the ledger stands in a file beside its meeting place, locked for as long as its process lives: in an upgrade the new process has nothing of a share until the old one has ended. fernroute-lab fleet (make fleet) runs three stewards, four balancers and a load.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What developers do, by name.
-.PHONY: build test lint run
+.PHONY: build test lint run fleet
 
 build:
 	cargo build --release --locked
@@ -14,3 +14,7 @@
 # A balancer on this machine's loopback, with stand-ins for the upstream and the discovery that the example names.
 run: build
 	target/release/fernroute-lab beside --config deploy/example.json --program "target/release/fernroute serve"
+
+# Three stewards, four balancers, stand-ins and a load on loopback; the ledger's status until Ctrl-C.
+fleet: build
+	target/release/fernroute-lab fleet
--- a/crates/fernroute-config/src/lib.rs
+++ b/crates/fernroute-config/src/lib.rs
@@ -21,9 +21,23 @@
     pub descriptors: usize,
     pub megabytes: usize,
     pub upstreams: Vec<Upstream>,
+    /// Where tenants' shares are divided by a ledger, if they are.
+    pub fleet: Option<Fleet>,
     pub terms: Terms,
 }
 
+/// The fleet that the balancer is of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    pub cluster: String,
+    pub stewards: Vec<SocketAddr>,
+    /// How often they are asked.
+    pub beat: Time,
+}
+
+/// Six to a share of the usual length.
+const USUAL_BEAT: Time = 2_500;
+
 /// An upstream that is known before discovery has said anything.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Upstream {
@@ -53,6 +67,8 @@
 enum Form {
     Text,
     Address,
+    /// Some of them.
+    Addresses,
     Hex,
     Flag,
     /// Whole, and within these bounds.
@@ -67,7 +83,7 @@
     Words(&'static [&'static str]),
 }
 
-use Form::{Address, Count, Flag, Hex, Millis, Number, Seconds, Text, Word, Words};
+use Form::{Address, Addresses, Count, Flag, Hex, Millis, Number, Seconds, Text, Word, Words};
 
 const MANY: f64 = 1e6;
 const DAY: f64 = 86_400.0;
@@ -119,6 +135,9 @@
     ("rules.warm_within_s", "rules.warm_within", Seconds, true),
     ("rules.cold_multiple", "rules.cold_multiple", Number(0.1, 1000.0), true),
     ("rules.cold_window_s", "rules.cold_window", Seconds, true),
+    ("fleet.cluster", "", Text, false),
+    ("fleet.stewards", "", Addresses, false),
+    ("fleet.beat_ms", "", Millis, false),
     ("method.#.name", "methods.#.name", Text, true),
     ("method.#.effect", "methods.#.effect", Word(EFFECTS), true),
     ("method.#.group", "methods.#.group", Word(GROUPS), false),
@@ -252,6 +271,20 @@
                 Some(address) => Ok(address.to_string()),
                 None => Err("is no address with a port".to_owned()),
             },
+            Addresses => match value.get_ref() {
+                DeValue::Array(items) => items
+                    .iter()
+                    .map(|item| match item.get_ref() {
+                        DeValue::String(at) => at
+                            .parse::<SocketAddr>()
+                            .map(|at| at.to_string())
+                            .map_err(|_| format!("{at} is no address with a port")),
+                        _ => Err("is no list of addresses".to_owned()),
+                    })
+                    .collect::<Result<Vec<String>, String>>()
+                    .map(|all| all.join(",")),
+                _ => Err("is no list of addresses".to_owned()),
+            },
             Hex => match text.filter(|t| u64::from_str_radix(t, 16).is_ok()) {
                 Some(text) => Ok(text),
                 None => Err("is no text of up to 16 hexadecimal digits".to_owned()),
@@ -336,6 +369,28 @@
                 "is missing, where the list must be asked for".to_owned(),
             ));
         }
+        if let Some(line) =
+            ["fleet.cluster", "fleet.stewards", "fleet.beat_ms"].iter().find_map(|p| Some(of(p)?.1))
+        {
+            for needed in ["fleet.cluster", "fleet.stewards"] {
+                if !self.has(needed) {
+                    found.push((line, needed.to_owned(), "is missing, where there is a fleet".to_owned()));
+                }
+            }
+            let (all, line) = of("fleet.stewards").unwrap_or_default();
+            let all: Vec<&str> = all.split(',').filter(|at| !at.is_empty()).collect();
+            if self.values.contains_key("fleet.stewards") && all.is_empty() {
+                found.push((line, "fleet.stewards".to_owned(), "names none".to_owned()));
+            }
+            if let Some((n, at)) = all.iter().enumerate().find(|(n, at)| all[..*n].contains(at)) {
+                found.push((line, format!("fleet.stewards.{n}"), format!("{at} is there already")));
+            }
+            let beat = number("fleet.beat_ms").filter(|(beat, _)| !(100.0..=100_000.0).contains(beat));
+            if let Some((beat, line)) = beat {
+                let why = format!("{} is not between 10 and 10000", beat / 10.0);
+                found.push((line, "fleet.beat_ms".to_owned(), why));
+            }
+        }
         for (n, begins) in self.lists.get("method").into_iter().flatten().enumerate() {
             let at = |what: &str| format!("method.{n}.{what}");
             if let (Some((soft, line)), Some((hard, _))) = (number(&at("soft_ms")), number(&at("hard_ms"))) {
@@ -406,6 +461,11 @@
             seed: text("seed").and_then(|t| u64::from_str_radix(&t, 16).ok()),
             descriptors: text("descriptors").and_then(|t| t.parse().ok()).unwrap_or(USUAL_DESCRIPTORS),
             megabytes: text("memory_mb").and_then(|t| t.parse().ok()).unwrap_or(USUAL_MEGABYTES),
+            fleet: text("fleet.cluster").zip(text("fleet.stewards")).map(|(cluster, stewards)| Fleet {
+                cluster,
+                stewards: stewards.split(',').filter_map(|at| at.parse().ok()).collect(),
+                beat: text("fleet.beat_ms").and_then(|beat| beat.parse().ok()).unwrap_or(USUAL_BEAT),
+            }),
             upstreams: (0..self.lists.get("upstream").map_or(0, Vec::len)).map(upstream).collect(),
             terms,
         }
--- a/crates/fernroute-fleet/src/message.rs
+++ b/crates/fernroute-fleet/src/message.rs
@@ -42,6 +42,31 @@
     pub floors_for: Time,
 }
 
+/// Of the messages between stewards and from members. Another one is refused by name.
+pub const VERSION: u32 = 1;
+
+/// Where a steward takes beats.
+pub const BEAT: &str = "/-/beat";
+
+/// What every message stands in.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Envelope<M> {
+    pub cluster: String,
+    pub version: u32,
+    /// The steward that it is for; 0 for whichever it reaches.
+    pub to: u64,
+    pub message: M,
+}
+
+/// Why a beat is not answered by the steward that it reached.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Unanswered {
+    /// Another one leads; its address, where it is known.
+    Elsewhere(Option<String>),
+    Refused(Refusal),
+}
+
 /// Why a beat gets no grant.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/fernroute-lab/src/beside.rs
+++ b/crates/fernroute-lab/src/beside.rs
@@ -1,6 +1,7 @@
 //! One balancer on this machine with all that it needs beside it: stand-ins for the upstreams and the discovery that
 //! its file names, at the addresses that it names.
 
+use crate::processes::Fleet;
 use fernroute_rig::http::answer;
 use fernroute_rig::stand_in::{entry, serve, Deed, Discovery};
 use fernroute_server::program::station::Station;
@@ -19,6 +20,47 @@
     LocalSet::new().block_on(&runtime, async { play(&station, config, program).await })
 }
 
+/// Three stewards, four balancers, a load that moves from one to the next every five seconds, and the ledger's word of it
+/// all every two; until Ctrl-C.
+pub fn fleet(program: &Path) -> Result<(), String> {
+    const WHOLE: usize = 200;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, async {
+        let folder = std::env::temp_dir().join(format!("fernroute-fleet-{}", std::process::id()));
+        let fleet = Fleet::start(program, folder, 3, 4, WHOLE).await?;
+        let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
+        let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+        for look in 0usize.. {
+            let busy = look * 2 / 5 % 4;
+            let rates: Vec<u64> = (0..4).map(|n| if n == busy { 220 } else { 10 }).collect();
+            fleet.rates(&rates);
+            tokio::select! {
+                _ = int.recv() => return Ok(()),
+                _ = term.recv() => return Ok(()),
+                () = sleep(Duration::from_secs(2)) => {}
+            }
+            fleet.forget();
+            let (ran, broken) = (fleet.ran.within(Duration::from_secs(1)), fleet.broken());
+            println!("\nb{busy} is asked for 220 a second, the others for 10; {ran} ran in the last second, {WHOLE} are the whole");
+            for at in &fleet.steward_addresses {
+                let status = Command::new(program).args(["steward-status", &at.to_string()]).output();
+                match status {
+                    Ok(said) if said.status.success() => {
+                        print!("{}", String::from_utf8_lossy(&said.stdout));
+                        break;
+                    }
+                    _ => println!("the steward at {at} does not answer"),
+                }
+            }
+            if let Some(broken) = broken {
+                return Err(format!("the whole was exceeded: {broken}"));
+            }
+        }
+        Ok(())
+    })
+}
+
 async fn play(station: &Station, config: &Path, program: &[String]) -> Result<u8, String> {
     let upstreams = station.known.iter().flat_map(|known| &known.entries);
     let upstreams = upstreams.filter_map(|upstream| Some((upstream, upstream.address?)));
--- a/crates/fernroute-lab/src/lib.rs
+++ b/crates/fernroute-lab/src/lib.rs
@@ -9,6 +9,7 @@
 mod fleet;
 pub mod live;
 pub mod player;
+pub mod processes;
 pub mod referee;
 pub mod run;
 pub mod scenario;
--- a/crates/fernroute-lab/src/main.rs
+++ b/crates/fernroute-lab/src/main.rs
@@ -31,6 +31,9 @@
     Live(Live),
     Balancer(RealOne),
     Beside(Beside),
+    Steward(RealSteward),
+    StewardStatus(AskSteward),
+    Fleet(RunFleet),
 }
 
 /// Read scenarios and say whether they will do.
@@ -112,6 +115,29 @@
     program: Option<String>,
 }
 
+/// Serve as a real steward, as `fernroute-steward serve --first` does.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "steward")]
+struct RealSteward {
+    /// file that says who this steward is
+    #[argh(option)]
+    config: String,
+}
+
+/// Print what a steward knows, as `fernroute-steward status` does.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "steward-status")]
+struct AskSteward {
+    /// address of a steward
+    #[argh(positional)]
+    at: String,
+}
+
+/// Start three stewards, four balancers, stand-ins and a load on this machine, and print the ledger's status until Ctrl-C.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+struct RunFleet {}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let line: Line = match commands::parse(NAME, &arguments) {
@@ -150,6 +176,18 @@
                 Err(why) => Err(why),
             }
         }
+        Command::Steward(one) => {
+            let words = ["fernroute-steward", "serve", "--first", "--config", &one.config];
+            return fernroute_steward::commands::run(&words.map(str::to_owned));
+        }
+        Command::StewardStatus(ask) => {
+            return fernroute_steward::commands::run(
+                &["fernroute-steward", "status", &ask.at].map(str::to_owned),
+            );
+        }
+        Command::Fleet(RunFleet {}) => std::env::current_exe()
+            .map_err(|e| format!("this program does not know its place: {e}"))
+            .and_then(|program| beside::fleet(&program)),
         Command::Balancer(one) => {
             let words = ["fernroute", "serve", "--config", &one.config];
             return commands::run(words.map(str::to_owned).to_vec());
--- /dev/null
+++ b/crates/fernroute-lab/src/processes.rs
@@ -0,0 +1,247 @@
+//! A fleet of real processes on loopback: stewards, balancers, one tenant's load, and a link from each balancer to each
+//! steward that can go wrong. What is judged is what an upstream ran, never what the fleet says of itself.
+
+use fernroute_rig::caller::rpc;
+use fernroute_rig::http::read;
+use fernroute_rig::link::Link;
+use fernroute_rig::process::Process;
+use fernroute_rig::stand_in::{entry, ok, serve, Discovery};
+use fernroute_rig::until;
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Far longer than a start takes, on a busy machine too.
+const START: Duration = Duration::from_secs(10);
+
+/// A program of the fleet: this crate's own, in one of its roles.
+fn launch(program: &Path, role: &str, folder: &Path, name: &str, text: &str) -> Result<Process, String> {
+    let page = folder.join(format!("{name}.toml"));
+    let trouble = |e: std::io::Error| format!("{}: {e}", page.display());
+    std::fs::write(&page, text).map_err(trouble)?;
+    let mut command = Command::new(program);
+    command.args([role, "--config"]).arg(&page).env("TMPDIR", folder);
+    command.env_remove("FERNROUTE_LOG").env_remove("NODE_OPS");
+    Process::launch(command).map_err(trouble)
+}
+
+/// What the upstream ran, by its own clock; the last eleven seconds of it where nobody judges all.
+#[derive(Default)]
+pub struct Ran(RefCell<Vec<Instant>>);
+
+impl Ran {
+    pub fn within(&self, last: Duration) -> usize {
+        let ran = self.0.borrow();
+        ran.iter().rev().take_while(|at| at.elapsed() <= last).count()
+    }
+
+    /// The window in which all balancers together ran more than the whole and what they may save up, if there is one: two
+    /// seconds of it, and some RPCs each.
+    pub fn beyond(&self, whole: usize, balancers: usize) -> Option<String> {
+        let ran = self.0.borrow();
+        for window in [1, 10] {
+            let most = whole * (window + 2) + 4 * balancers;
+            for (n, from) in ran.iter().enumerate() {
+                let until = *from + Duration::from_secs(window as u64);
+                let count = ran[n..].iter().take_while(|at| **at < until).count();
+                if count > most {
+                    return Some(format!("{count} in {window} s, at most {most} may be"));
+                }
+            }
+        }
+        None
+    }
+
+    /// Forgets what is older than any window.
+    fn forget(&self) {
+        self.0.borrow_mut().retain(|at| at.elapsed() < Duration::from_secs(11));
+    }
+}
+
+/// Stewards, balancers before one upstream, and a tenant's load.
+pub struct Fleet {
+    program: PathBuf,
+    pub folder: PathBuf,
+    /// RPCs a second over all balancers.
+    pub whole: usize,
+    pub stewards: Vec<Process>,
+    pub steward_addresses: Vec<SocketAddr>,
+    pub balancers: Vec<Process>,
+    pub addresses: Vec<SocketAddr>,
+    /// From each balancer to each steward.
+    pub links: Vec<Vec<Rc<Link>>>,
+    pages: Vec<String>,
+    pub ran: Rc<Ran>,
+    /// RPCs a second asked of each balancer.
+    rates: Rc<Vec<Cell<u64>>>,
+    /// Answers that were neither served nor refused.
+    pub wrong: Rc<RefCell<Vec<String>>>,
+    _discovery: Rc<Discovery>,
+}
+
+impl Fleet {
+    /// `program` has the roles of the laboratory's own; `folder` is made, and gone with the fleet.
+    pub async fn start(
+        program: &Path,
+        folder: PathBuf,
+        stewards: usize,
+        balancers: usize,
+        whole: usize,
+    ) -> Result<Self, String> {
+        let trouble = |e: std::io::Error| e.to_string();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        std::fs::create_dir_all(&folder).map_err(trouble)?;
+        // Stewards are told of each other before they start: what was free a moment ago is theirs.
+        let held =
+            (0..stewards).map(|_| TcpListener::bind(any)).collect::<Result<Vec<_>, _>>().map_err(trouble)?;
+        let at = held.iter().map(TcpListener::local_addr).collect::<Result<Vec<_>, _>>().map_err(trouble)?;
+        drop(held);
+        let list =
+            |(n, at): (usize, &SocketAddr)| format!("[[steward]]\nname = \"s{n}\"\naddress = \"{at}\"\n");
+        let list: String = at.iter().enumerate().map(list).collect();
+        let steward = |n: usize| {
+            let disk = folder.join(format!("s{n}"));
+            let text = format!(
+                "cluster = \"c\"\nname = \"s{n}\"\nfolder = \"{}\"\nmembers = {balancers}\nfloors_s = 10\n{list}\
+                 [[budget]]\nname = \"acme\"\nwhole = {whole}\nfloors = 0.1\n",
+                disk.display()
+            );
+            launch(program, "steward", &folder, &format!("s{n}"), &text)
+        };
+        let stewards = (0..stewards).map(steward).collect::<Result<Vec<Process>, String>>()?;
+        let ran = Rc::new(Ran::default());
+        let kept = Rc::clone(&ran);
+        let upstream = serve(any, move |_| {
+            kept.0.borrow_mut().push(Instant::now());
+            ok("whole")
+        });
+        let upstream = upstream.await.map_err(trouble)?;
+        let discovery = Discovery::start(any, entry("u", upstream, "a", "SERVING")).await.map_err(trouble)?;
+        let rates: Rc<Vec<Cell<u64>>> = Rc::new((0..balancers).map(|_| Cell::new(0)).collect());
+        let mut fleet = Fleet {
+            program: program.to_owned(),
+            folder,
+            whole,
+            stewards,
+            steward_addresses: at,
+            balancers: Vec::new(),
+            addresses: Vec::new(),
+            links: Vec::new(),
+            pages: Vec::new(),
+            ran,
+            rates,
+            wrong: Rc::default(),
+            _discovery: discovery,
+        };
+        for n in 0..balancers {
+            let mut own = Vec::new();
+            for at in &fleet.steward_addresses {
+                own.push(Link::to(*at).await.map_err(trouble)?);
+            }
+            let to: Vec<String> = own.iter().map(|link| format!("\"{}\"", link.address)).collect();
+            let text = format!(
+                "name = \"b{n}\"\nlisten = \"127.0.0.1:0\"\ndiscovery = \"{}\"\n[place]\ninstances = {balancers}\nzone = \"a\"\n\
+                 [load]\nrefuse_over_share = true\n[fleet]\ncluster = \"c\"\nstewards = [{}]\nbeat_ms = 200\n\
+                 [rules]\ncold_from = 0.3\nwarm_within_s = 10\ncold_multiple = 3\ncold_window_s = 2\n\
+                 [[method]]\nname = \"look\"\neffect = \"retriable\"\nsoft_ms = 1000\nhard_ms = 3000\n\
+                 [[tenant]]\nname = \"acme\"\nrate = {whole}\n\
+                 [[upstream]]\nid = \"u\"\naddress = \"{upstream}\"\nzone = \"a\"\n",
+                fleet._discovery.address,
+                to.join(", ")
+            );
+            fleet.links.push(own);
+            fleet.pages.push(text);
+            fleet.start_balancer(n).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts one, for the first time or again, with what is left on its disk.
+    pub async fn start_balancer(&mut self, n: usize) -> Result<(), String> {
+        let process = launch(&self.program, "balancer", &self.folder, &format!("b{n}"), &self.pages[n])?;
+        let at = process.address_after("serving on ", START).await?;
+        if n < self.balancers.len() {
+            (self.balancers[n], self.addresses[n]) = (process, at);
+        } else {
+            self.balancers.push(process);
+            self.addresses.push(at);
+        }
+        self.ask_for_ever(n);
+        Ok(())
+    }
+
+    /// Open loop: what is slow to be answered keeps no other waiting.
+    fn ask_for_ever(&self, n: usize) {
+        let (rates, wrong, at) = (Rc::clone(&self.rates), Rc::clone(&self.wrong), self.addresses[n]);
+        spawn_local(async move {
+            loop {
+                let rate = rates[n].get();
+                sleep(Duration::from_micros(1_000_000 / rate.max(20))).await;
+                if rate == 0 {
+                    continue;
+                }
+                let wrong = Rc::clone(&wrong);
+                spawn_local(async move {
+                    let Ok(mut stream) = TcpStream::connect(at).await else { return };
+                    let asked = rpc("GET", "/look", "Req-Owner: acme\r\nConnection: close\r\n");
+                    let _ = stream.write_all(asked.as_bytes()).await;
+                    match timeout(Duration::from_secs(4), read(&mut stream)).await {
+                        Ok(Some(answer)) if matches!(answer.status(), 200 | 503) => {}
+                        Ok(Some(answer)) => wrong.borrow_mut().push(answer.head),
+                        // Its balancer was killed, or stands still: that is judged by who did it.
+                        Ok(None) | Err(_) => {}
+                    }
+                });
+            }
+        });
+    }
+
+    pub fn rates(&self, rates: &[u64]) {
+        rates.iter().zip(self.rates.iter()).for_each(|(rate, of)| of.set(*rate));
+    }
+
+    /// Until nearly the whole has run within a second.
+    pub async fn until_used(&self) {
+        until(|| self.ran.within(Duration::from_secs(1)) * 20 >= self.whole * 19).await;
+    }
+
+    pub async fn leader(&self) -> usize {
+        let leads = |s: &Process| {
+            s.log().iter().rev().find(|l| l.contains("lead")).is_some_and(|l| l.contains("leads, term"))
+        };
+        let found = Cell::new(0);
+        until(|| {
+            let leader = self.stewards.iter().position(leads);
+            leader.into_iter().for_each(|n| found.set(n));
+            leader.is_some()
+        })
+        .await;
+        found.get()
+    }
+
+    /// What all balancers together did not keep, or answered wrongly.
+    pub fn broken(&self) -> Option<String> {
+        let wrong = self.wrong.borrow().first().cloned();
+        self.ran.beyond(self.whole, self.addresses.len()).or(wrong)
+    }
+
+    /// What is kept for a judgement of all is not kept any more.
+    pub fn forget(&self) {
+        self.ran.forget();
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stewards.clear();
+        self.balancers.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- /dev/null
+++ b/crates/fernroute-server/src/program/fleet.rs
@@ -0,0 +1,211 @@
+//! The balancer's part in a fleet: a task beside the RPCs that says what is asked, and hears what is granted. No RPC waits
+//! for it, and it waits for none. Where no fleet is named nothing of this runs.
+
+use super::serve::Running;
+use crate::routing::clock::{duration, Clock};
+use crate::routing::switchboard::Switchboard;
+use awc::Client;
+use fernroute::{Terms, Time};
+use fernroute_config::Fleet;
+use fernroute_fleet::demand::Meter;
+use fernroute_fleet::member::{Heard, Member};
+use fernroute_fleet::message::{Answer, Beat, Envelope, Unanswered, BEAT, VERSION};
+use fernroute_fleet::Shares;
+use std::fs::{File, TryLockError};
+use std::io::{Read as _, Seek as _, Write as _};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest answer of a steward.
+const MOST_ANSWER: usize = 64 << 10;
+
+/// How long the process before this one is waited for between two looks.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Thousandths of a unit, as the ledger counts.
+const UNIT: f64 = 1000.0;
+
+/// Begins the balancer's part. Until something is granted it has nothing of any share.
+pub fn join(running: &Running, fleet: &Fleet, terms: &Terms) -> Result<(), String> {
+    let board = Rc::clone(&running.board);
+    board.new_shares(&[]).map_err(|bad| bad.to_string())?;
+    let now = board.clock.now();
+    let count = terms.get("tenants.count").and_then(|n| n.parse().ok()).unwrap_or(0);
+    let names = (0..count).filter_map(|i: usize| terms.get(&format!("tenants.{i}.name")).cloned());
+    board.asked.replace(Some(names.map(|name| (name, Meter::new(now))).collect()));
+    let place = running.meeting()?.with_extension("member");
+    let part = Part {
+        board,
+        cluster: fleet.cluster.clone(),
+        stewards: fleet.stewards.clone(),
+        beat: duration(fleet.beat),
+        client: Client::builder().disable_redirects().finish(),
+        name: running.name.clone(),
+    };
+    actix_rt::spawn(part.follow(place));
+    Ok(())
+}
+
+struct Part {
+    board: Rc<Switchboard>,
+    cluster: String,
+    stewards: Vec<SocketAddr>,
+    beat: Duration,
+    client: Client,
+    name: String,
+}
+
+impl Part {
+    async fn follow(self, place: PathBuf) {
+        // Held for as long as this process lives: whoever has it knows that the process before has ended.
+        let (identity, _lock) = self.identity(&place).await;
+        // Beats are counted on from where no earlier process under this identity was.
+        let mut member = Member::new(&self.name, identity, Clock::start().now() << 8);
+        let (mut to, mut told) = (0, String::new());
+        loop {
+            let now = self.board.clock.now();
+            let beat = member.beat(now, self.wants(now));
+            let said = self.say(&beat, &mut to).await;
+            let now = self.board.clock.now();
+            let news = match said {
+                Ok(answer) => match member.hear(now, &answer) {
+                    Heard::Anew | Heard::Longer => {
+                        self.grant(&member);
+                        if answer.shares_for < 3 * (self.beat.as_micros() / 100) as Time {
+                            "shares end before three beats: lengthen them, or beat more often".to_owned()
+                        } else {
+                            format!("of the fleet {}", self.cluster)
+                        }
+                    }
+                    // It was long on its way; the next one may not be.
+                    Heard::Stale | Heard::Older => told.clone(),
+                },
+                Err(why) => format!("nothing is granted by the fleet {}: {why}", self.cluster),
+            };
+            if news != told {
+                log::info!("{news}");
+                told = news;
+            }
+            actix_rt::time::sleep(self.beat).await;
+        }
+    }
+
+    /// Who this balancer is in the ledger, over all its processes: what the file says, once no other process has it.
+    async fn identity(&self, place: &Path) -> (u64, Option<File>) {
+        loop {
+            match take(place) {
+                Ok(Some((identity, file))) => return (identity, Some(file)),
+                // The process before this one holds what there is.
+                Ok(None) => {}
+                Err(why) => {
+                    log::warn!("{}: {why}; a start of its own in the ledger", place.display());
+                    return (draw(), None);
+                }
+            }
+            actix_rt::time::sleep(LOOK).await;
+        }
+    }
+
+    fn wants(&self, now: Time) -> Shares {
+        let mut asked = self.board.asked.borrow_mut();
+        asked.iter_mut().flatten().map(|(name, meter)| (name.clone(), meter.wants(now))).collect()
+    }
+
+    fn grant(&self, member: &Member) {
+        let (shares, floors) = member.until();
+        let asked = self.board.asked.borrow();
+        let of = |name: &'_ String| {
+            let (floor, share) = member.parts(name);
+            [(floor as f64 / UNIT, floors), (share as f64 / UNIT, shares)]
+        };
+        let all: Vec<(&str, [(f64, Time); 2])> =
+            asked.iter().flatten().map(|(name, _)| (name.as_str(), of(name))).collect();
+        if let Err(bad) = self.board.new_shares(&all) {
+            log::warn!("not taken over, all stays as it was: {bad}");
+        }
+    }
+
+    /// To the steward that answered last, or that was said to lead; then to the others. `to` is its place.
+    async fn say(&self, beat: &Beat, to: &mut usize) -> Result<Answer, String> {
+        let mut why = String::new();
+        for _ in 0..=self.stewards.len() {
+            let at = self.stewards[*to % self.stewards.len()];
+            match self.ask(at, beat).await {
+                Ok(Ok(answer)) => return Ok(answer),
+                Ok(Err(Unanswered::Refused(refusal))) => return Err(format!("{at}: {refusal:?}")),
+                Ok(Err(Unanswered::Elsewhere(leader))) => {
+                    why = format!("{at}: another one leads, or none");
+                    let leader = leader.and_then(|leader| leader.parse().ok());
+                    let known = self.stewards.iter().position(|at| Some(*at) == leader);
+                    *to = known.unwrap_or(*to + 1);
+                }
+                Err(failed) => {
+                    why = format!("{at}: {failed}");
+                    *to += 1;
+                }
+            }
+        }
+        Err(why)
+    }
+
+    async fn ask(&self, at: SocketAddr, beat: &Beat) -> Result<Result<Answer, Unanswered>, String> {
+        let envelope = Envelope { cluster: self.cluster.clone(), version: VERSION, to: 0, message: beat };
+        let call = self.client.post(format!("http://{at}{BEAT}")).timeout(self.beat);
+        let mut answer = call.send_json(&envelope).await.map_err(|e| e.to_string())?;
+        let body = answer.body().limit(MOST_ANSWER).await.map_err(|e| e.to_string())?;
+        if !answer.status().is_success() {
+            return Err(format!("{}: {}", answer.status(), String::from_utf8_lossy(&body)));
+        }
+        serde_json::from_slice(&body).map_err(|e| e.to_string())
+    }
+}
+
+fn draw() -> u64 {
+    use std::hash::{BuildHasher as _, RandomState};
+    RandomState::new().hash_one(std::process::id()) >> 1
+}
+
+/// The identity that stands in the file, or a new one; none while another process has it.
+fn take(place: &Path) -> std::io::Result<Option<(u64, File)>> {
+    let mut file = File::options().create(true).truncate(false).read(true).write(true).open(place)?;
+    match file.try_lock() {
+        Ok(()) => {}
+        Err(TryLockError::WouldBlock) => return Ok(None),
+        Err(TryLockError::Error(why)) => return Err(why),
+    }
+    let mut text = String::new();
+    file.read_to_string(&mut text)?;
+    if let Ok(identity) = u64::from_str_radix(text.trim(), 16) {
+        return Ok(Some((identity, file)));
+    }
+    let identity = draw();
+    file.set_len(0)?;
+    file.rewind()?;
+    file.write_all(format!("{identity:016x}\n").as_bytes())?;
+    file.sync_all()?;
+    Ok(Some((identity, file)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against two processes that spend one grant each, and against a restart that is a stranger to the ledger.
+    #[test]
+    fn an_identity_is_one_processs_at_a_time_and_outlives_it() {
+        let place = std::env::temp_dir().join(format!("fernroute-{}.member", std::process::id()));
+        let (identity, held) = take(&place).expect("a file").expect("nobody has it");
+        assert!(take(&place).expect("a file").is_none());
+        drop(held);
+        let (again, held) = take(&place).expect("a file").expect("nobody has it");
+        assert_eq!(again, identity);
+        std::fs::write(&place, "no number").expect("a file");
+        drop(held);
+        let (other, _held) = take(&place).expect("a file").expect("nobody has it");
+        assert_ne!(other, identity);
+        std::fs::remove_file(&place).expect("it was there");
+        assert!(take(Path::new("/nonexistent/place")).is_err());
+    }
+}
--- a/crates/fernroute-server/src/program/mod.rs
+++ b/crates/fernroute-server/src/program/mod.rs
@@ -1,6 +1,7 @@
 //! Starting, running and stopping the program.
 
 pub mod commands;
+pub mod fleet;
 pub mod log;
 pub mod ops;
 pub mod reload;
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -3,7 +3,7 @@
 use super::share::Share;
 use super::station::{bad_setting, Station};
 use super::upgrade::{self, Before};
-use super::{ops, reload, shutdown};
+use super::{fleet, ops, reload, shutdown};
 use crate::protocol::handover::Known;
 use crate::routing::phase::Closing;
 use crate::routing::switchboard::Switchboard;
@@ -64,7 +64,7 @@
     pub before: RefCell<Before>,
     /// What callers are to come to once this process begins.
     bound: Cell<Option<TcpSocket>>,
-    name: String,
+    pub name: String,
     listen: SocketAddr,
     share: Cell<Share>,
     memory: usize,
@@ -251,7 +251,7 @@
         door,
         before: RefCell::new(before),
         bound: Cell::new(bound),
-        name: station.name,
+        name: station.name.clone(),
         listen: station.listen,
         share: Cell::new(share),
         memory: station.memory,
@@ -260,6 +260,9 @@
         watch: RefCell::default(),
     };
     running.watch(station.discovery, station.since);
+    if let Some(fleet) = &station.fleet {
+        fleet::join(&running, fleet, &station.terms)?;
+    }
     if serves {
         running.say_serving();
     }
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -4,7 +4,7 @@
 use crate::protocol::terms;
 use fernroute::desk::Desk;
 use fernroute::{BadTerm, Balancer, Terms};
-use fernroute_config::{LEAST_DESCRIPTORS, MOST_MEGABYTES, USUAL_DESCRIPTORS, USUAL_MEGABYTES};
+use fernroute_config::{Fleet, LEAST_DESCRIPTORS, MOST_MEGABYTES, USUAL_DESCRIPTORS, USUAL_MEGABYTES};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -27,6 +27,8 @@
     pub known: Option<List>,
     /// Discovery's version of it, from which on changes are enough; else the whole list is asked for.
     pub since: Option<u64>,
+    /// The fleet that it is of, where its tenants' shares are divided by a ledger. The platform's files name none.
+    pub fleet: Option<Fleet>,
     pub terms: Terms,
 }
 
@@ -110,6 +112,7 @@
             memory: plan.megabytes << 20,
             known,
             since: None,
+            fleet: plan.fleet,
             terms: plan.terms,
         })
     }
@@ -136,6 +139,7 @@
             memory: (page.limits.memory_mb * (1 << 20) as f64) as usize,
             since: known.as_ref().map(|known| known.version),
             known,
+            fleet: None,
             terms: terms::decode(&page.settings),
         })
     }
@@ -148,6 +152,7 @@
         note(self.name != new.name, "name");
         note(self.listen != new.listen, "listen");
         note(self.ops != new.ops, "ops");
+        note(self.fleet != new.fleet, "fleet");
         note(self.memory != new.memory, "limits.memory_mb");
         note(self.descriptors != new.descriptors, "limits.sockets");
         // Connections are made with these when an upstream is first named.
--- a/crates/fernroute-server/src/routing/admit.rs
+++ b/crates/fernroute-server/src/routing/admit.rs
@@ -39,6 +39,10 @@
         };
         self.open.borrow_mut().insert(Rc::clone(&rpc), open);
         let mut taken = self.tally.take(&request.method);
+        if let Some(asked) = self.asked.borrow_mut().as_mut() {
+            let now = self.clock.now();
+            asked.get_mut(&request.tenant).into_iter().for_each(|meter| meter.count(now));
+        }
         let _caller = Caller { board: Rc::clone(self), rpc: Rc::clone(&rpc) };
         self.decide(Some(&rpc), |b, now| {
             b.rpc_arrived(now, &rpc, &request.method, &request.tenant, &request.key, request.time_left);
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -13,6 +13,7 @@
 use crate::transport::client::{Client, Line};
 use fernroute::desk::{Act, Desk};
 use fernroute::{BadTerm, Balancer, Outcome, Terms, Time};
+use fernroute_fleet::demand::Meter;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -96,6 +97,8 @@
     pub tally: Rc<Tally>,
     /// What may wait in here of long bodies.
     pub windows: Rc<Windows>,
+    /// What is asked of each tenant's share, where a fleet divides them: one for each tenant of the terms.
+    pub asked: RefCell<Option<BTreeMap<String, Meter>>>,
 }
 
 impl Switchboard {
@@ -132,11 +135,18 @@
             gauges: RefCell::new(gauges(terms)),
             phase: Cell::new(Phase::new(longest(terms))),
             windows: Windows::new(memory),
+            asked: RefCell::default(),
         });
         board.act();
         Ok(board)
     }
 
+    /// What a fleet grants of tenants' shares, as [`Balancer::new_shares`] takes it.
+    pub fn new_shares(&self, of: &[(&str, [(f64, Time); 2])]) -> Result<(), BadTerm> {
+        let now = self.clock.now();
+        self.balancer.borrow_mut().new_shares(now, of)
+    }
+
     /// New terms, whole or not at all. What is open goes on as it was taken.
     pub fn new_terms(self: &Rc<Self>, terms: &Terms) -> Result<(), BadTerm> {
         self.balancer.borrow_mut().new_terms(self.clock.now(), terms)?;
--- a/crates/fernroute-steward/src/door.rs
+++ b/crates/fernroute-steward/src/door.rs
@@ -1,11 +1,11 @@
 //! Answers other stewards, members and people.
 
 use crate::keep::Keeper;
-use crate::peers::{Envelope, APPEND, BEAT, MOST_BYTES, SNAPSHOT, STATUS, VERSION, VOTE, WHO};
+use crate::peers::{APPEND, MOST_BYTES, SNAPSHOT, STATUS, VOTE, WHO};
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, Method, Payload, Request, Response, StatusCode};
 use actix_service::{fn_service, Service as _, ServiceFactory as _};
-use fernroute_fleet::message::Beat;
+use fernroute_fleet::message::{Beat, Envelope, BEAT, VERSION};
 use futures_util::StreamExt as _;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
--- a/crates/fernroute-steward/src/keep.rs
+++ b/crates/fernroute-steward/src/keep.rs
@@ -7,7 +7,7 @@
 use fernroute::Time;
 use fernroute_fleet::leader::Leader;
 use fernroute_fleet::ledger::{Entry, Ledger};
-use fernroute_fleet::message::{Answer, Beat, Refusal};
+use fernroute_fleet::message::{Answer, Beat, Unanswered};
 use openraft::{BasicNode, Config, ServerState, SnapshotPolicy};
 use rustix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
@@ -48,15 +48,6 @@
     pub peers: Peers,
 }
 
-/// Why a member's beat gets no answer from this steward.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Unanswered {
-    /// Another one leads; its address, where it is known.
-    Elsewhere(Option<String>),
-    Refused(Refusal),
-}
-
 /// A member of the fleet, for people.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct MemberLine {
--- a/crates/fernroute-steward/src/peers.rs
+++ b/crates/fernroute-steward/src/peers.rs
@@ -3,6 +3,7 @@
 
 use crate::Kinds;
 use awc::Client;
+use fernroute_fleet::message::{Envelope, VERSION};
 use openraft::error::{InstallSnapshotError, NetworkError, RPCError, RaftError, RemoteError, Unreachable};
 use openraft::network::{RPCOption, RaftNetwork, RaftNetworkFactory};
 use openraft::raft::{
@@ -14,28 +15,15 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Of the messages between stewards and from members. Another one is refused by name.
-pub const VERSION: u32 = 1;
-
 pub const APPEND: &str = "/-/append";
 pub const VOTE: &str = "/-/vote";
 pub const SNAPSHOT: &str = "/-/snapshot";
 pub const WHO: &str = "/-/who";
-pub const BEAT: &str = "/-/beat";
 pub const STATUS: &str = "/-/status";
 
 /// The longest message: a ledger of some ten thousand members.
 pub const MOST_BYTES: usize = 16 << 20;
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Envelope<M> {
-    pub cluster: String,
-    pub version: u32,
-    /// The steward that it is for; 0 for whichever it reaches.
-    pub to: u64,
-    pub message: M,
-}
-
 /// Who a steward is, and whether it has ever been of a ledger's processes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Who {
--- a/crates/fernroute-steward/tests/fleet.rs
+++ b/crates/fernroute-steward/tests/fleet.rs
@@ -1,11 +1,11 @@
 //! Three real stewards on loopback, and members that beat: what happens as stewards are killed, stopped and come back.
 
 use fernroute_fleet::member::Member;
-use fernroute_fleet::message::Answer;
+use fernroute_fleet::message::{Answer, Unanswered, BEAT};
 use fernroute_fleet::{Shares, Units};
 use fernroute_rig::process::{Disk, Process};
-use fernroute_steward::keep::{now, Status, Unanswered};
-use fernroute_steward::peers::{Peers, BEAT, STATUS};
+use fernroute_steward::keep::{now, Status};
+use fernroute_steward::peers::{Peers, STATUS};
 use std::cell::Cell;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
@@ -15,7 +15,6 @@
 
 const WHOLE: Units = 200_000;
 const WITHIN: Duration = Duration::from_millis(400);
-const START: Duration = Duration::from_secs(10);
 
 fn run(test: impl Future<Output = ()>) {
     let runtime = actix_rt::Runtime::new().expect("a runtime");
@@ -298,6 +297,5 @@
             assert!(text.contains(what), "{text}");
         }
         assert!(place.process().is_running());
-        let _ = START;
     });
 }
