--- a/crates/fernroute-config/tests/files.rs
+++ b/crates/fernroute-config/tests/files.rs
@@ -133,3 +133,31 @@
     }
     assert!(decode("").expect_err("nothing is there").len() > 5);
 }
+
+/// Guards against a balancer that starts without its part of a fleet because of a slip in its file.
+#[test]
+fn a_fleet_is_named_whole_or_not_at_all() {
+    assert_eq!(decode(GOOD).expect("it will do").fleet, None);
+    let with = |fleet: &str| decode(&GOOD.replace("[rules]", &format!("[fleet]\n{fleet}\n\n[rules]")));
+    let both = "cluster = \"c\"\nstewards = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]";
+    let fleet = with(both).expect("it will do").fleet.expect("it is named");
+    assert_eq!((fleet.cluster.as_str(), fleet.stewards.len(), fleet.beat), ("c", 2, 2_500));
+    for (text, why) in [
+        ("cluster = \"c\"", "fleet.stewards: is missing"),
+        ("stewards = [\"127.0.0.1:7001\"]", "fleet.cluster: is missing"),
+        ("beat_ms = 100", "fleet.cluster: is missing"),
+        ("cluster = \"c\"\nstewards = []", "fleet.stewards: names none"),
+        (
+            "cluster = \"c\"\nstewards = [\"127.0.0.1:1\", \"127.0.0.1:1\"]",
+            "fleet.stewards[1]: 127.0.0.1:1 is there already",
+        ),
+        ("cluster = \"c\"\nstewards = [\"here\"]", "here is no address with a port"),
+        ("cluster = \"c\"\nstewards = \"127.0.0.1:1\"", "is no list of addresses"),
+        (&format!("{both}\nbeat_ms = 5"), "fleet.beat_ms: 5 is not between 10 and 10000"),
+        (&format!("{both}\nmore = 5"), "fleet.more: is not known"),
+    ] {
+        let faults = with(text).expect_err(why);
+        let told: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        assert!(told.iter().any(|told| told.contains(why)), "{why}: {told:?}");
+    }
+}
--- a/crates/fernroute-fleet/tests/world/mod.rs
+++ b/crates/fernroute-fleet/tests/world/mod.rs
@@ -91,7 +91,7 @@
     pub processes: Vec<Option<Process>>,
     pub network: Vec<Packet>,
     identities: u64,
-    /// What was granted and ever went wrong with it.
+    /// What leaders refused, in order.
     pub refusals: Vec<Refusal>,
 }
 
--- a/crates/fernroute-steward/src/keep.rs
+++ b/crates/fernroute-steward/src/keep.rs
@@ -11,7 +11,7 @@
 use openraft::{BasicNode, Config, ServerState, SnapshotPolicy};
 use rustix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -45,6 +45,8 @@
     kept: Rc<RefCell<Kept>>,
     /// While this steward leads, and as of which term.
     leading: RefCell<Option<(u64, Leader)>>,
+    /// A term in which a step was sent off and is not known to be entered: nobody is answered in it any more.
+    unsure: Cell<Option<u64>>,
     pub peers: Peers,
 }
 
@@ -95,7 +97,15 @@
         let config = Arc::new(config.validate().map_err(|e| e.to_string())?);
         let peers = Peers::new(&terms.cluster);
         let raft = Raft::new(own.id, config, peers.clone(), disk, book).await.map_err(|e| e.to_string())?;
-        Ok(Rc::new(Keeper { terms, own, raft, kept, leading: RefCell::default(), peers }))
+        Ok(Rc::new(Keeper {
+            terms,
+            own,
+            raft,
+            kept,
+            leading: RefCell::default(),
+            unsure: Cell::default(),
+            peers,
+        }))
     }
 
     pub async fn who(&self) -> Who {
@@ -168,7 +178,7 @@
     /// Begins to lead, or ends, as the library says.
     fn look(&self) {
         let metrics = self.raft.metrics().borrow().clone();
-        let leads = metrics.state == ServerState::Leader;
+        let leads = metrics.state == ServerState::Leader && self.unsure.get() != Some(metrics.current_term);
         let mut leading = self.leading.borrow_mut();
         if !leads {
             if leading.take().is_some() {
@@ -196,16 +206,16 @@
             self.ledger(|ledger| leader.due(now(), ledger))
         };
         let Some(step) = step else { return };
-        let written = self.write(Entry::Step(step)).await;
-        let mut leading = self.leading.borrow_mut();
-        match (written, leading.as_mut()) {
-            (Ok(()), Some((_, leader))) => leader.entered(),
-            // Whether it will be entered is not known: only a new leadership begins anew.
-            (Err(why), _) => {
-                tracing::warn!("not known to be entered: {why}");
-                *leading = None;
-            }
-            (Ok(()), None) => {}
+        let Err(why) = self.write(Entry::Step(step)).await else {
+            return self.leading.borrow_mut().iter_mut().for_each(|(_, leader)| leader.entered());
+        };
+        // Guards against a member that is answered while its lapse may still be entered: in this term nobody is, and in
+        // the next one all that was sent off is entered before anybody is, or never.
+        tracing::warn!("not known to be entered: {why}");
+        self.unsure.set(self.leading.take().map(|(term, _)| term));
+        if self.unsure.get() == Some(self.raft.metrics().borrow().current_term) {
+            // An error is its word that it does not lead, or has ended.
+            let _ = self.raft.trigger().elect().await;
         }
     }
 
