An upgraded balancer's grant is handed over: old and new process spend one between them

Need: in an upgrade the new process had nothing of any share until the old one had ended, some seconds in which, where RPCs beyond a share are refused, all of them were: fleet.rs, identity(), waits for the lock.

Change: with the listening socket goes half of what the balancer holds; the old process says nothing more to the stewards, the new one goes on under its identity, accepts nothing new until the old one has ended, and has all then. If the new one dies the old one has all again. Times go over as what is left of them, counted from the asking.

--- a/crates/fernroute-fleet/src/member.rs
+++ b/crates/fernroute-fleet/src/member.rs
@@ -3,6 +3,7 @@
 use crate::message::{Answer, Beat, Grant};
 use crate::{Identity, Shares, Units};
 use fernroute::Time;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Beats that are not answered yet, at the most: an answer to an older one would find its time over.
@@ -28,6 +29,17 @@
     before: Option<Grant>,
 }
 
+/// What an old process hands to a new one of the same balancer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handed {
+    pub identity: Identity,
+    pub grant: Grant,
+    /// How much longer its two parts hold, from when it was handed over.
+    pub shares_for: Time,
+    pub floors_for: Time,
+    part: u64,
+}
+
 /// What an answer changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
@@ -145,15 +157,34 @@
     }
 
     /// A successor process of the same balancer goes on under this identity, with half of what is held; this one keeps
-    /// the other half until its times are over, or it ends, and sends no beat any more. `first` as in [`Member::new`].
-    /// None while this process itself shares with the one before it: three would not know when they are two.
-    pub fn hand_over(&mut self, first: u64) -> Option<Member> {
+    /// the other half until its times are over, or it ends, and sends no beat any more. None while this process itself
+    /// shares with the one before it: three would not know when they are two.
+    pub fn hand_over(&mut self, now: Time) -> Option<Handed> {
         if self.before.is_some() {
             return None;
         }
         self.part /= 2;
         self.open.clear();
-        Some(Member { number: first, before: Some(self.grant.clone()), ..self.clone() })
+        Some(Handed {
+            identity: self.identity,
+            grant: self.grant.clone(),
+            shares_for: self.shares_until.saturating_sub(now),
+            floors_for: self.floors_until.saturating_sub(now),
+            part: self.part,
+        })
+    }
+
+    /// The successor: `asked` is when it asked for it, by its own clock, before anything was handed over. `first` as in
+    /// [`Member::new`].
+    pub fn take_over(name: &str, asked: Time, first: u64, handed: &Handed) -> Self {
+        Member {
+            shares_until: asked.saturating_add(handed.shares_for),
+            floors_until: asked.saturating_add(handed.floors_for),
+            grant: handed.grant.clone(),
+            part: handed.part.min(ALL / 2),
+            before: Some(handed.grant.clone()),
+            ..Member::new(name, handed.identity, first)
+        }
     }
 
     /// The process before this one has ended, or holds nothing any more.
@@ -220,8 +251,9 @@
         let mut old = Member::new("n0", 7, 0);
         let beat = old.beat(0, Shares::new());
         old.hear(1, &answer(&beat, grant(3, 3, 9)));
-        let mut new = old.hand_over(1 << 32).expect("it holds alone");
-        assert_eq!(new.hand_over(1 << 34), None);
+        let handed = old.hand_over(2).expect("it holds alone");
+        let mut new = Member::take_over("n0", 2, 1 << 32, &handed);
+        assert_eq!((new.hand_over(2), new.until()), (None, old.until()));
         assert_eq!((old.holds(2, "acme"), new.holds(2, "acme")), (5, 5));
         let beat = new.beat(3, Shares::new());
         // More than both began with is not used, and less is not said to be accepted, until the old one has ended.
--- a/crates/fernroute-fleet/tests/world/mod.rs
+++ b/crates/fernroute-fleet/tests/world/mod.rs
@@ -180,9 +180,11 @@
     pub fn upgrade(&mut self, n: usize) -> Option<usize> {
         let number = self.processes.len();
         let first = (number as u64 + 1) << 32;
-        let flaw = self.flaw;
+        let (flaw, now) = (self.flaw, self.now);
         let old = self.processes[n].as_mut().filter(|old| old.successor.is_none() && !old.stopped)?;
-        let mut member = old.member.hand_over(first)?;
+        let clock = old.clock.read(now);
+        let handed = old.member.hand_over(clock)?;
+        let mut member = Member::take_over(&old.name, clock, first, &handed);
         if flaw == Flaw::HandsOverAllTwice {
             member.take_all();
         }
--- a/crates/fernroute-lab/src/processes.rs
+++ b/crates/fernroute-lab/src/processes.rs
@@ -177,6 +177,14 @@
         Ok(())
     }
 
+    /// Starts a new process of the same balancer beside the old one, which it returns once the new one serves.
+    pub async fn upgrade(&mut self, n: usize) -> Result<Process, String> {
+        let name = format!("b{n}");
+        let new = launch(&self.program, "balancer", &self.folder, &name, &self.pages[n])?;
+        new.address_after("serving on ", START).await?;
+        Ok(std::mem::replace(&mut self.balancers[n], new))
+    }
+
     /// Open loop: what is slow to be answered keeps no other waiting.
     fn ask_for_ever(&self, n: usize) {
         let (rates, wrong, at) = (Rc::clone(&self.rates), Rc::clone(&self.wrong), self.addresses[n]);
--- a/crates/fernroute-lab/tests/fleet.rs
+++ b/crates/fernroute-lab/tests/fleet.rs
@@ -1,6 +1,8 @@
 //! Real balancers and real stewards on loopback, a load that one tenant's budget divides, and faults between them.
 
 use fernroute_lab::processes::Fleet;
+use fernroute_rig::caller::{rpc, send};
+use fernroute_rig::http::read;
 use fernroute_rig::link::Way;
 use fernroute_rig::until;
 use std::future::Future;
@@ -108,3 +110,33 @@
         end(&fleet);
     });
 }
+
+/// Guards against an upgrade in which the new process has nothing, or both together have more than one may.
+#[test]
+fn an_old_and_a_new_process_of_a_balancer_spend_one_grant_between_them() {
+    run(async {
+        let mut fleet = start("upgrade", 1).await;
+        fleet.rates(&[150, 2, 2]);
+        fleet.until_used().await;
+        for _ in 0..2 {
+            let old = fleet.upgrade(0).await.expect("it serves");
+            let from = Instant::now();
+            while from.elapsed() < Duration::from_secs(2) {
+                sleep(Duration::from_millis(100)).await;
+                // Half of its share at the least, in each half second and whichever process has it.
+                let ran = fleet.ran.within(Duration::from_millis(500));
+                assert!(ran * 10 >= WHOLE * 2, "{ran}: {:?}", fleet.balancers[0].log());
+            }
+            until(|| !old.is_running()).await;
+            fleet.until_used().await;
+        }
+        // The next one dies as it comes, while the old one still has a caller: the old one has all again.
+        let mut kept = send(fleet.addresses[0], rpc("GET", "/look", "")).await;
+        assert!(read(&mut kept).await.is_some());
+        let old = fleet.upgrade(0).await.expect("it serves");
+        fleet.balancers[0].kill();
+        until(|| old.says("serving again")).await;
+        fleet.until_used().await;
+        end(&fleet);
+    });
+}
--- a/crates/fernroute-server/src/program/fleet.rs
+++ b/crates/fernroute-server/src/program/fleet.rs
@@ -2,21 +2,22 @@
 //! for it, and it waits for none. Where no fleet is named nothing of this runs.
 
 use super::serve::Running;
-use crate::routing::clock::{duration, Clock};
+use crate::routing::clock::{duration, tenths, Clock};
 use crate::routing::switchboard::Switchboard;
 use awc::Client;
 use fernroute::{Terms, Time};
 use fernroute_config::Fleet;
 use fernroute_fleet::demand::Meter;
-use fernroute_fleet::member::{Heard, Member};
+use fernroute_fleet::member::{Handed, Heard, Member};
 use fernroute_fleet::message::{Answer, Beat, Envelope, Unanswered, BEAT, VERSION};
 use fernroute_fleet::Shares;
+use std::cell::{Cell, RefCell};
 use std::fs::{File, TryLockError};
 use std::io::{Read as _, Seek as _, Write as _};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The longest answer of a steward.
 const MOST_ANSWER: usize = 64 << 10;
@@ -27,8 +28,14 @@
 /// Thousandths of a unit, as the ledger counts.
 const UNIT: f64 = 1000.0;
 
-/// Begins the balancer's part. Until something is granted it has nothing of any share.
-pub fn join(running: &Running, fleet: &Fleet, terms: &Terms) -> Result<(), String> {
+/// Begins the balancer's part. Until something is granted it has nothing of any share, but half of what the process
+/// before it handed over, which was asked for it at that time.
+pub fn join(
+    running: &Running,
+    fleet: &Fleet,
+    terms: &Terms,
+    handed: Option<(Handed, Instant)>,
+) -> Result<Rc<Part>, String> {
     let board = Rc::clone(&running.board);
     board.new_shares(&[]).map_err(|bad| bad.to_string())?;
     let now = board.clock.now();
@@ -36,43 +43,98 @@
     let names = (0..count).filter_map(|i: usize| terms.get(&format!("tenants.{i}.name")).cloned());
     board.asked.replace(Some(names.map(|name| (name, Meter::new(now))).collect()));
     let place = running.meeting()?.with_extension("member");
-    let part = Part {
+    let member = handed.map(|(handed, asked)| {
+        let asked = now.saturating_sub(tenths(asked.elapsed()));
+        Member::take_over(&running.name, asked, first(), &handed)
+    });
+    let part = Rc::new(Part {
         board,
         cluster: fleet.cluster.clone(),
         stewards: fleet.stewards.clone(),
         beat: duration(fleet.beat),
         client: Client::builder().disable_redirects().finish(),
         name: running.name.clone(),
-    };
-    actix_rt::spawn(part.follow(place));
-    Ok(())
+        member: RefCell::new(member),
+        handed: Cell::new(false),
+    });
+    part.grant();
+    actix_rt::spawn(Rc::clone(&part).follow(place));
+    Ok(part)
 }
 
-struct Part {
+/// Beats are counted on from where no earlier process under the same identity was.
+fn first() -> u64 {
+    Clock::start().now() << 8
+}
+
+pub struct Part {
     board: Rc<Switchboard>,
     cluster: String,
     stewards: Vec<SocketAddr>,
     beat: Duration,
     client: Client,
     name: String,
+    /// None until it is known who this balancer is in the ledger.
+    member: RefCell<Option<Member>>,
+    /// A successor goes on under the same identity: this process says nothing more.
+    handed: Cell<bool>,
 }
 
 impl Part {
-    async fn follow(self, place: PathBuf) {
+    /// A successor asks for what this process holds: half of it goes over.
+    pub fn hand_over(&self) -> Option<Handed> {
+        let now = self.board.clock.now();
+        let handed = self.member.borrow_mut().as_mut()?.hand_over(now)?;
+        self.handed.set(true);
+        self.grant();
+        Some(handed)
+    }
+
+    /// The process before this one has ended.
+    pub fn take_all(&self) {
+        self.member.borrow_mut().iter_mut().for_each(Member::take_all);
+        self.grant();
+    }
+
+    /// The successor has ended.
+    pub fn take_back(&self) {
+        if self.handed.replace(false) {
+            self.member.borrow_mut().iter_mut().for_each(|member| member.take_back(first()));
+            self.grant();
+        }
+    }
+
+    async fn follow(self: Rc<Self>, place: PathBuf) {
+        let known = self.member.borrow().is_some();
         // Held for as long as this process lives: whoever has it knows that the process before has ended.
-        let (identity, _lock) = self.identity(&place).await;
-        // Beats are counted on from where no earlier process under this identity was.
-        let mut member = Member::new(&self.name, identity, Clock::start().now() << 8);
+        let mut lock = None;
+        if !known {
+            let (identity, held) = self.identity(&place).await;
+            (lock, _) = (held, self.member.replace(Some(Member::new(&self.name, identity, first()))));
+        }
         let (mut to, mut told) = (0, String::new());
         loop {
+            if lock.is_none() {
+                // Of what was handed over: the process before this one has it until it ends.
+                lock = take(&place).ok().flatten().map(|(_, file)| file);
+            }
             let now = self.board.clock.now();
-            let beat = member.beat(now, self.wants(now));
+            let wants = self.wants(now);
+            let quiet = self.handed.get();
+            let beat =
+                self.member.borrow_mut().as_mut().filter(|_| !quiet).map(|member| member.beat(now, wants));
+            let Some(beat) = beat else {
+                actix_rt::time::sleep(self.beat).await;
+                continue;
+            };
             let said = self.say(&beat, &mut to).await;
             let now = self.board.clock.now();
+            let hear =
+                |answer| self.member.borrow_mut().as_mut().map_or(Heard::Stale, |m| m.hear(now, answer));
             let news = match said {
-                Ok(answer) => match member.hear(now, &answer) {
+                Ok(answer) => match hear(&answer) {
                     Heard::Anew | Heard::Longer => {
-                        self.grant(&member);
+                        self.grant();
                         if answer.shares_for < 3 * (self.beat.as_micros() / 100) as Time {
                             "shares end before three beats: lengthen them, or beat more often".to_owned()
                         } else {
@@ -113,7 +175,10 @@
         asked.iter_mut().flatten().map(|(name, meter)| (name.clone(), meter.wants(now))).collect()
     }
 
-    fn grant(&self, member: &Member) {
+    /// What is held now reaches the decisions.
+    fn grant(&self) {
+        let member = self.member.borrow();
+        let Some(member) = &*member else { return };
         let (shares, floors) = member.until();
         let asked = self.board.asked.borrow();
         let of = |name: &'_ String| {
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -1,5 +1,6 @@
 //! Puts the layers together and runs them on one thread.
 
+use super::fleet::Part;
 use super::share::Share;
 use super::station::{bad_setting, Station};
 use super::upgrade::{self, Before};
@@ -72,6 +73,8 @@
     /// Where each watch waits for the decisions to ask.
     asks: Cell<bool>,
     watch: RefCell<Option<JoinHandle<()>>>,
+    /// Its part in a fleet, if it is of one.
+    part: RefCell<Option<Rc<Part>>>,
 }
 
 impl Running {
@@ -124,6 +127,13 @@
         log::info!("serving on {}, {} upstreams known", self.address, self.board.lines.borrow().len());
     }
 
+    /// Tells its part in a fleet what becomes of this process, where it has one.
+    pub fn part(&self, tell: impl FnOnce(&Part)) {
+        if let Some(part) = &*self.part.borrow() {
+            tell(part);
+        }
+    }
+
     /// Where a successor comes to.
     pub fn meeting(&self) -> Result<PathBuf, String> {
         handover::path(&self.name, self.listen)
@@ -258,10 +268,15 @@
         discovery: Cell::new(station.discovery),
         asks: Cell::new(asks(&station.terms)),
         watch: RefCell::default(),
+        part: RefCell::default(),
     };
     running.watch(station.discovery, station.since);
     if let Some(fleet) = &station.fleet {
-        fleet::join(&running, fleet, &station.terms)?;
+        let handed = match &mut *running.before.borrow_mut() {
+            Before::Serving(other) => other.member.take(),
+            _ => None,
+        };
+        running.part.replace(Some(fleet::join(&running, fleet, &station.terms, handed)?));
     }
     if serves {
         running.say_serving();
--- a/crates/fernroute-server/src/program/upgrade.rs
+++ b/crates/fernroute-server/src/program/upgrade.rs
@@ -8,6 +8,7 @@
 use super::serve::Running;
 use crate::protocol::handover::{FromNew, FromOld, Known};
 use crate::transport::handover::{self as transport, Link, Meeting};
+use fernroute_fleet::member::Handed;
 use futures_util::future::{select, Either};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -42,6 +43,8 @@
     pub listener: Option<TcpListener>,
     pub list: Known,
     pub descriptors: usize,
+    /// Its half of a fleet's budgets, if it handed one over, and when it was asked to.
+    pub member: Option<(Handed, Instant)>,
 }
 
 /// Asks the process that serves at this address, if there is one, to hand over. An error is its word that it won't.
@@ -78,9 +81,12 @@
 
 /// The inner error is a refusal.
 async fn take(mut link: Link, listen: SocketAddr) -> Result<Result<Serving, String>, String> {
+    let asked = Instant::now();
     link.say(&FromNew::take()).await.map_err(|e| e.to_string())?;
-    let (list, descriptors, socket) = match link.hear().await.map_err(|e| e.to_string())? {
-        Some((FromOld::Given { list, descriptors, .. }, Some(socket))) => (list, descriptors, socket),
+    let (list, descriptors, member, socket) = match link.hear().await.map_err(|e| e.to_string())? {
+        Some((FromOld::Given { list, descriptors, member, .. }, Some(socket))) => {
+            (list, descriptors, member.map(|member| (member, asked)), socket)
+        }
         Some((FromOld::Refused { why }, _)) => return Ok(Err(why)),
         Some((other, _)) => return Err(format!("{other:?} without the socket")),
         None => return Err("it ended".to_owned()),
@@ -91,7 +97,7 @@
         return Err("its socket is another".to_owned());
     }
     let listener = TcpListener::from_std(listener).map_err(|e| e.to_string())?;
-    Ok(Ok(Serving { link, listener: Some(listener), list, descriptors }))
+    Ok(Ok(Serving { link, listener: Some(listener), list, descriptors, member }))
 }
 
 /// Takes over from the process before this one, if there is one, then waits for a successor for as long as the program
@@ -177,11 +183,13 @@
             }
             log::info!("the old process has ended");
             running.set_share(|share| share.take_all());
+            running.part(|part| part.take_all());
             is_yours.notify_one();
         });
         yours.notified().await;
     } else {
         running.set_share(|share| share.take_all());
+        running.part(|part| part.take_all());
     }
     Ok(())
 }
@@ -206,6 +214,7 @@
         };
         let Some(link) = ready else {
             running.set_share(|share| share.take_all());
+            running.part(|part| part.take_back());
             continue;
         };
         running.board.phase_change(|phase, now| phase.hand_over(now));
@@ -220,6 +229,7 @@
         running.board.phase_change(|phase, _| phase.take_back());
         running.server.set_accepting(true);
         running.set_share(|share| share.take_all());
+        running.part(|part| part.take_back());
         return false;
     }
 }
@@ -258,7 +268,9 @@
     running.set_share(|share| share.keep(running.connections()));
     let descriptors = running.share().left(running.connections());
     log::info!("a successor comes, it gets {descriptors} descriptors");
-    let given = FromOld::given(running.known(), descriptors);
+    let mut handed = None;
+    running.part(|part| handed = part.hand_over());
+    let given = FromOld::given(running.known(), descriptors, handed);
     match timeout(ANSWER, link.say_with(&given, socket)).await {
         Ok(Ok(())) => {}
         _ => return None,
--- a/crates/fernroute-server/src/protocol/handover.rs
+++ b/crates/fernroute-server/src/protocol/handover.rs
@@ -1,6 +1,7 @@
 //! What the old and the new process of a balancer tell each other during an upgrade: a line of JSON each.
 
 use super::list::{Entry, List, State};
+use fernroute_fleet::member::Handed;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -23,7 +24,14 @@
 #[serde(rename_all = "snake_case")]
 pub enum FromOld {
     /// With the listening socket: the list as this process has it, and the descriptors that are left.
-    Given { version: u32, list: Known, descriptors: usize },
+    Given {
+        version: u32,
+        list: Known,
+        descriptors: usize,
+        /// Half of what it holds of a fleet's budgets, where it is of one; an earlier version says none.
+        #[serde(default)]
+        member: Option<Handed>,
+    },
     /// Another successor is here already, or this one can't be served.
     Refused { why: String },
     /// More descriptors, as connections end.
@@ -65,8 +73,8 @@
 }
 
 impl FromOld {
-    pub fn given(list: Known, descriptors: usize) -> Self {
-        FromOld::Given { version: VERSION, list, descriptors }
+    pub fn given(list: Known, descriptors: usize, member: Option<Handed>) -> Self {
+        FromOld::Given { version: VERSION, list, descriptors, member }
     }
 }
 
@@ -131,7 +139,7 @@
         };
         let entries = [entry("a", State::Ready), entry("b", State::Drains), entry("c", State::Gone)];
         let known = Known::of(SocketAddr::from(([127, 0, 0, 1], 8500)), Some(41), entries.iter());
-        let line = encode(&FromOld::given(known, 100));
+        let line = encode(&FromOld::given(known, 100, None));
         let Ok(FromOld::Given { list, descriptors: 100, .. }) = decode(&line) else { panic!("not the same") };
         assert_eq!(list.list(), List { version: 41, full: true, entries: entries[..1].to_vec() });
     }
