Stewards elect sooner and shares hold longer: a lapse was seen when the leader was killed

Seen: the test that kills the leader failed in one of six runs, "a share lapsed". Ruled out: grants forgotten (the ledger had both), a second leader (one term). Cause: votes are refused for the longer election time after the last word of a leader, and two candidates at a time elect none; with 250 to 500 ms some rounds do not fit into 1.5 s. keep.rs, ELECTION.

Addresses that stewards are told of lie below the ports that the machine gives to connections. Real runs of scenarios lose balancers (balancer_loss) and refuse stewards_down, which they passed over.

--- a/crates/fernroute-lab/src/live/callers.rs
+++ b/crates/fernroute-lab/src/live/callers.rs
@@ -24,7 +24,16 @@
         for n in 0..=self.scenario.load.retries {
             let count = self.first.borrow().len();
             let place = if n == 0 { want.balancer } else { self.chance.borrow_mut().random_range(0..count) };
-            let node = self.first.borrow()[place];
+            let mut node = self.first.borrow()[place];
+            if !self.node(node).alive.get() {
+                // Its front deals it to another.
+                let alive = |n: &usize| self.node(*n).alive.get();
+                let alive: Vec<usize> = self.first.borrow().iter().copied().filter(alive).collect();
+                if alive.is_empty() {
+                    break;
+                }
+                node = alive[self.chance.borrow_mut().random_range(0..alive.len())];
+            }
             let rpc: Rc<str> = Rc::from(format!("r{number}.{n}"));
             if hard <= self.now() + 10 {
                 break;
--- a/crates/fernroute-lab/src/live/faults.rs
+++ b/crates/fernroute-lab/src/live/faults.rs
@@ -49,7 +49,14 @@
                 _ => {}
             }
         }
+        let mut lost = Vec::new();
         match fault.kind {
+            Kind::BalancerLoss => {
+                let alive = |n: &usize| self.node(self.first.borrow()[*n]).alive.get();
+                let all = (0..self.first.borrow().len()).filter(alive).map(|n| (n, 0)).collect();
+                lost = victims(fault, i, self.seed, all);
+                lost.iter().for_each(|n| self.balancer_dies(self.first.borrow()[*n]));
+            }
             Kind::ReportsLate => drop(self.reports_late.borrow_mut().insert(i, seconds(fault.size))),
             Kind::ListDown => {
                 let until = from + seconds(fault.at_s + fault.for_s);
@@ -127,6 +134,12 @@
         }
         sleep_until(at(end)).await;
         self.reports_late.borrow_mut().remove(&i);
+        for n in lost {
+            match self.new_node(0, n, n % self.scenario.tier[0].zones).await {
+                Ok(node) => self.first.borrow_mut()[n] = node,
+                Err(why) => drop(self.trouble.replace(Some(why))),
+            }
+        }
         for n in all {
             self.stand(n).model.borrow_mut().afflicted.remove(&i);
             let state = self.stand(n).model.borrow().state;
--- a/crates/fernroute-lab/src/live/mod.rs
+++ b/crates/fernroute-lab/src/live/mod.rs
@@ -11,7 +11,7 @@
 use crate::books::Books;
 use crate::demand::{stream, Arrivals, Want, CHANCE};
 use crate::referee::{Breach, Referee};
-use crate::scenario::{seconds, Scenario};
+use crate::scenario::{seconds, Kind, Scenario};
 use crate::trace::{Event, Witness as _};
 use balancers::Node;
 use fernroute::Time;
@@ -129,6 +129,9 @@
     }
 
     async fn played(self: Rc<Self>) -> Result<Report, String> {
+        if self.scenario.fault.iter().any(|f| f.kind == Kind::StewardsDown) {
+            return Err("stewards_down: a real run of a scenario has no stewards yet".to_owned());
+        }
         for (tier, of) in self.scenario.tier.iter().enumerate() {
             for place in 0..of.upstreams {
                 self.new_stand(tier, place % of.zones, place / of.cell).await?;
--- a/crates/fernroute-rig/src/process.rs
+++ b/crates/fernroute-rig/src/process.rs
@@ -5,9 +5,10 @@
 use std::cell::RefCell;
 use std::fs;
 use std::io::{self, BufRead as _, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -113,6 +114,28 @@
     }
 }
 
+/// Addresses for processes that have to be told of each other before they start, and come back where they were. Below the
+/// ports that the machine gives to whoever asks for any: one of those could be taken by a connection while nobody listens.
+pub fn addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
+    const FIRST: usize = 12_000;
+    const MANY: usize = 18_000;
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let mut found = Vec::new();
+    // Processes that run beside this one begin elsewhere.
+    let begin = std::process::id() as usize * 61;
+    while found.len() < count {
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        if n > MANY {
+            return Err(io::Error::new(io::ErrorKind::AddrInUse, "no port is free"));
+        }
+        let at = SocketAddr::from(([127, 0, 0, 1], (FIRST + (begin + n) % MANY) as u16));
+        if TcpListener::bind(at).is_ok() {
+            found.push(at);
+        }
+    }
+    Ok(found)
+}
+
 /// What a process keeps over its starts: a folder that can be lost, brought back as it once was, or changed for another's.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Disk {
--- a/crates/fernroute-steward/src/keep.rs
+++ b/crates/fernroute-steward/src/keep.rs
@@ -18,9 +18,10 @@
 use std::time::Duration;
 
 /// Stewards hear from their leader this often, and elect another after the longer times: two lost messages elect nobody.
-/// With the time to find it, well under a lease of the usual length.
-const HEARTBEAT: u64 = 60;
-const ELECTION: (u64, u64) = (250, 500);
+/// Votes are refused for the longer time after the last word of a leader, and two candidates at a time elect none: some rounds
+/// of it must fit into a lease of the usual length. With 250 to 500 ms a share of 1.5 s lapsed once in six runs.
+const HEARTBEAT: u64 = 50;
+const ELECTION: (u64, u64) = (160, 320);
 
 /// How often a leader looks for what is due beside beats: of who lapsed it hears of nothing.
 const LOOK: Duration = Duration::from_millis(25);
--- a/crates/fernroute-steward/src/terms.rs
+++ b/crates/fernroute-steward/src/terms.rs
@@ -33,9 +33,9 @@
     1000
 }
 
-/// Six beats of a quarter second: some may be lost, and a new leader is found in time.
+/// Eight beats of a quarter second: some may be lost, and a new leader is found in time.
 fn shares() -> f64 {
-    1500.0
+    2000.0
 }
 
 fn floors() -> f64 {
@@ -183,7 +183,7 @@
         let acme = terms.budgets.get("acme").expect("it is there");
         assert_eq!(
             (acme.whole, acme.floor, terms.shares.length, terms.floors.length),
-            (200_000, 40, 15_000, 600_000)
+            (200_000, 40, 20_000, 600_000)
         );
         assert!(acme.floor * terms.members as u64 <= acme.whole);
     }
