Reread: a balancer's part in a fleet is handed what it needs, and knows nothing of who starts it

serve.rs and fleet.rs named each other: join() took the running balancer for its board, name and meeting place, and gets these now. No behaviour changes; the tests of upgrades and of real fleets pass, clippy is clean.

--- a/crates/fernroute-server/src/program/fleet.rs
+++ b/crates/fernroute-server/src/program/fleet.rs
@@ -1,7 +1,6 @@
 //! The balancer's part in a fleet: a task beside the RPCs that says what is asked, and hears what is granted. No RPC waits
 //! for it, and it waits for none. Where no fleet is named nothing of this runs.
 
-use super::serve::Running;
 use crate::routing::clock::{duration, tenths, Clock};
 use crate::routing::switchboard::Switchboard;
 use awc::Client;
@@ -30,22 +29,24 @@
 
 /// Begins the balancer's part. Until something is granted it has nothing of any share, but half of what the process
 /// before it handed over, which was asked for it at that time.
+///
+/// `place` is the file that says who this balancer is in the ledger.
 pub fn join(
-    running: &Running,
+    board: Rc<Switchboard>,
+    name: &str,
+    place: PathBuf,
     fleet: &Fleet,
     terms: &Terms,
     handed: Option<(Handed, Instant)>,
 ) -> Result<Rc<Part>, String> {
-    let board = Rc::clone(&running.board);
     board.new_shares(&[]).map_err(|bad| bad.to_string())?;
     let now = board.clock.now();
     let count = terms.get("tenants.count").and_then(|n| n.parse().ok()).unwrap_or(0);
     let names = (0..count).filter_map(|i: usize| terms.get(&format!("tenants.{i}.name")).cloned());
     board.asked.replace(Some(names.map(|name| (name, Meter::new(now))).collect()));
-    let place = running.meeting()?.with_extension("member");
     let member = handed.map(|(handed, asked)| {
         let asked = now.saturating_sub(tenths(asked.elapsed()));
-        Member::take_over(&running.name, asked, first(), &handed)
+        Member::take_over(name, asked, first(), &handed)
     });
     let part = Rc::new(Part {
         board,
@@ -53,7 +54,7 @@
         stewards: fleet.stewards.clone(),
         beat: duration(fleet.beat),
         client: Client::builder().disable_redirects().finish(),
-        name: running.name.clone(),
+        name: name.to_owned(),
         member: RefCell::new(member),
         handed: Cell::new(false),
     });
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -65,7 +65,7 @@
     pub before: RefCell<Before>,
     /// What callers are to come to once this process begins.
     bound: Cell<Option<TcpSocket>>,
-    pub name: String,
+    name: String,
     listen: SocketAddr,
     share: Cell<Share>,
     memory: usize,
@@ -276,7 +276,10 @@
             Before::Serving(other) => other.member.take(),
             _ => None,
         };
-        running.part.replace(Some(fleet::join(&running, fleet, &station.terms, handed)?));
+        let place = running.meeting()?.with_extension("member");
+        let (board, terms) = (Rc::clone(&running.board), &station.terms);
+        let part = fleet::join(board, &running.name, place, fleet, terms, handed)?;
+        running.part.replace(Some(part));
     }
     if serves {
         running.say_serving();
