Reread: units, floors, rates and the notes of a member are said once

Budget::new, Member::rates, UNIT, Known::new and one decode() of answers serve now; a bound that could not bind (heard is never before begun) is gone.

--- a/crates/fernroute-fleet/src/leader.rs
+++ b/crates/fernroute-fleet/src/leader.rs
@@ -28,6 +28,12 @@
     leaves: bool,
 }
 
+impl Known {
+    fn new(heard: Time) -> Self {
+        Known { heard, wants: None, epoch: 0, leaves: false }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Leader {
     shares: Lease,
@@ -43,10 +49,8 @@
 
 impl Leader {
     pub fn new(now: Time, ledger: &Ledger, shares: Lease, floors: Lease, most: usize) -> Self {
-        let known = |(identity, holder): (&Identity, &Holder)| {
-            let known = Known { heard: now, wants: None, epoch: 0, leaves: false };
-            (*identity, (holder.name.clone(), known))
-        };
+        let known =
+            |(identity, holder): (&Identity, &Holder)| (*identity, (holder.name.clone(), Known::new(now)));
         let known = ledger.holders().iter().map(known).collect();
         Leader { shares, floors, most, begun: now, known, entering: None }
     }
@@ -70,8 +74,8 @@
                 return Err(Refusal::Full);
             }
         }
-        let new = Known { heard: now, wants: None, epoch: 0, leaves: false };
-        let (_, known) = self.known.entry(beat.identity).or_insert_with(|| (beat.name.clone(), new));
+        let new = || (beat.name.clone(), Known::new(now));
+        let (_, known) = self.known.entry(beat.identity).or_insert_with(new);
         // One that says it leaves never comes again: what still comes is late.
         if !known.leaves {
             known.heard = now;
@@ -142,14 +146,13 @@
 
     /// Who would be a member and is not heard of any more, and members that the ledger has let go.
     fn forget(&mut self, now: Time, ledger: &Ledger) {
-        let (begun, lapse) = (self.begun, self.shares.lapse());
+        let lapse = self.shares.lapse();
         self.known.retain(|identity, (_, known)| {
             let member = ledger.holders().contains_key(identity);
-            member || !known.leaves && now.saturating_sub(known.heard.max(begun)) <= lapse
+            member || !known.leaves && now.saturating_sub(known.heard) <= lapse
         });
         for (identity, holder) in ledger.holders() {
-            let new = Known { heard: now, wants: None, epoch: 0, leaves: false };
-            self.known.entry(*identity).or_insert_with(|| (holder.name.clone(), new));
+            self.known.entry(*identity).or_insert_with(|| (holder.name.clone(), Known::new(now)));
         }
     }
 
--- a/crates/fernroute-fleet/src/ledger.rs
+++ b/crates/fernroute-fleet/src/ledger.rs
@@ -2,7 +2,7 @@
 //! applies the same entries. It trusts no entry: one that would let all together hold more than the whole is refused.
 
 use crate::message::Grant;
-use crate::{Identity, Shares, Units};
+use crate::{Identity, Shares, Units, UNIT};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,6 +15,14 @@
     pub floor: Units,
 }
 
+impl Budget {
+    /// `whole` in units a second; `floors` is the part of it that the floors of so many members together are.
+    pub fn new(whole: f64, floors: f64, members: usize) -> Self {
+        let whole = (whole * UNIT).round() as Units;
+        Budget { whole, floor: (whole as f64 * floors / members as f64) as Units }
+    }
+}
+
 /// What has been granted to a member: what it said that it goes by, and what it was offered since.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holder {
--- a/crates/fernroute-fleet/src/lib.rs
+++ b/crates/fernroute-fleet/src/lib.rs
@@ -23,6 +23,9 @@
 /// Thousandths of a budget's unit: whole numbers, so that sums are exact.
 pub type Units = u64;
 
+/// Of them make one unit.
+pub const UNIT: f64 = 1000.0;
+
 /// Amounts by the name of the budget; one that is not named is none.
 pub type Shares = BTreeMap<String, Units>;
 
--- a/crates/fernroute-fleet/src/member.rs
+++ b/crates/fernroute-fleet/src/member.rs
@@ -1,7 +1,7 @@
 //! A balancer's side: what it holds of each budget, and until when by its own clock.
 
 use crate::message::{Answer, Beat, Grant};
-use crate::{Identity, Shares, Units};
+use crate::{Identity, Shares, Units, UNIT};
 use fernroute::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -151,6 +151,12 @@
         (of(|grant| &grant.floors), of(|grant| &grant.shares))
     }
 
+    /// The same in units a second, each with when it ends.
+    pub fn rates(&self, budget: &str) -> [(f64, Time); 2] {
+        let (floor, share) = self.parts(budget);
+        [(floor as f64 / UNIT, self.floors_until), (share as f64 / UNIT, self.shares_until)]
+    }
+
     /// Until when the shares and the floors hold.
     pub fn until(&self) -> (Time, Time) {
         (self.shares_until, self.floors_until)
--- a/crates/fernroute-lab/src/fleet.rs
+++ b/crates/fernroute-lab/src/fleet.rs
@@ -9,12 +9,9 @@
 use fernroute_fleet::ledger::{Budget, Entry, Ledger, Step};
 use fernroute_fleet::member::{Heard, Member};
 use fernroute_fleet::message::{Answer, Beat};
-use fernroute_fleet::{Shares, Units};
+use fernroute_fleet::Shares;
 use std::collections::BTreeMap;
 
-/// Thousandths.
-const UNIT: f64 = 1000.0;
-
 struct Balancer {
     member: Member,
     /// What each tenant asks for here.
@@ -42,12 +39,9 @@
         let most = scenario.tier[0].balancers;
         let lease = |length| Lease { length, drift: f.drift_ppm };
         let (shares, floors) = (lease(millis(f.shares_for_ms)), lease(seconds(f.floors_for_s)));
-        let budget = |rate: f64| {
-            let whole = (rate * UNIT) as Units;
-            Budget { whole, floor: (whole as f64 * f.floors / most as f64) as Units }
-        };
         let mut ledger = Ledger::default();
-        let budgets = scenario.tenant.iter().map(|t| (t.name.clone(), budget(t.rate))).collect();
+        let budgets =
+            scenario.tenant.iter().map(|t| (t.name.clone(), Budget::new(t.rate, f.floors, most))).collect();
         if let Err(why) = ledger.apply(&Entry::Budgets(budgets)) {
             unreachable!("budgets are always taken: {why:?}");
         }
@@ -102,12 +96,7 @@
         if matches!(member.hear(now, answer), Heard::Stale | Heard::Older) {
             return None;
         }
-        let (shares, floors) = member.until();
-        let of = |name: &String| {
-            let (floor, share) = member.parts(name);
-            (name.clone(), [(floor as f64 / UNIT, floors), (share as f64 / UNIT, shares)])
-        };
-        Some(self.names.iter().map(of).collect())
+        Some(self.names.iter().map(|name| (name.clone(), member.rates(name))).collect())
     }
 
     /// No steward answers any more.
--- a/crates/fernroute-server/src/program/fleet.rs
+++ b/crates/fernroute-server/src/program/fleet.rs
@@ -24,9 +24,6 @@
 /// How long the process before this one is waited for between two looks.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// Thousandths of a unit, as the ledger counts.
-const UNIT: f64 = 1000.0;
-
 /// Begins the balancer's part. Until something is granted it has nothing of any share, but half of what the process
 /// before it handed over, which was asked for it at that time.
 ///
@@ -111,7 +108,8 @@
         let mut lock = None;
         if !known {
             let (identity, held) = self.identity(&place).await;
-            (lock, _) = (held, self.member.replace(Some(Member::new(&self.name, identity, first()))));
+            lock = held;
+            self.member.replace(Some(Member::new(&self.name, identity, first())));
         }
         let (mut to, mut told) = (0, String::new());
         loop {
@@ -136,7 +134,7 @@
                 Ok(answer) => match hear(&answer) {
                     Heard::Anew | Heard::Longer => {
                         self.grant();
-                        if answer.shares_for < 3 * (self.beat.as_micros() / 100) as Time {
+                        if answer.shares_for < 3 * tenths(self.beat) {
                             "shares end before three beats: lengthen them, or beat more often".to_owned()
                         } else {
                             format!("of the fleet {}", self.cluster)
@@ -180,14 +178,10 @@
     fn grant(&self) {
         let member = self.member.borrow();
         let Some(member) = &*member else { return };
-        let (shares, floors) = member.until();
         let asked = self.board.asked.borrow();
-        let of = |name: &'_ String| {
-            let (floor, share) = member.parts(name);
-            [(floor as f64 / UNIT, floors), (share as f64 / UNIT, shares)]
-        };
+        let names = asked.iter().flat_map(|asked| asked.keys());
         let all: Vec<(&str, [(f64, Time); 2])> =
-            asked.iter().flatten().map(|(name, _)| (name.as_str(), of(name))).collect();
+            names.map(|name| (name.as_str(), member.rates(name))).collect();
         if let Err(bad) = self.board.new_shares(&all) {
             log::warn!("not taken over, all stays as it was: {bad}");
         }
--- a/crates/fernroute-steward/src/keep.rs
+++ b/crates/fernroute-steward/src/keep.rs
@@ -8,6 +8,7 @@
 use fernroute_fleet::leader::Leader;
 use fernroute_fleet::ledger::{Entry, Ledger};
 use fernroute_fleet::message::{Answer, Beat, Unanswered};
+use fernroute_fleet::UNIT;
 use openraft::{BasicNode, Config, ServerState, SnapshotPolicy};
 use rustix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
@@ -257,7 +258,6 @@
     }
 
     pub async fn status(&self) -> Status {
-        const UNIT: f64 = 1000.0;
         let metrics = self.raft.metrics().borrow().clone();
         let leader = metrics.current_leader.and_then(|leader| {
             let node = metrics.membership_config.membership().get_node(&leader)?.addr.clone();
--- a/crates/fernroute-steward/src/peers.rs
+++ b/crates/fernroute-steward/src/peers.rs
@@ -2,8 +2,12 @@
 //! cluster, the version and whom it is for.
 
 use crate::Kinds;
-use awc::Client;
+use actix_http::error::PayloadError;
+use awc::error::SendRequestError;
+use awc::{Client, ClientResponse};
+use bytes::Bytes;
 use fernroute_fleet::message::{Envelope, VERSION};
+use futures_util::Stream;
 use openraft::error::{InstallSnapshotError, NetworkError, RPCError, RaftError, RemoteError, Unreachable};
 use openraft::network::{RPCOption, RaftNetwork, RaftNetworkFactory};
 use openraft::raft::{
@@ -60,13 +64,7 @@
     ) -> Result<A, Failed> {
         let envelope = Envelope { cluster: self.cluster.clone(), version: VERSION, to, message };
         let call = self.client.post(format!("http://{at}{path}")).timeout(within);
-        let sent = call.send_json(&envelope).await;
-        let mut answer = sent.map_err(|e| format!("{at}: {e}"))?;
-        let body = answer.body().limit(MOST_BYTES).await.map_err(|e| format!("{at}: {e}"))?;
-        if !answer.status().is_success() {
-            return Err(format!("{at}: {}: {}", answer.status(), String::from_utf8_lossy(&body)));
-        }
-        serde_json::from_slice(&body).map_err(|e| format!("{at}: {e}"))
+        decode(at, call.send_json(&envelope).await).await
     }
 
     pub async fn ask<A: DeserializeOwned>(
@@ -75,14 +73,23 @@
         path: &str,
         within: Duration,
     ) -> Result<A, Failed> {
-        let sent = self.client.get(format!("http://{at}{path}")).timeout(within).send().await;
-        let mut answer = sent.map_err(|e| format!("{at}: {e}"))?;
-        let body = answer.body().limit(MOST_BYTES).await.map_err(|e| format!("{at}: {e}"))?;
-        if !answer.status().is_success() {
-            return Err(format!("{at}: {}: {}", answer.status(), String::from_utf8_lossy(&body)));
-        }
-        serde_json::from_slice(&body).map_err(|e| format!("{at}: {e}"))
+        decode(at, self.client.get(format!("http://{at}{path}")).timeout(within).send().await).await
+    }
+}
+
+async fn decode<A: DeserializeOwned, S>(
+    at: &str,
+    sent: Result<ClientResponse<S>, SendRequestError>,
+) -> Result<A, Failed>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>>,
+{
+    let mut answer = sent.map_err(|e| format!("{at}: {e}"))?;
+    let body = answer.body().limit(MOST_BYTES).await.map_err(|e| format!("{at}: {e}"))?;
+    if !answer.status().is_success() {
+        return Err(format!("{at}: {}: {}", answer.status(), String::from_utf8_lossy(&body)));
     }
+    serde_json::from_slice(&body).map_err(|e| format!("{at}: {e}"))
 }
 
 impl RaftNetworkFactory<Kinds> for Peers {
--- a/crates/fernroute-steward/src/terms.rs
+++ b/crates/fernroute-steward/src/terms.rs
@@ -3,7 +3,6 @@
 use fernroute::Time;
 use fernroute_fleet::lease::Lease;
 use fernroute_fleet::ledger::Budget;
-use fernroute_fleet::Units;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -102,11 +101,7 @@
         let own = page.steward.iter().find(|s| s.name == page.name);
         let address = own.map(|s| s.address).ok_or("name: no steward has it")?;
         let lease = |length: f64| Lease { length: length.round() as Time, drift: page.drift_ppm };
-        let budget = |b: &BudgetPage| {
-            let whole = (b.whole * 1000.0).round() as Units;
-            let floor = (whole as f64 * b.floors / page.members as f64) as Units;
-            (b.name.clone(), Budget { whole, floor })
-        };
+        let budget = |b: &BudgetPage| (b.name.clone(), Budget::new(b.whole, b.floors, page.members));
         Ok(Terms {
             address,
             shares: lease(page.shares_ms * 10.0),
