Stewards are taken in by a command, and one with an older disk takes no part

Need: a fleet could not grow from one steward to three, nor take in one that had lost its disk, without ending all; a disk set back to an older copy of itself voted and kept again what it had forgotten, unseen.

Change: fernroute-steward change has the leader take in who is new by its own file (learner first, then joint change). Stewards note how far they heard each other go (vote, last entry); one that starts asks before consensus begins and takes no part if others have heard more than its disk knows. The ledger knows stewards by name; each file says where they are from there. status says who votes, why one takes no part, and how many messages could not be read.

Tested with real processes: one grows to three, loses the first with its disk and takes it in anew while no share lapses; a follower's disk set back makes no majority (without the check the test fails); writes that fail (a limit on the process's files) stop the leader, another leads, and it comes back with what it had promised.

--- a/crates/fernroute-rig/src/process.rs
+++ b/crates/fernroute-rig/src/process.rs
@@ -1,7 +1,7 @@
 //! Real processes: started, stopped for a while, killed, started again with a disk of one's choice.
 
 use crate::until;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use std::cell::RefCell;
 use std::fs;
 use std::io::{self, BufRead as _, BufReader};
@@ -95,6 +95,15 @@
         self.signal(Signal::CONT);
     }
 
+    /// From here on none of its writes to files succeeds, as on a disk that is full or read-only; it has to ignore the signal
+    /// that tells of it, as [`ignoring_limits`] has it.
+    pub fn fill_disk(&self) -> io::Result<()> {
+        let id = Pid::from_raw(self.child.borrow_mut().id() as i32);
+        // Not none: what is at the very begin of a file no test relies on.
+        let none = Rlimit { current: Some(1), maximum: None };
+        prlimit(id, Resource::Fsize, none).map(|_| ()).map_err(io::Error::from)
+    }
+
     /// Its code, or none where a signal ended it.
     pub async fn ends(&self) -> Option<i32> {
         let mut status = None;
@@ -107,6 +116,22 @@
     }
 }
 
+/// The same program, which is told of a limit on its files by errors alone.
+pub fn ignoring_limits(command: &Command) -> Command {
+    let mut other = Command::new("sh");
+    other
+        .args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""])
+        .arg(command.get_program())
+        .args(command.get_args());
+    for (name, value) in command.get_envs() {
+        match value {
+            Some(value) => other.env(name, value),
+            None => other.env_remove(name),
+        };
+    }
+    other
+}
+
 /// A run that fails leaves nothing behind that runs.
 impl Drop for Process {
     fn drop(&mut self) {
--- a/crates/fernroute-steward/src/commands.rs
+++ b/crates/fernroute-steward/src/commands.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
-use crate::keep::{Keeper, Status};
-use crate::peers::{Peers, STATUS};
+use crate::keep::{Keeper, Status, StewardLine};
+use crate::peers::{Peers, CHANGE, STATUS};
 use crate::{door, terms::Terms};
 use argh::FromArgs;
 use futures_util::future::{select, Either};
@@ -18,6 +18,12 @@
 
 const NAME: &str = "fernroute-steward";
 
+/// How long a steward may take to say how it is.
+const WITHIN: Duration = Duration::from_secs(2);
+
+/// How long it may take until all who are new have the ledger.
+const CHANGED: Duration = Duration::from_secs(60);
+
 /// Keeps the ledger of a fleet of balancers.
 #[derive(FromArgs)]
 struct Line {
@@ -31,6 +37,7 @@
     Serve(Serve),
     Check(Check),
     Status(Ask),
+    Change(Change),
 }
 
 /// Serve until told to stop (SIGTERM or SIGINT).
@@ -69,6 +76,16 @@
     json: bool,
 }
 
+/// Make the ledger's processes those of this file: who is new, or has lost its disk, is taken in; who is not named any more
+/// goes. All stewards have the file already.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "change")]
+struct Change {
+    /// the file of any of the stewards
+    #[argh(option)]
+    config: PathBuf,
+}
+
 /// Runs one command. Bad use and bad files are one line on standard error and exit with 2.
 pub fn run(arguments: &[String]) -> ExitCode {
     let words: Vec<&str> = arguments.iter().skip(1).map(String::as_str).collect();
@@ -90,8 +107,7 @@
             println!("{} of {}: {stewards} stewards, {budgets} budgets", terms.name, terms.cluster);
         }),
         Command::Status(ask) => run_on_one_thread(async move {
-            const WITHIN: Duration = Duration::from_secs(2);
-            let status: Status = Peers::new("").ask(&ask.at.to_string(), STATUS, WITHIN).await?;
+            let status: Status = Peers::new("", &[]).ask(&ask.at.to_string(), STATUS, WITHIN).await?;
             if ask.json {
                 println!("{}", serde_json::to_string_pretty(&status).map_err(|e| e.to_string())?);
             } else {
@@ -99,10 +115,36 @@
             }
             Ok(())
         }),
+        Command::Change(change) => {
+            Terms::read(&change.config).and_then(|terms| run_on_one_thread(change_stewards(terms)))
+        }
     };
     done.map_or_else(|why| refuse(&why), |()| ExitCode::SUCCESS)
 }
 
+/// Asks the leader, whichever it is.
+async fn change_stewards(terms: Terms) -> Result<(), String> {
+    let peers = Peers::new(&terms.cluster, &terms.stewards);
+    let names: Vec<String> = terms.stewards.iter().map(|s| s.name.clone()).collect();
+    let mut why = String::new();
+    for steward in &terms.stewards {
+        let at = steward.address.to_string();
+        let said: Result<Result<Vec<String>, String>, String> =
+            peers.say(&at, CHANGE, 0, &names, CHANGED).await;
+        match said.and_then(|said| said) {
+            Ok(taken) => {
+                let taken = if taken.is_empty() { "nobody".to_owned() } else { taken.join(", ") };
+                println!("the ledger's processes are {}; taken in: {taken}", names.join(", "));
+                return Ok(());
+            }
+            Err(failed) => {
+                why += &format!("{}{}: {failed}", if why.is_empty() { "" } else { "; " }, steward.name)
+            }
+        }
+    }
+    Err(why)
+}
+
 fn refuse(why: &str) -> ExitCode {
     eprintln!("{NAME}: {}", why.split_whitespace().collect::<Vec<_>>().join(" "));
     ExitCode::from(2)
@@ -131,16 +173,23 @@
     let listener = TcpListener::bind(at).await.map_err(|e| format!("listen on {at}: {e}"))?;
     let keeper = Keeper::open(terms).await?;
     tracing::info!("steward {} serving on {at}", keeper.terms.name);
-    actix_rt::spawn(Rc::clone(&keeper).lead());
-    let founder = Rc::clone(&keeper);
-    actix_rt::spawn(async move { founder.found(first).await });
     let served = pin!(door::serve(Rc::clone(&keeper), listener));
+    let part = pin!(async {
+        keeper.begin().await?;
+        actix_rt::spawn(Rc::clone(&keeper).lead());
+        keeper.found(first).await;
+        // What it does from here on are the tasks' and the door's.
+        std::future::pending::<Result<(), String>>().await
+    });
     let (term, int) = (pin!(term.recv()), pin!(int.recv()));
-    if let Either::Left((Err(why), _)) = select(served, select(term, int)).await {
-        return Err(why);
+    if let Either::Left((ended, _)) = select(select(served, part), select(term, int)).await {
+        return ended.factor_first().0;
     }
     tracing::info!("told to stop");
-    keeper.raft.shutdown().await.map_err(|e| e.to_string())
+    match keeper.raft() {
+        Some(raft) => raft.shutdown().await.map_err(|e| e.to_string()),
+        None => Ok(()),
+    }
 }
 
 /// The status for people.
@@ -151,6 +200,11 @@
         s.cluster, s.steward, s.state, s.term, s.epoch
     );
     // Writing to a text does not fail.
+    let _ = s.trouble.as_ref().map(|trouble| writeln!(out, "takes no part: {trouble}\n"));
+    let votes = |s: &StewardLine| format!("{}{}", s.name, if s.votes { "" } else { " (being taken in)" });
+    let stewards: Vec<String> = s.stewards.iter().map(votes).collect();
+    let _ =
+        writeln!(out, "stewards: {}; messages that could not be read: {}\n", stewards.join(", "), s.unread);
     let _ = writeln!(out, "{:<24} {:>12} {:>12} {:>12}", "budget", "whole", "held", "floor each");
     for (name, b) in &s.budgets {
         let _ = writeln!(out, "{name:<24} {:>12.3} {:>12.3} {:>12.3}", b.whole, b.held, b.floor);
--- a/crates/fernroute-steward/src/door.rs
+++ b/crates/fernroute-steward/src/door.rs
@@ -1,15 +1,17 @@
 //! Answers other stewards, members and people.
 
 use crate::keep::Keeper;
-use crate::peers::{APPEND, MOST_BYTES, SNAPSHOT, STATUS, VOTE, WHO};
+use crate::peers::{sent, APPEND, CHANGE, MOST_BYTES, SNAPSHOT, STATUS, VOTE, WHO};
+use crate::store::Mark;
+use crate::{Kinds, Raft};
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, Method, Payload, Request, Response, StatusCode};
 use actix_service::{fn_service, Service as _, ServiceFactory as _};
 use fernroute_fleet::message::{Beat, Envelope, BEAT, VERSION};
 use futures_util::StreamExt as _;
+use openraft::raft::{AppendEntriesRequest, VoteRequest};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,21 +24,14 @@
 /// A message of a member is short: its name and what it wants of each budget.
 const MOST_BEAT: usize = 64 << 10;
 
-/// Messages that could not be read, since the start.
-#[derive(Default)]
-pub struct Door {
-    pub unread: Cell<u64>,
-}
-
 /// Why a message is not taken.
 struct Unfit(StatusCode, String);
 
 /// Serves for as long as the program runs.
 pub async fn serve(keeper: Rc<Keeper>, listener: TcpListener) -> Result<(), String> {
-    let door = Rc::new(Door::default());
     let answer = move |request: Request| {
-        let (keeper, door) = (Rc::clone(&keeper), Rc::clone(&door));
-        async move { Ok::<_, Infallible>(answer(&keeper, &door, request).await) }
+        let keeper = Rc::clone(&keeper);
+        async move { Ok::<_, Infallible>(answer(&keeper, request).await) }
     };
     let service = HttpService::<_, _, BoxBody>::build().client_request_timeout(HEAD).h1(fn_service(answer));
     let service = service.new_service(()).await.map_err(|()| "the door did not open".to_owned())?;
@@ -60,28 +55,21 @@
     }
 }
 
-async fn answer(keeper: &Rc<Keeper>, door: &Door, mut request: Request) -> Response<BoxBody> {
+async fn answer(keeper: &Rc<Keeper>, mut request: Request) -> Response<BoxBody> {
     let path = request.path().to_owned();
     let done = match (request.method(), path.as_str()) {
-        (&Method::GET, WHO) => json(&keeper.who().await),
-        (&Method::GET, STATUS) => json(&keeper.status().await),
-        (&Method::POST, APPEND) => match read(keeper, &mut request, MOST_BYTES, true).await {
-            Ok(message) => json(&keeper.raft.append_entries(message).await),
-            Err(why) => Err(why),
-        },
-        (&Method::POST, VOTE) => match read(keeper, &mut request, MOST_BYTES, true).await {
-            Ok(message) => json(&keeper.raft.vote(message).await),
-            Err(why) => Err(why),
-        },
-        (&Method::POST, SNAPSHOT) => match read(keeper, &mut request, MOST_BYTES, true).await {
-            Ok(message) => json(&keeper.raft.install_snapshot(message).await),
-            Err(why) => Err(why),
-        },
+        (&Method::GET, WHO) => json(&keeper.who()),
+        (&Method::GET, STATUS) => json(&keeper.status()),
+        (&Method::POST, APPEND | VOTE | SNAPSHOT) => steward(keeper, &path, &mut request).await,
         (&Method::POST, BEAT) => match read::<Beat>(keeper, &mut request, MOST_BEAT, false).await {
             Ok(beat) => json(&keeper.beat(&beat).await),
             Err(why) => Err(why),
         },
-        (_, APPEND | VOTE | SNAPSHOT | BEAT | WHO | STATUS) => {
+        (&Method::POST, CHANGE) => match read::<Vec<String>>(keeper, &mut request, MOST_BEAT, false).await {
+            Ok(names) => json(&keeper.change(&names).await),
+            Err(why) => Err(why),
+        },
+        (_, APPEND | VOTE | SNAPSHOT | BEAT | CHANGE | WHO | STATUS) => {
             Err(Unfit(StatusCode::METHOD_NOT_ALLOWED, "another verb".to_owned()))
         }
         _ => Err(Unfit(StatusCode::NOT_FOUND, "nothing is here".to_owned())),
@@ -89,13 +77,40 @@
     match done {
         Ok(body) => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
         Err(Unfit(status, why)) => {
-            door.unread.set(door.unread.get() + 1);
+            if status.is_client_error() {
+                keeper.unread.set(keeper.unread.get() + 1);
+            }
             tracing::debug!("{path}: {why}");
             Response::build(status).body(why).map_into_boxed_body()
         }
     }
 }
 
+/// A message of another steward. What it says of how far that one went is noted.
+async fn steward(keeper: &Keeper, path: &str, request: &mut Request) -> Result<Vec<u8>, Unfit> {
+    let raft = |keeper: &Keeper| -> Result<Raft, Unfit> {
+        let raft = keeper.raft().cloned();
+        raft.ok_or_else(|| Unfit(StatusCode::SERVICE_UNAVAILABLE, keeper.trouble().unwrap_or_default()))
+    };
+    let hear = |from: u64, mark: Mark| keeper.peers.hear(from, mark);
+    match path {
+        APPEND => {
+            let message: AppendEntriesRequest<Kinds> = read(keeper, request, MOST_BYTES, true).await?;
+            hear(message.vote.leader_id.node_id, sent(&message));
+            json(&raft(keeper)?.append_entries(message).await)
+        }
+        VOTE => {
+            let message: VoteRequest<u64> = read(keeper, request, MOST_BYTES, true).await?;
+            hear(message.vote.leader_id.node_id, Mark::new(&message.vote, message.last_log_id.as_ref()));
+            json(&raft(keeper)?.vote(message).await)
+        }
+        _ => {
+            let message = read(keeper, request, MOST_BYTES, true).await?;
+            json(&raft(keeper)?.install_snapshot(message).await)
+        }
+    }
+}
+
 fn json(what: &impl Serialize) -> Result<Vec<u8>, Unfit> {
     serde_json::to_vec(what).map_err(|e| Unfit(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()))
 }
--- a/crates/fernroute-steward/src/keep.rs
+++ b/crates/fernroute-steward/src/keep.rs
@@ -1,19 +1,19 @@
 //! The ledger of one steward: founded once, led by one of them at a time.
 
 use crate::peers::{Peers, Who, WHO};
-use crate::store::{Book, Disk, Kept, Own};
-use crate::terms::Terms;
+use crate::store::{Book, Disk, Kept, Mark, Own};
+use crate::terms::{Steward, Terms};
 use crate::Raft;
 use fernroute::Time;
 use fernroute_fleet::leader::Leader;
 use fernroute_fleet::ledger::{Entry, Ledger};
 use fernroute_fleet::message::{Answer, Beat, Unanswered};
 use fernroute_fleet::UNIT;
-use openraft::{BasicNode, Config, ServerState, SnapshotPolicy};
+use openraft::{BasicNode, Config, RaftMetrics, ServerState, SnapshotPolicy, Vote};
 use rustix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,11 +40,26 @@
     at.tv_sec as Time * 10_000 + at.tv_nsec as Time / 100_000
 }
 
+/// How long a start waits for all other stewards to say how far they know this one to have gone; then some will do.
+const ALL_WITHIN: Duration = Duration::from_secs(1);
+
+/// How long a steward that is taken in may take to have the ledger.
+const CATCH_UP: Duration = Duration::from_secs(10);
+
 pub struct Keeper {
     pub terms: Terms,
     pub own: Own,
-    pub raft: Raft,
+    disk: Disk,
+    /// How far this steward had gone by its disk when it started; none where it never was of a ledger's processes.
+    mark: Option<Mark>,
+    /// Begun once it is known that the disk is no older one.
+    raft: OnceCell<Raft>,
+    /// Why it takes no part, if that is not the library's to say.
+    waits: RefCell<Option<String>>,
     kept: Rc<RefCell<Kept>>,
+    book: Book,
+    /// Messages that could not be read, since the start.
+    pub unread: Cell<u64>,
     /// While this steward leads, and as of which term.
     leading: RefCell<Option<(u64, Leader)>>,
     /// A term in which a step was sent off and is not known to be entered: nobody is answered in it any more.
@@ -68,13 +83,28 @@
     pub held: f64,
 }
 
+/// One of the ledger's processes.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StewardLine {
+    pub name: String,
+    pub id: u64,
+    /// One that has no vote is being taken in.
+    pub votes: bool,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Status {
     pub cluster: String,
     pub steward: String,
     pub id: u64,
-    /// leader, follower, candidate, learner or blank.
+    /// leader, follower, candidate, learner, blank, waiting (until it is known that its disk is no older one), or stopped.
     pub state: String,
+    /// Why it takes no part, if it takes none.
+    pub trouble: Option<String>,
+    /// Of the ledger, as this one knows them.
+    pub stewards: Vec<StewardLine>,
+    /// Messages that it could not read, since its start.
+    pub unread: u64,
     /// Who leads, by its name.
     pub leader: Option<String>,
     pub term: u64,
@@ -88,39 +118,117 @@
         let (disk, own) = Disk::open(&terms.folder, &terms.cluster)?;
         let book = Book::open(disk.clone())?;
         let kept = Rc::clone(&book.kept);
-        let config = Config {
-            cluster_name: terms.cluster.clone(),
-            heartbeat_interval: HEARTBEAT,
-            election_timeout_min: ELECTION.0,
-            election_timeout_max: ELECTION.1,
-            snapshot_policy: SnapshotPolicy::LogsSinceLast(SNAPSHOT_AFTER),
-            ..Config::default()
-        };
-        let config = Arc::new(config.validate().map_err(|e| e.to_string())?);
-        let peers = Peers::new(&terms.cluster);
-        let raft = Raft::new(own.id, config, peers.clone(), disk, book).await.map_err(|e| e.to_string())?;
+        let mark = disk.mark()?;
+        let peers = Peers::new(&terms.cluster, &terms.stewards);
         Ok(Rc::new(Keeper {
             terms,
             own,
-            raft,
+            disk,
+            mark,
+            raft: OnceCell::new(),
+            waits: RefCell::default(),
             kept,
+            book,
+            unread: Cell::default(),
             leading: RefCell::default(),
             unsure: Cell::default(),
             peers,
         }))
     }
 
-    pub async fn who(&self) -> Who {
-        let blank = !self.raft.is_initialized().await.unwrap_or(true);
-        Who { cluster: self.own.cluster.clone(), name: self.terms.name.clone(), id: self.own.id, blank }
+    pub fn raft(&self) -> Option<&Raft> {
+        self.raft.get()
+    }
+
+    fn metrics(&self) -> Option<RaftMetrics<u64, BasicNode>> {
+        self.raft().map(|raft| raft.metrics().borrow().clone())
+    }
+
+    /// Why this steward takes no part, if it takes none.
+    pub fn trouble(&self) -> Option<String> {
+        let stopped = self.metrics().and_then(|m| m.running_state.err()).map(|why| why.to_string());
+        stopped.or_else(|| self.waits.borrow().clone())
+    }
+
+    /// Takes part from here on: votes, keeps entries, may be elected. Guards against a disk that was set back to an older
+    /// copy of itself: such a steward has voted and kept what it knows nothing of, and would vote for others again. How far
+    /// it went the other stewards know, those that led or asked for votes and ran since.
+    pub async fn begin(&self) -> Result<(), String> {
+        while let Some(older) = self.older().await? {
+            let changed = self.waits.replace(Some(older.clone())).as_ref() != Some(&older);
+            if changed {
+                tracing::warn!("takes no part: {older}");
+            }
+            actix_rt::time::sleep(LOOK * 4).await;
+        }
+        let config = Config {
+            cluster_name: self.terms.cluster.clone(),
+            heartbeat_interval: HEARTBEAT,
+            election_timeout_min: ELECTION.0,
+            election_timeout_max: ELECTION.1,
+            snapshot_policy: SnapshotPolicy::LogsSinceLast(SNAPSHOT_AFTER),
+            ..Config::default()
+        };
+        let config = Arc::new(config.validate().map_err(|e| e.to_string())?);
+        let (disk, book) = (self.disk.clone(), self.book.clone());
+        let raft = Raft::new(self.own.id, config, self.peers.clone(), disk, book).await;
+        let _ = self.raft.set(raft.map_err(|e| e.to_string())?);
+        self.waits.replace(None);
+        Ok(())
+    }
+
+    /// Why the disk may be an older one, if it may: asks those that vote by this disk, until it is known.
+    async fn older(&self) -> Result<Option<String>, String> {
+        let Some(mark) = self.mark else { return Ok(None) };
+        let voters = self.disk.stewards()?;
+        let others: Vec<(&u64, &String)> = voters.iter().filter(|(id, _)| **id != self.own.id).collect();
+        let from = now();
+        loop {
+            let mut said = 0;
+            for (id, name) in &others {
+                let Some(at) = self.peers.place(name) else { continue };
+                let who: Result<Who, String> = self.peers.ask(&at.to_string(), WHO, ASK).await;
+                let Some(who) = who.ok().filter(|who| who.id == **id) else { continue };
+                said += 1;
+                if who.heard.get(&self.own.id).is_some_and(|heard| *heard > mark) {
+                    return Ok(Some(format!(
+                        "the disk is older than what {name} has heard of this steward: end it, empty its folder, \
+                         and have it taken in anew"
+                    )));
+                }
+            }
+            let waited = now().saturating_sub(from) >= ALL_WITHIN.as_micros() as Time / 100;
+            if said == others.len() || waited && 2 * (said + 1) > others.len() + 1 {
+                return Ok(None);
+            }
+            if waited {
+                let why = "a majority of the stewards is not there to say that its disk is no older one";
+                return Ok(Some(why.to_owned()));
+            }
+            actix_rt::time::sleep(LOOK).await;
+        }
+    }
+
+    pub fn who(&self) -> Who {
+        // What was kept since the start counts too: a blank one may have been taken in.
+        let kept = self.metrics().is_some_and(|m| m.last_log_index.is_some() || m.vote != Vote::default());
+        let (cluster, name, id) = (self.own.cluster.clone(), self.terms.name.clone(), self.own.id);
+        Who {
+            cluster,
+            name,
+            id,
+            blank: self.mark.is_none() && !kept,
+            heard: self.peers.heard.borrow().clone(),
+        }
     }
 
     /// Begins a ledger where there is none: the first steward of the file does, once all of them are there and none has
     /// ever had one, and what a ledger before may have granted has lapsed. Guards against two ledgers of one fleet, and
     /// against one that grants again what members hold of a ledger that was lost with all its disks.
     pub async fn found(&self, at_once: bool) {
+        let Some(raft) = self.raft() else { return };
         let first = self.terms.stewards.first().is_some_and(|s| s.name == self.terms.name);
-        if !first || !self.who().await.blank {
+        if !first || !self.who().blank {
             return;
         }
         if !at_once {
@@ -133,7 +241,7 @@
         }
         loop {
             match self.all_blank().await {
-                Ok(Some(members)) => match self.raft.initialize(members).await {
+                Ok(Some(members)) => match raft.initialize(members).await {
                     Ok(()) => return tracing::info!("a new ledger of {}", self.terms.cluster),
                     Err(why) => return tracing::error!("no ledger was begun: {why}"),
                 },
@@ -150,20 +258,97 @@
 
     /// All stewards by their ids, if none has had a ledger.
     async fn all_blank(&self) -> Result<Option<BTreeMap<u64, BasicNode>>, String> {
-        let mut members = BTreeMap::from([(self.own.id, BasicNode::new(self.terms.address))]);
+        let mut members = BTreeMap::from([(self.own.id, BasicNode::new(&self.terms.name))]);
         for steward in self.terms.stewards.iter().filter(|s| s.name != self.terms.name) {
-            let who: Who = self.peers.ask(&steward.address.to_string(), WHO, ASK).await?;
-            if who.cluster != self.terms.cluster || who.name != steward.name {
-                return Err(format!("{}: it is {} of {}", steward.address, who.name, who.cluster));
-            }
+            let who = self.who_is(steward).await?;
             if !who.blank {
                 return Ok(None);
             }
-            members.insert(who.id, BasicNode::new(steward.address));
+            members.insert(who.id, BasicNode::new(&steward.name));
         }
         Ok(Some(members))
     }
 
+    async fn who_is(&self, steward: &Steward) -> Result<Who, String> {
+        let who: Who = self.peers.ask(&steward.address.to_string(), WHO, ASK).await?;
+        if who.cluster != self.terms.cluster || who.name != steward.name {
+            return Err(format!("{}: it is {} of {}", steward.address, who.name, who.cluster));
+        }
+        Ok(who)
+    }
+
+    /// Makes the ledger's processes those of this leader's file, whose names are told for comparison: who is new, or has
+    /// come back with another disk, is taken in once it has the ledger; whoever is not named any more has no vote.
+    pub async fn change(&self, names: &[String]) -> Result<Vec<String>, String> {
+        self.look();
+        let Some(raft) = self.raft().filter(|_| self.leading.borrow().is_some()) else {
+            let leader = self.status().leader;
+            return Err(
+                leader.map_or("nobody leads".to_owned(), |leader| format!("{leader} leads: ask there"))
+            );
+        };
+        let own: Vec<&str> = self.terms.stewards.iter().map(|s| s.name.as_str()).collect();
+        if own.iter().collect::<BTreeSet<_>>()
+            != names.iter().map(String::as_str).collect::<Vec<_>>().iter().collect()
+        {
+            return Err(format!(
+                "the file of {}, which leads, names {}: end it, give it the new file, and start it again",
+                self.terms.name,
+                own.join(", ")
+            ));
+        }
+        let known: BTreeMap<u64, String> = self.stewards().into_iter().map(|s| (s.id, s.name)).collect();
+        let mut voters = BTreeSet::new();
+        let mut taken = Vec::new();
+        for steward in &self.terms.stewards {
+            if steward.name == self.terms.name {
+                voters.insert(self.own.id);
+                continue;
+            }
+            match self.who_is(steward).await {
+                Ok(who) if known.contains_key(&who.id) => {
+                    voters.insert(who.id);
+                }
+                Ok(who) if who.blank => {
+                    let learns = raft.add_learner(who.id, BasicNode::new(&steward.name), true);
+                    let learnt = actix_rt::time::timeout(CATCH_UP, learns).await;
+                    let learnt = learnt.map_err(|_| format!("{}: it did not catch up", steward.name))?;
+                    learnt.map_err(|e| e.to_string())?;
+                    voters.insert(who.id);
+                    taken.push(steward.name.clone());
+                }
+                Ok(_) => {
+                    return Err(format!(
+                        "{}: it has a part in another ledger of {}",
+                        steward.name, self.own.cluster
+                    ))
+                }
+                // One that is down keeps its vote.
+                Err(why) => match known.iter().find(|(_, name)| **name == steward.name) {
+                    Some((id, _)) => {
+                        voters.insert(*id);
+                    }
+                    None => return Err(format!("{}: {why}", steward.name)),
+                },
+            }
+        }
+        raft.change_membership(voters, false).await.map_err(|e| e.to_string())?;
+        tracing::info!("the ledger's processes are {}; taken in: {}", own.join(", "), taken.join(", "));
+        Ok(taken)
+    }
+
+    fn stewards(&self) -> Vec<StewardLine> {
+        let Some(metrics) = self.metrics() else { return Vec::new() };
+        let membership = metrics.membership_config.membership();
+        let voters: BTreeSet<u64> = membership.voter_ids().collect();
+        let line = |(id, node): (&u64, &BasicNode)| StewardLine {
+            name: node.addr.clone(),
+            id: *id,
+            votes: voters.contains(id),
+        };
+        membership.nodes().map(line).collect()
+    }
+
     pub fn ledger<T>(&self, look: impl FnOnce(&Ledger) -> T) -> T {
         look(&self.kept.borrow().ledger)
     }
@@ -179,7 +364,7 @@
 
     /// Begins to lead, or ends, as the library says.
     fn look(&self) {
-        let metrics = self.raft.metrics().borrow().clone();
+        let Some(metrics) = self.metrics() else { return };
         let leads = metrics.state == ServerState::Leader && self.unsure.get() != Some(metrics.current_term);
         let mut leading = self.leading.borrow_mut();
         if !leads {
@@ -196,11 +381,12 @@
 
     /// Enters what is due: the budgets of the file, and what the leader decides.
     async fn enter(&self) {
-        if self.leading.borrow().is_none() || self.raft.ensure_linearizable().await.is_err() {
+        let Some(raft) = self.raft().filter(|_| self.leading.borrow().is_some()) else { return };
+        if raft.ensure_linearizable().await.is_err() {
             return;
         }
         if self.ledger(|ledger| *ledger.budgets() != self.terms.budgets) {
-            let _ = self.write(Entry::Budgets(self.terms.budgets.clone())).await;
+            let _ = write(raft, Entry::Budgets(self.terms.budgets.clone())).await;
         }
         let step = {
             let mut leading = self.leading.borrow_mut();
@@ -208,27 +394,19 @@
             self.ledger(|ledger| leader.due(now(), ledger))
         };
         let Some(step) = step else { return };
-        let Err(why) = self.write(Entry::Step(step)).await else {
+        let Err(why) = write(raft, Entry::Step(step)).await else {
             return self.leading.borrow_mut().iter_mut().for_each(|(_, leader)| leader.entered());
         };
         // Guards against a member that is answered while its lapse may still be entered: in this term nobody is, and in
         // the next one all that was sent off is entered before anybody is, or never.
         tracing::warn!("not known to be entered: {why}");
         self.unsure.set(self.leading.take().map(|(term, _)| term));
-        if self.unsure.get() == Some(self.raft.metrics().borrow().current_term) {
+        if self.unsure.get() == Some(raft.metrics().borrow().current_term) {
             // An error is its word that it does not lead, or has ended.
-            let _ = self.raft.trigger().elect().await;
+            let _ = raft.trigger().elect().await;
         }
     }
 
-    async fn write(&self, entry: Entry) -> Result<(), String> {
-        let written = self.raft.client_write(entry).await.map_err(|e| e.to_string())?;
-        if let Err(why) = written.data {
-            tracing::warn!("refused by the ledger: {why}");
-        }
-        Ok(())
-    }
-
     /// A member's beat.
     pub async fn beat(&self, beat: &Beat) -> Result<Answer, Unanswered> {
         self.look();
@@ -241,7 +419,11 @@
         };
         heard.map_err(Unanswered::Refused)?;
         // After the beat came: a majority says that this steward still leads, and all that was entered is applied.
-        if self.raft.ensure_linearizable().await.is_err() {
+        let sure = match self.raft() {
+            Some(raft) => raft.ensure_linearizable().await.is_ok(),
+            None => false,
+        };
+        if !sure {
             return Err(Unanswered::Elsewhere(self.leader_address()));
         }
         let leading = self.leading.borrow();
@@ -251,28 +433,34 @@
         self.ledger(|ledger| leader.answer(beat, ledger)).map_err(Unanswered::Refused)
     }
 
+    /// As this steward's own file says it: members may reach it elsewhere, and then ask the others in turn.
     fn leader_address(&self) -> Option<String> {
-        let metrics = self.raft.metrics().borrow().clone();
+        let metrics = self.metrics()?;
         let leader = metrics.current_leader.filter(|leader| *leader != self.own.id)?;
-        metrics.membership_config.membership().get_node(&leader).map(|node| node.addr.clone())
+        let name = &metrics.membership_config.membership().get_node(&leader)?.addr;
+        self.peers.place(name).map(|at| at.to_string())
     }
 
-    pub async fn status(&self) -> Status {
-        let metrics = self.raft.metrics().borrow().clone();
-        let leader = metrics.current_leader.and_then(|leader| {
-            let node = metrics.membership_config.membership().get_node(&leader)?.addr.clone();
-            let named = self.terms.stewards.iter().find(|s| s.address.to_string() == node);
-            Some(named.map_or(node, |s| s.name.clone()))
-        });
-        let blank = self.who().await.blank;
-        let state = if blank { "blank".to_owned() } else { format!("{:?}", metrics.state).to_lowercase() };
+    pub fn status(&self) -> Status {
+        let (metrics, trouble, stewards) = (self.metrics(), self.trouble(), self.stewards());
+        let leader = metrics.as_ref().and_then(|m| m.current_leader);
+        let leader = leader.and_then(|leader| Some(stewards.iter().find(|s| s.id == leader)?.name.clone()));
+        let state = match &metrics {
+            None => "waiting".to_owned(),
+            Some(_) if trouble.is_some() => "stopped".to_owned(),
+            Some(_) if self.who().blank => "blank".to_owned(),
+            Some(metrics) => format!("{:?}", metrics.state).to_lowercase(),
+        };
         self.ledger(|ledger| Status {
             cluster: self.terms.cluster.clone(),
             steward: self.terms.name.clone(),
             id: self.own.id,
             state,
+            trouble,
+            stewards,
+            unread: self.unread.get(),
             leader,
-            term: metrics.current_term,
+            term: metrics.as_ref().map_or(0, |m| m.current_term),
             epoch: ledger.epoch(),
             budgets: ledger
                 .budgets()
@@ -300,3 +488,11 @@
         })
     }
 }
+
+async fn write(raft: &Raft, entry: Entry) -> Result<(), String> {
+    let written = raft.client_write(entry).await.map_err(|e| e.to_string())?;
+    if let Err(why) = written.data {
+        tracing::warn!("refused by the ledger: {why}");
+    }
+    Ok(())
+}
--- a/crates/fernroute-steward/src/peers.rs
+++ b/crates/fernroute-steward/src/peers.rs
@@ -1,6 +1,8 @@
 //! What stewards say to each other, and members to them: HTTP/1.1 with JSON, an envelope round each message that names the
 //! cluster, the version and whom it is for.
 
+use crate::store::Mark;
+use crate::terms::Steward;
 use crate::Kinds;
 use actix_http::error::PayloadError;
 use awc::error::SendRequestError;
@@ -17,6 +19,10 @@
 use openraft::{AnyError, BasicNode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 pub const APPEND: &str = "/-/append";
@@ -24,6 +30,7 @@
 pub const SNAPSHOT: &str = "/-/snapshot";
 pub const WHO: &str = "/-/who";
 pub const STATUS: &str = "/-/status";
+pub const CHANGE: &str = "/-/change";
 
 /// The longest message: a ledger of some ten thousand members.
 pub const MOST_BYTES: usize = 16 << 20;
@@ -35,6 +42,10 @@
     pub name: String,
     pub id: u64,
     pub blank: bool,
+    /// What stewards have said to this one since it started, by their ids: votes for it, and entries that they kept. As
+    /// many as have ever been of the ledger's processes.
+    #[serde(default)]
+    pub heard: BTreeMap<u64, Mark>,
 }
 
 /// Carries messages to other stewards.
@@ -42,16 +53,33 @@
 pub struct Peers {
     pub cluster: String,
     pub client: Client,
+    /// Where the stewards are, by their names: the ledger knows them by name alone, so that each file says where they are
+    /// from there.
+    places: Rc<BTreeMap<String, SocketAddr>>,
+    pub heard: Rc<RefCell<BTreeMap<u64, Mark>>>,
 }
 
 /// What came of a message that got no answer of its own kind.
 pub type Failed = String;
 
 impl Peers {
-    pub fn new(cluster: &str) -> Self {
+    pub fn new(cluster: &str, stewards: &[Steward]) -> Self {
         // No redirect, no decompression; the time-out is each call's.
         let client = Client::builder().disable_redirects().no_default_headers().finish();
-        Peers { cluster: cluster.to_owned(), client }
+        let places = stewards.iter().map(|s| (s.name.clone(), s.address)).collect();
+        Peers { cluster: cluster.to_owned(), client, places: Rc::new(places), heard: Rc::default() }
+    }
+
+    /// Where the steward of this name is.
+    pub fn place(&self, name: &str) -> Option<SocketAddr> {
+        self.places.get(name).copied()
+    }
+
+    /// A steward has said how far it went, by an answer or by a message of its own.
+    pub fn hear(&self, id: u64, mark: Mark) {
+        let mut heard = self.heard.borrow_mut();
+        let known = heard.entry(id).or_default();
+        *known = mark.max(*known);
     }
 
     pub async fn say<M: Serialize, A: DeserializeOwned>(
@@ -96,7 +124,7 @@
     type Network = Peer;
 
     async fn new_client(&mut self, id: u64, node: &BasicNode) -> Peer {
-        Peer { peers: self.clone(), id, address: node.addr.clone() }
+        Peer { peers: self.clone(), id, name: node.addr.clone() }
     }
 }
 
@@ -104,7 +132,7 @@
 pub struct Peer {
     peers: Peers,
     id: u64,
-    address: String,
+    name: String,
 }
 
 type Answer<T, E> = Result<T, RPCError<u64, BasicNode, RaftError<u64, E>>>;
@@ -117,8 +145,10 @@
         A: DeserializeOwned,
         E: DeserializeOwned + std::error::Error,
     {
-        let said: Result<Result<A, RaftError<u64, E>>, Failed> =
-            self.peers.say(&self.address, path, self.id, message, within).await;
+        let said: Result<Result<A, RaftError<u64, E>>, Failed> = match self.peers.place(&self.name) {
+            Some(at) => self.peers.say(&at.to_string(), path, self.id, message, within).await,
+            None => Err(format!("no steward of this file is called {}", self.name)),
+        };
         match said {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(why)) => Err(RPCError::RemoteError(RemoteError::new(self.id, why))),
@@ -131,13 +161,23 @@
     }
 }
 
+/// How far whoever sends or keeps this is.
+pub fn sent(message: &AppendEntriesRequest<Kinds>) -> Mark {
+    let last = message.entries.last().map(|entry| entry.log_id).or(message.prev_log_id);
+    Mark::new(&message.vote, last.as_ref())
+}
+
 impl RaftNetwork<Kinds> for Peer {
     async fn append_entries(
         &mut self,
         message: AppendEntriesRequest<Kinds>,
         option: RPCOption,
     ) -> Result<AppendEntriesResponse<u64>, RPCError<u64, BasicNode, RaftError<u64>>> {
-        self.say(APPEND, &message, option.hard_ttl()).await
+        let said = self.say(APPEND, &message, option.hard_ttl()).await?;
+        if let AppendEntriesResponse::Success = said {
+            self.peers.hear(self.id, sent(&message));
+        }
+        Ok(said)
     }
 
     async fn install_snapshot(
@@ -146,7 +186,11 @@
         option: RPCOption,
     ) -> Result<InstallSnapshotResponse<u64>, RPCError<u64, BasicNode, RaftError<u64, InstallSnapshotError>>>
     {
-        self.say(SNAPSHOT, &message, option.hard_ttl()).await
+        let said: InstallSnapshotResponse<u64> = self.say(SNAPSHOT, &message, option.hard_ttl()).await?;
+        if message.done && said.vote == message.vote {
+            self.peers.hear(self.id, Mark::new(&message.vote, message.meta.last_log_id.as_ref()));
+        }
+        Ok(said)
     }
 
     async fn vote(
@@ -154,6 +198,10 @@
         message: VoteRequest<u64>,
         option: RPCOption,
     ) -> Result<VoteResponse<u64>, RPCError<u64, BasicNode, RaftError<u64>>> {
-        self.say(VOTE, &message, option.hard_ttl()).await
+        let said: VoteResponse<u64> = self.say(VOTE, &message, option.hard_ttl()).await?;
+        if said.vote_granted {
+            self.peers.hear(self.id, Mark::new(&message.vote, None));
+        }
+        Ok(said)
     }
 }
--- a/crates/fernroute-steward/src/store.rs
+++ b/crates/fernroute-steward/src/store.rs
@@ -15,6 +15,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
 use std::io::Cursor;
 use std::ops::{Bound, RangeBounds};
@@ -31,6 +32,22 @@
     pub id: u64,
 }
 
+/// How far a steward went, as far as anybody knows: its vote's term and whom it is for; its last entry's term, leader and
+/// place. It only grows: whoever takes entries back has voted in a later term.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Mark {
+    vote: (u64, u64),
+    entry: (u64, u64, u64),
+}
+
+impl Mark {
+    pub fn new(vote: &Vote<u64>, entry: Option<&LogId<u64>>) -> Self {
+        let entry =
+            entry.map_or_else(Default::default, |at| (at.leader_id.term, at.leader_id.node_id, at.index + 1));
+        Mark { vote: (vote.leader_id.term, vote.leader_id.node_id), entry }
+    }
+}
+
 type Bad = StorageError<u64>;
 
 fn broken(verb: ErrorVerb, why: impl ToString) -> Bad {
@@ -75,6 +92,37 @@
         Ok((disk, own))
     }
 
+    /// How far it went by what is kept; none where it never was of a ledger's processes.
+    pub fn mark(&self) -> Result<Option<Mark>, String> {
+        let read = || -> Result<Option<Mark>, Bad> {
+            let vote: Option<Vote<u64>> = self.note("vote")?;
+            let kept: Option<Kept> = self.note("snapshot")?;
+            let purged: Option<LogId<u64>> = self.note("purged")?;
+            let last = self.last()?.max(purged).max(kept.and_then(|kept| kept.applied));
+            Ok((vote.is_some() || last.is_some())
+                .then(|| Mark::new(&vote.unwrap_or_default(), last.as_ref())))
+        };
+        read().map_err(|e| e.to_string())
+    }
+
+    /// The ledger's processes as this disk last knew them, by their ids: their names.
+    pub fn stewards(&self) -> Result<BTreeMap<u64, String>, String> {
+        let read = || -> Result<StoredMembership<u64, BasicNode>, Bad> {
+            let kept: Option<Kept> = self.note("snapshot")?;
+            let mut last = kept.map(|kept| kept.membership).unwrap_or_default();
+            for entry in self.log(..)? {
+                if let EntryPayload::Membership(membership) = entry.payload {
+                    last = StoredMembership::new(Some(entry.log_id), membership);
+                }
+            }
+            Ok(last)
+        };
+        let last = read().map_err(|e| e.to_string())?;
+        let voters: BTreeSet<u64> = last.voter_ids().collect();
+        let nodes = last.nodes().filter(|(id, _)| voters.contains(id));
+        Ok(nodes.map(|(id, node)| (*id, node.addr.clone())).collect())
+    }
+
     fn note<T: DeserializeOwned>(&self, name: &str) -> Result<Option<T>, Bad> {
         let read = self.file.begin_read().map_err(unread)?;
         let table = match read.open_table(NOTES) {
--- a/crates/fernroute-steward/tests/fleet.rs
+++ b/crates/fernroute-steward/tests/fleet.rs
@@ -3,7 +3,7 @@
 use fernroute_fleet::member::Member;
 use fernroute_fleet::message::{Answer, Unanswered, BEAT};
 use fernroute_fleet::{Shares, Units};
-use fernroute_rig::process::{addresses, Disk, Process};
+use fernroute_rig::process::{addresses, ignoring_limits, Disk, Process};
 use fernroute_steward::keep::{now, Status};
 use fernroute_steward::peers::{Peers, STATUS};
 use std::cell::Cell;
@@ -42,7 +42,21 @@
     fn start(&mut self) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_fernroute-steward"));
         command.args(["serve", "--first", "--config"]).arg(&self.page).env_remove("FERNROUTE_LOG");
-        self.process = Some(Process::launch(command).expect("it starts"));
+        self.process = Some(Process::launch(ignoring_limits(&command)).expect("it starts"));
+    }
+
+    /// Gives it a file that names these; the first of all there are, in their order.
+    fn name(&self, cluster: &str, addresses: &[SocketAddr]) {
+        let list =
+            |(n, at): (usize, &SocketAddr)| format!("[[steward]]\nname = \"s{n}\"\naddress = \"{at}\"\n");
+        let list: String = addresses.iter().enumerate().map(list).collect();
+        let text = format!(
+            "cluster = \"{cluster}\"\nname = \"{}\"\nfolder = \"{}\"\nmembers = 10\nshares_ms = 3000\nfloors_s = 12\n\
+             {list}[[budget]]\nname = \"acme\"\nwhole = 200\nfloors = 0.1\n",
+            self.name,
+            self.disk.folder.display()
+        );
+        std::fs::write(&self.page, text).expect("a file");
     }
 
     fn process(&self) -> &Process {
@@ -60,22 +74,15 @@
     fn new(name: &str, cluster: &str, count: usize) -> Self {
         let folder = std::env::temp_dir().join(format!("fernroute-steward-{name}-{}", std::process::id()));
         let addresses = addresses(count).expect("ports");
-        let list =
-            |(n, at): (usize, &SocketAddr)| format!("[[steward]]\nname = \"s{n}\"\naddress = \"{at}\"\n");
-        let list: String = addresses.iter().enumerate().map(list).collect();
         let place = |(n, address): (usize, &SocketAddr)| {
             let disk = Disk::new(folder.join(format!("s{n}"))).expect("a folder");
             let page = folder.join(format!("s{n}.toml"));
-            let text = format!(
-                "cluster = \"{cluster}\"\nname = \"s{n}\"\nfolder = \"{}\"\nmembers = 10\nshares_ms = 3000\nfloors_s = 12\n\
-                 {list}[[budget]]\nname = \"acme\"\nwhole = 200\nfloors = 0.1\n",
-                disk.folder.display()
-            );
-            std::fs::write(&page, text).expect("a file");
-            Place { name: format!("s{n}"), address: *address, disk, page, process: None }
+            let place = Place { name: format!("s{n}"), address: *address, disk, page, process: None };
+            place.name(cluster, &addresses);
+            place
         };
         let places = addresses.iter().enumerate().map(place).collect();
-        Stewards { folder, places, peers: Peers::new(cluster) }
+        Stewards { folder, places, peers: Peers::new(cluster, &[]) }
     }
 
     fn start(&mut self) {
@@ -86,6 +93,22 @@
         self.peers.ask(&self.places[n].address.to_string(), STATUS, WITHIN).await.ok()
     }
 
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.places.iter().map(|place| place.address).collect()
+    }
+
+    /// The command that takes in who is new; its exit code and all that it said.
+    fn change(&self, n: usize) -> (Option<i32>, String) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fernroute-steward"));
+        let said = command.args(["change", "--config"]).arg(&self.places[n].page).output().expect("it runs");
+        let text = [said.stdout, said.stderr].concat();
+        (said.status.code(), String::from_utf8_lossy(&text).into_owned())
+    }
+
+    async fn until_state(&self, n: usize, state: &str) {
+        until(|| async { self.status(n).await.is_some_and(|s| s.state == state) }).await;
+    }
+
     /// Which one leads, by its own word, once one does that is not this one.
     async fn leader(&self, not: Option<usize>) -> usize {
         let found = Cell::new(None);
@@ -292,3 +315,117 @@
         assert!(place.process().is_running());
     });
 }
+
+/// Guards against a fleet that can't outgrow one steward, or can't get back to three after a loss, without its grants lapsing.
+#[test]
+fn one_steward_grows_to_three_and_a_lost_one_is_taken_in_anew() {
+    run(async {
+        let mut stewards = Stewards::new("grow", "c", 3);
+        let all = stewards.addresses();
+        stewards.places[0].name("c", &all[..1]);
+        stewards.places[0].start();
+        let mut members = [Asks::new("n0", 1, 150_000), Asks::new("n1", 2, 50_000)];
+        beat_until(&stewards, &mut members, near_all).await;
+        // The leader's own file has to say so first.
+        let (code, why) = stewards.change(1);
+        assert!(code == Some(2) && why.contains("which leads, names s0"), "{why}");
+        // It goes on alone under the new file, too.
+        stewards.places[0].process().kill();
+        stewards.places[0].name("c", &all);
+        stewards.places[0].start();
+        stewards.leader(None).await;
+        let (code, why) = stewards.change(0);
+        assert!(code == Some(2) && why.contains("s0: s1: "), "{why}");
+        stewards.places[1].start();
+        stewards.places[2].start();
+        stewards.until_state(1, "blank").await;
+        stewards.until_state(2, "blank").await;
+        let (code, said) = stewards.change(2);
+        assert!(code == Some(0) && said.contains("taken in: s1, s2"), "{said}");
+        beat_until(&stewards, &mut members, near_all).await;
+        // The one that began is lost with its disk: the others go on, and it comes back as another.
+        stewards.places[0].process().kill();
+        stewards.places[0].disk.wipe().expect("it is gone");
+        members.iter_mut().for_each(|m| m.bare = 0);
+        stewards.leader(Some(0)).await;
+        beat_until(&stewards, &mut members, near_all).await;
+        assert!(members.iter().all(|m| m.bare == 0), "a share lapsed");
+        stewards.places[0].start();
+        stewards.until_state(0, "blank").await;
+        let (code, said) = stewards.change(0);
+        assert!(code == Some(0) && said.contains("taken in: s0"), "{said}");
+        // It counts: without it there would be no majority now.
+        stewards.places[1].process().kill();
+        beat_until(&stewards, &mut members, near_all).await;
+        let leader = stewards.leader(Some(1)).await;
+        let status = stewards.status(leader).await.expect("its word");
+        assert!(status.stewards.len() == 3 && status.stewards.iter().all(|s| s.votes), "{status:?}");
+    });
+}
+
+/// Guards against a steward that forgot what it voted and kept, and votes and keeps again.
+#[test]
+fn a_steward_whose_disk_is_an_older_copy_of_itself_takes_no_part_until_it_is_taken_in_anew() {
+    run(async {
+        let mut stewards = Stewards::new("older", "c", 3);
+        stewards.start();
+        let mut members = [Asks::new("n0", 1, 150_000), Asks::new("n1", 2, 50_000)];
+        beat_until(&stewards, &mut members, near_all).await;
+        let leader = stewards.leader(None).await;
+        let (back, other) = ((leader + 1) % 3, (leader + 2) % 3);
+        stewards.places[back].process().kill();
+        let copy = stewards.places[back].disk.copy(stewards.folder.join("copy")).expect("a copy");
+        stewards.places[back].start();
+        stewards.until_state(back, "follower").await;
+        // Something is entered and kept by it before its disk is set back.
+        let epoch = stewards.status(back).await.expect("its word").epoch;
+        (members[0].wants, members[1].wants) = (50_000, 150_000);
+        beat_until(&stewards, &mut members, |m| near_all(m) && m[1].holds() > m[0].holds()).await;
+        until(|| async { stewards.status(back).await.is_some_and(|s| s.epoch > epoch) }).await;
+        stewards.places[back].process().kill();
+        stewards.places[back].disk.become_like(&copy).expect("it is set back");
+        stewards.places[back].start();
+        stewards.until_state(back, "waiting").await;
+        let says = |s: &Status| s.trouble.as_ref().is_some_and(|why| why.contains("the disk is older than"));
+        until(|| async { stewards.status(back).await.is_some_and(|s| says(&s)) }).await;
+        // It makes no majority.
+        stewards.places[other].process().kill();
+        beat_until(&stewards, &mut members, |m| m.iter().all(|m| m.holds() == WHOLE / 100)).await;
+        assert!(stewards.status(back).await.is_some_and(|s| says(&s)));
+        stewards.places[other].start();
+        beat_until(&stewards, &mut members, near_all).await;
+        // What it says is to be done brings it back.
+        stewards.places[back].process().kill();
+        stewards.places[back].disk.wipe().expect("it is gone");
+        stewards.places[back].start();
+        stewards.until_state(back, "blank").await;
+        let (code, said) = stewards.change(back);
+        assert!(code == Some(0), "{said}");
+        stewards.until_state(back, "follower").await;
+    });
+}
+
+/// Guards against a steward that goes on as if it had kept what it could not write, and against one that hangs its fleet.
+#[test]
+fn a_steward_that_cannot_write_stops_and_says_so_and_what_it_had_promised_stays() {
+    run(async {
+        let mut stewards = Stewards::new("full", "c", 3);
+        stewards.start();
+        let mut members = [Asks::new("n0", 1, 150_000), Asks::new("n1", 2, 50_000)];
+        beat_until(&stewards, &mut members, near_all).await;
+        let full = stewards.leader(None).await;
+        stewards.places[full].process().fill_disk().expect("it has a limit");
+        (members[0].wants, members[1].wants) = (50_000, 150_000);
+        let next = stewards.leader(Some(full)).await;
+        beat_until(&stewards, &mut members, |m| near_all(m) && m[1].holds() > m[0].holds()).await;
+        let status = stewards.status(full).await.expect("its word");
+        assert!(status.state == "stopped" && status.trouble.is_some(), "{status:?}");
+        assert!(stewards.places[full].process().says("the disk: "));
+        // With room again it starts with what it had, and counts.
+        stewards.places[full].process().kill();
+        stewards.places[full].start();
+        stewards.until_state(full, "follower").await;
+        stewards.places[next].process().kill();
+        beat_until(&stewards, &mut members, near_all).await;
+    });
+}
