--- a/crates/fernroute-steward/src/commands.rs
+++ b/crates/fernroute-steward/src/commands.rs
@@ -14,7 +14,9 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tracing_subscriber::filter::LevelFilter;
+use tracing_subscriber::filter::{LevelFilter, Targets};
+use tracing_subscriber::layer::{Layer as _, SubscriberExt as _};
+use tracing_subscriber::util::SubscriberInitExt as _;
 
 const NAME: &str = "fernroute-steward";
 
@@ -155,13 +157,16 @@
 }
 
 /// A line to standard error for each thing that happens, at the level that `FERNROUTE_LOG` names; info where it names none.
+/// What the consensus library says to its developers is told from debug on.
 fn log(json: bool) {
     let level = std::env::var("FERNROUTE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(LevelFilter::INFO);
-    let lines = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr);
+    let library = if level > LevelFilter::INFO { level } else { level.min(LevelFilter::ERROR) };
+    let which = Targets::new().with_default(level).with_target("openraft", library);
+    let lines = tracing_subscriber::fmt::layer().with_ansi(false).with_writer(std::io::stderr);
     if json {
-        lines.json().init();
+        tracing_subscriber::registry().with(lines.json().with_filter(which)).init();
     } else {
-        lines.init();
+        tracing_subscriber::registry().with(lines.with_filter(which)).init();
     }
 }
 
