Transmissions beyond the first and trials can be a fleet's budgets

Need: the issue's third and fourth kind of budget: all balancers' retries within one whole, and trials to one upstream by all of them together.

Change: [fleet] divides = ["further", "trials"] in the TOML; the ledger's budgets of these names are granted as tenants' shares are. Decisions spend them through one purse (records.rs, accounting only): a further transmission needs one of what is granted, a transmission to an upstream whose breaker is not closed one of what is granted for that upstream, the last resort too; no transmission is cut short where no other may follow. Without a fleet neither has an end.

Two tests of the module, each fails without its line.

--- a/crates/fernroute-config/src/lib.rs
+++ b/crates/fernroute-config/src/lib.rs
@@ -33,6 +33,8 @@
     pub stewards: Vec<SocketAddr>,
     /// How often they are asked.
     pub beat: Time,
+    /// What is divided beside tenants' shares, by the names that the ledger has for it.
+    pub divides: Vec<&'static str>,
 }
 
 /// Six to a share of the usual length.
@@ -99,6 +101,7 @@
 
 const EFFECTS: &[&str] = &["retriable", "deduped", "non_retriable"];
 const GROUPS: &[&str] = &["all", "zone", "cell"];
+const DIVIDES: &[&str] = &["further", "trials"];
 const REPORTS: &[&str] = &["utilisation", "service_time", "in_flight", "queued", "rate", "errors"];
 
 /// Place in the file, the term that it becomes (none where it is no term), how it is read, whether it must be there.
@@ -138,6 +141,7 @@
     ("fleet.cluster", "", Text, false),
     ("fleet.stewards", "", Addresses, false),
     ("fleet.beat_ms", "", Millis, false),
+    ("fleet.divides", "", Words(DIVIDES), false),
     ("method.#.name", "methods.#.name", Text, true),
     ("method.#.effect", "methods.#.effect", Word(EFFECTS), true),
     ("method.#.group", "methods.#.group", Word(GROUPS), false),
@@ -369,8 +373,9 @@
                 "is missing, where the list must be asked for".to_owned(),
             ));
         }
-        if let Some(line) =
-            ["fleet.cluster", "fleet.stewards", "fleet.beat_ms"].iter().find_map(|p| Some(of(p)?.1))
+        if let Some(line) = ["fleet.cluster", "fleet.stewards", "fleet.beat_ms", "fleet.divides"]
+            .iter()
+            .find_map(|p| Some(of(p)?.1))
         {
             for needed in ["fleet.cluster", "fleet.stewards"] {
                 if !self.has(needed) {
@@ -412,6 +417,13 @@
                 }
             }
         }
+        for n in 0..self.lists.get("tenant").map_or(0, Vec::len) {
+            let place = format!("tenant.{n}.name");
+            let Some((name, line)) = of(&place) else { continue };
+            if [fernroute::FURTHER, fernroute::TRIALS].contains(&name.as_str()) {
+                found.push((line, place, format!("{name} is what a fleet calls another budget")));
+            }
+        }
         for (list, name) in [("method", "name"), ("tenant", "name"), ("upstream", "id")] {
             let mut seen = BTreeMap::new();
             for n in 0..self.lists.get(list).map_or(0, Vec::len) {
@@ -464,6 +476,13 @@
             fleet: text("fleet.cluster").zip(text("fleet.stewards")).map(|(cluster, stewards)| Fleet {
                 cluster,
                 stewards: stewards.split(',').filter_map(|at| at.parse().ok()).collect(),
+                divides: [("further", fernroute::FURTHER), ("trials", fernroute::TRIALS)]
+                    .into_iter()
+                    .filter(|(word, _)| {
+                        text("fleet.divides").is_some_and(|all| all.split(',').any(|w| w == *word))
+                    })
+                    .map(|(_, name)| name)
+                    .collect(),
                 beat: text("fleet.beat_ms").and_then(|beat| beat.parse().ok()).unwrap_or(USUAL_BEAT),
             }),
             upstreams: (0..self.lists.get("upstream").map_or(0, Vec::len)).map(upstream).collect(),
--- a/crates/fernroute-config/tests/files.rs
+++ b/crates/fernroute-config/tests/files.rs
@@ -142,6 +142,9 @@
     let both = "cluster = \"c\"\nstewards = [\"127.0.0.1:7001\", \"127.0.0.1:7002\"]";
     let fleet = with(both).expect("it will do").fleet.expect("it is named");
     assert_eq!((fleet.cluster.as_str(), fleet.stewards.len(), fleet.beat), ("c", 2, 2_500));
+    let divides = |text: &str| with(&format!("{both}\n{text}")).expect("it will do").fleet.map(|f| f.divides);
+    assert_eq!((fleet.divides, divides("divides = []")), (vec![], Some(vec![])));
+    assert_eq!(divides("divides = [\"trials\"]"), Some(vec![fernroute::TRIALS]));
     for (text, why) in [
         ("cluster = \"c\"", "fleet.stewards: is missing"),
         ("stewards = [\"127.0.0.1:7001\"]", "fleet.cluster: is missing"),
@@ -155,6 +158,8 @@
         ("cluster = \"c\"\nstewards = \"127.0.0.1:1\"", "is no list of addresses"),
         (&format!("{both}\nbeat_ms = 5"), "fleet.beat_ms: 5 is not between 10 and 10000"),
         (&format!("{both}\nmore = 5"), "fleet.more: is not known"),
+        (&format!("{both}\ndivides = [\"all\"]"), "fleet.divides"),
+        ("divides = [\"trials\"]", "fleet.cluster: is missing"),
     ] {
         let faults = with(text).expect_err(why);
         let told: Vec<String> = faults.iter().map(ToString::to_string).collect();
--- a/crates/fernroute-server/src/program/fleet.rs
+++ b/crates/fernroute-server/src/program/fleet.rs
@@ -4,7 +4,7 @@
 use crate::routing::clock::{duration, tenths, Clock};
 use crate::routing::switchboard::Switchboard;
 use awc::Client;
-use fernroute::{Terms, Time};
+use fernroute::{Terms, Time, FURTHER, TRIALS};
 use fernroute_config::Fleet;
 use fernroute_fleet::demand::Meter;
 use fernroute_fleet::member::{Handed, Heard, Member};
@@ -54,6 +54,8 @@
         name: name.to_owned(),
         member: RefCell::new(member),
         handed: Cell::new(false),
+        divides: fleet.divides.clone(),
+        further: RefCell::new((Meter::new(now), 0)),
     });
     part.grant();
     actix_rt::spawn(Rc::clone(&part).follow(place));
@@ -76,6 +78,10 @@
     member: RefCell<Option<Member>>,
     /// A successor goes on under the same identity: this process says nothing more.
     handed: Cell<bool>,
+    /// What is divided beside tenants' shares.
+    divides: Vec<&'static str>,
+    /// Transmissions beyond the first that would have been of use, and how many there had been at the last look.
+    further: RefCell<(Meter, u64)>,
 }
 
 impl Part {
@@ -170,8 +176,26 @@
     }
 
     fn wants(&self, now: Time) -> Shares {
+        /// A breaker closes by three trials: as many in a second while any upstream is out of use.
+        const OF_TRIALS: u64 = 3_000;
         let mut asked = self.board.asked.borrow_mut();
-        asked.iter_mut().flatten().map(|(name, meter)| (name.clone(), meter.wants(now))).collect()
+        let mut wants: Shares =
+            asked.iter_mut().flatten().map(|(name, meter)| (name.clone(), meter.wants(now))).collect();
+        for budget in &self.divides {
+            let want = match *budget {
+                TRIALS if self.board.figures().avoided > 0 => OF_TRIALS,
+                FURTHER => {
+                    let (meter, seen) = &mut *self.further.borrow_mut();
+                    let wished = self.board.wished();
+                    (*seen..wished).for_each(|_| meter.count(now));
+                    *seen = wished;
+                    meter.wants(now)
+                }
+                _ => 0,
+            };
+            wants.insert((*budget).to_owned(), want);
+        }
+        wants
     }
 
     /// What is held now reaches the decisions.
@@ -179,9 +203,9 @@
         let member = self.member.borrow();
         let Some(member) = &*member else { return };
         let asked = self.board.asked.borrow();
-        let names = asked.iter().flat_map(|asked| asked.keys());
-        let all: Vec<(&str, [(f64, Time); 2])> =
-            names.map(|name| (name.as_str(), member.rates(name))).collect();
+        let tenants = asked.iter().flat_map(|asked| asked.keys().map(String::as_str));
+        let names = tenants.chain(self.divides.iter().copied());
+        let all: Vec<(&str, [(f64, Time); 2])> = names.map(|name| (name, member.rates(name))).collect();
         if let Err(bad) = self.board.new_shares(&all) {
             log::warn!("not taken over, all stays as it was: {bad}");
         }
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -147,6 +147,11 @@
         self.balancer.borrow_mut().new_shares(now, of)
     }
 
+    /// As [`Balancer::wished`].
+    pub fn wished(&self) -> u64 {
+        self.balancer.borrow().wished()
+    }
+
     /// New terms, whole or not at all. What is open goes on as it was taken.
     pub fn new_terms(self: &Rc<Self>, terms: &Terms) -> Result<(), BadTerm> {
         self.balancer.borrow_mut().new_terms(self.clock.now(), terms)?;
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -17,7 +17,7 @@
 
 use crate::agreed::{Agreed, Promise, Repeat};
 use crate::host::{BadTerm, Host, Outcome, Terms, Time, SECOND};
-use crate::records::{fade, hash, mean, Following, Gate, Id, Method, Rpc, Sent, Tenant, Times, Tx};
+use crate::records::{fade, hash, mean, Bucket, Following, Gate, Id, Method, Purse, Rpc, Sent, Times, Tx};
 use nanorand::{Rng, WyRand};
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
@@ -159,6 +159,8 @@
     scars: VecDeque<(Time, Option<Id>)>,
     /// Cold budget: nothing before this.
     cold_next: Time,
+    /// What the fleet grants of trials to it.
+    tried: Bucket,
 }
 
 /// How long a failure counts as held: as the design's open duration.
@@ -195,7 +197,7 @@
     /// What the terms say; replaced whole by new ones.
     agreed: Agreed,
     methods: Vec<Rc<Method>>,
-    tenants: Vec<Tenant>,
+    purse: Purse,
     /// Emptied by the list: an upstream that is gone leaves with its last transmission.
     upstreams: BTreeMap<Id, Upstream>,
     /// Emptied by final answers: an answered RPC leaves with its last transmission.
@@ -234,7 +236,7 @@
             now,
             agreed: Agreed::default(),
             methods: Vec::new(),
-            tenants: Vec::new(),
+            purse: Purse::default(),
             upstreams: BTreeMap::new(),
             rpcs: BTreeMap::new(),
             list: Following::default(),
@@ -267,11 +269,7 @@
             Rc::new(method)
         };
         let methods = agreed.methods.iter().map(known).collect();
-        let tenant = |(name, rate): &(String, f64)| {
-            let before = self.tenants.iter().find(|t| t.name == *name);
-            Tenant::new(name, rate / agreed.instances, before, now)
-        };
-        self.tenants = agreed.tenants.iter().map(tenant).collect();
+        self.purse.agree(now, &agreed.tenants, agreed.instances);
         (self.methods, self.agreed) = (methods, agreed);
         if told_otherwise {
             // What stood at one place of a report may stand for something else from now on.
@@ -285,20 +283,16 @@
         Ok(())
     }
 
-    /// What the fleet grants this balancer of each tenant's share from now on, in place of even parts: two rates,
-    /// RPCs a second, each until a time. A tenant that is not named has none. Whole or not at all.
+    /// What the fleet grants from now on, in place of even parts of tenants' shares: two rates a second, each
+    /// until a time; and of transmissions beyond the first and trials, where it divides these; whole or not.
     pub fn new_shares(&mut self, now: Time, of: &[(&str, [(f64, Time); 2])]) -> Result<(), BadTerm> {
-        let known = |name: &str| self.tenants.iter().any(|t| t.name == name);
-        let fits = |(rate, _): &(f64, Time)| rate.is_finite() && *rate >= 0.0;
-        if let Some((name, _)) = of.iter().find(|(name, parts)| !known(name) || !parts.iter().all(fits)) {
-            return Err(BadTerm { term: (*name).to_owned(), why: "no tenant, or no rate" });
-        }
         self.now = now;
-        for tenant in &mut self.tenants {
-            let part = of.iter().find(|(name, _)| *name == tenant.name).map(|(_, part)| *part);
-            tenant.grant(now, part.unwrap_or_default());
-        }
-        Ok(())
+        self.purse.grant(now, of)
+    }
+
+    /// How often a transmission beyond the first would have been of use, since the start.
+    pub fn wished(&self) -> u64 {
+        self.purse.wished
     }
 
     /// Whether upstreams report what they hold, or what waits there.
@@ -563,7 +557,11 @@
             }
             let Some(u) = self.upstreams.get_mut(&id) else { continue };
             // A trial is a risk for an RPC that gets one chance; where this one has been is the last resort.
-            let open = !u.breaker.passes(now) || steady && u.breaker.state == State::HalfOpen;
+            let passes = u.breaker.passes(now);
+            if u.breaker.state != State::Closed && !self.purse.may_try(now, &mut u.tried) {
+                continue;
+            }
+            let open = !passes || steady && u.breaker.state == State::HalfOpen;
             let list = if open || rpc.txs.iter().any(|t| t.upstream == id) { &mut shut } else { &mut near };
             list.push(id);
         }
@@ -635,6 +633,9 @@
         let (Some(rpc), Some(u)) = (rpc, u) else { return false };
         let trial = u.breaker.state == State::HalfOpen;
         u.breaker.trials_out += u32::from(trial);
+        if u.breaker.state != State::Closed {
+            self.purse.tried(self.now, &mut u.tried);
+        }
         u.out.push(self.now);
         rpc.waiting = false;
         rpc.txs.push(Tx {
@@ -664,8 +665,10 @@
         let late = times.late.min(2.2 * times.mean);
         let cut = (rpc.until as f64 - self.now as f64 - 1.5 * times.mean).min(MOST * late);
         let calm = self.busy.is_none_or(|busy| busy < CALM) && cut >= LEAST * late;
-        let follows =
-            m.repeat != Repeat::Never && rpc.txs.len() + 1 < self.agreed.max_tx && self.spare >= 2.0;
+        let follows = m.repeat != Repeat::Never
+            && rpc.txs.len() + 1 < self.agreed.max_tx
+            && self.spare >= 2.0
+            && self.purse.may_repeat(self.now);
         (if follows && calm { cut as Time } else { Time::MAX }).min(rpc.hard - self.now)
     }
 
@@ -679,7 +682,7 @@
         let mean = rpc.method.times.get().mean;
         let cost = if rpc.may_have_run().is_none() { TURNED_AWAY } else { 1.0 };
         // The operators' way: only if the time left exceeds the time that it is expected to take.
-        if self.spare < cost || self.now as f64 + mean > rpc.until as f64 {
+        if self.spare < cost || self.now as f64 + mean > rpc.until as f64 || !self.purse.repeat(self.now) {
             return false;
         }
         let sent = self.send(rpc_id) == Sent::Out;
@@ -715,11 +718,10 @@
 
     // ------------------------------------------------------------------------------------------- admission
 
-    /// What an RPC is worth, as a share of the highest gain, by its method's gain and tenant share; none if what is
-    /// beyond the share is refused.
+    /// What an RPC is worth, as a share of the highest gain, by its method's gain and tenant share; none if
+    /// what is beyond the share is refused.
     fn value(&mut self, gain: f64, tenant: &str) -> Option<f64> {
-        let now = self.now;
-        let within = self.tenants.iter_mut().find(|t| t.name == tenant).is_none_or(|t| t.spend(now));
+        let within = self.purse.spend(self.now, tenant);
         let over = (!self.agreed.refuse_over_share).then_some(gain * self.agreed.over_share_gain);
         Some(gain).filter(|_| within).or(over)
     }
--- a/crates/fernroute/src/lib.rs
+++ b/crates/fernroute/src/lib.rs
@@ -10,3 +10,4 @@
 
 pub use decide::Balancer;
 pub use host::{BadTerm, Host, Outcome, Terms, Time};
+pub use records::{FURTHER, TRIALS};
--- a/crates/fernroute/src/records.rs
+++ b/crates/fernroute/src/records.rs
@@ -1,8 +1,9 @@
 //! What the decisions keep of RPCs, methods and tenants. Nothing is decided here.
 
 use crate::agreed::Promise;
-use crate::host::{Outcome, Time, SECOND};
+use crate::host::{BadTerm, Outcome, Time, SECOND};
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
@@ -25,34 +26,22 @@
     pub times: Cell<Times>,
 }
 
-/// What of a tenant's share this balancer may take, and what of it is unspent.
-pub struct Tenant {
-    pub name: String,
-    /// RPCs a second that are within it: some until one time, some beside them until another.
-    rates: [(f64, Time); 2],
+/// Two rates, a second: the one until a time, the other beside it until another.
+pub type Rates = [(f64, Time); 2];
+
+/// What of something that all balancers share this one may take, and what of it is unspent.
+#[derive(Clone, Default)]
+pub struct Bucket {
+    rates: Rates,
+    /// That many can be saved up at any rate.
+    least: f64,
     granted: bool,
     unspent: f64,
     filled: Time,
 }
 
-/// RPCs of one tenant that come together by chance now and then, at any rate.
-const BUNCH: f64 = 4.0;
-
-impl Tenant {
-    /// An even part for good; with what is unspent of before, and what was granted stays granted.
-    pub fn new(name: &str, rate: f64, before: Option<&Tenant>, now: Time) -> Self {
-        let rates = [(rate, Time::MAX), (0.0, 0)];
-        let name = name.to_owned();
-        match before {
-            None => Tenant { name, rates, granted: false, unspent: rate.max(BUNCH), filled: now },
-            Some(t) => {
-                let rates = if t.granted { t.rates } else { rates };
-                Tenant { name, rates, granted: t.granted, unspent: t.unspent, filled: t.filled }
-            }
-        }
-    }
-
-    pub fn grant(&mut self, now: Time, rates: [(f64, Time); 2]) {
+impl Bucket {
+    fn grant(&mut self, now: Time, rates: Rates) {
         self.fill(now);
         (self.rates, self.granted) = (rates, true);
         // What was saved under a larger grant is somebody else's by now.
@@ -60,18 +49,20 @@
     }
 
     /// Guards against a process that stood still and goes on: each part counts up to its end, and no further.
-    fn fill(&mut self, now: Time) {
+    fn left(&self, now: Time) -> f64 {
         let part = |(rate, until): &(f64, Time)| rate * now.min(*until).saturating_sub(self.filled) as f64;
         let rate: f64 = self.rates.iter().filter(|(_, until)| now < *until).map(|(rate, _)| rate).sum();
-        // Two seconds of a share can be saved up, and some RPCs: less would count bunching as excess. What is nobody's
-        // any more saves nothing.
-        let most = if rate > 0.0 || !self.granted { (2.0 * rate).max(BUNCH) } else { 0.0 };
-        let filled = self.unspent + self.rates.iter().map(part).sum::<f64>() / SECOND as f64;
-        (self.unspent, self.filled) = (filled.min(most), now);
+        // Two seconds of a share can be saved up, and some at the least. What is nobody's any more saves nothing.
+        let most = if rate > 0.0 || !self.granted { (2.0 * rate).max(self.least) } else { 0.0 };
+        (self.unspent + self.rates.iter().map(part).sum::<f64>() / SECOND as f64).min(most)
+    }
+
+    fn fill(&mut self, now: Time) {
+        (self.unspent, self.filled) = (self.left(now), now);
     }
 
-    /// Whether one more RPC is within the share; it is spent then.
-    pub fn spend(&mut self, now: Time) -> bool {
+    /// Whether one more is within it; it is spent then.
+    fn spend(&mut self, now: Time) -> bool {
         self.fill(now);
         let within = self.unspent >= 1.0;
         self.unspent -= f64::from(u8::from(within));
@@ -79,6 +70,92 @@
     }
 }
 
+/// What this balancer may spend of what all share: tenants' shares, and where a fleet divides these, transmissions beyond
+/// the first and trials.
+#[derive(Default)]
+pub struct Purse {
+    /// By name; those of the terms.
+    tenants: BTreeMap<String, Bucket>,
+    further: Option<Bucket>,
+    /// To any one upstream, each of which has a bucket of its own.
+    trials: Option<Rates>,
+    /// How often a further transmission would have been of use.
+    pub wished: u64,
+}
+
+/// What a fleet calls the budgets that are no tenants'.
+pub const FURTHER: &str = "transmissions beyond the first";
+pub const TRIALS: &str = "trials to one upstream";
+
+impl Purse {
+    /// Even parts for good; with what is unspent of before, and what was granted stays granted.
+    pub fn agree(&mut self, now: Time, tenants: &[(String, f64)], instances: f64) {
+        /// RPCs of one tenant that come together by chance now and then, at any rate: less would count that as excess.
+        const BUNCH: f64 = 4.0;
+        let bucket = |(name, rate): &(String, f64)| {
+            let (rate, before) = (rate / instances, self.tenants.get(name).cloned());
+            let full = Bucket { least: BUNCH, unspent: rate.max(BUNCH), filled: now, ..Bucket::default() };
+            let mut bucket = before.unwrap_or(full);
+            bucket.rates = if bucket.granted { bucket.rates } else { [(rate, Time::MAX), (0.0, 0)] };
+            (name.clone(), bucket)
+        };
+        self.tenants = tenants.iter().map(bucket).collect();
+    }
+
+    /// What a fleet grants from now on. A tenant that is not named has nothing; of the others what is not named has no end.
+    pub fn grant(&mut self, now: Time, of: &[(&str, Rates)]) -> Result<(), BadTerm> {
+        let known = |name: &str| matches!(name, FURTHER | TRIALS) || self.tenants.contains_key(name);
+        let fits = |(rate, _): &(f64, Time)| rate.is_finite() && *rate >= 0.0;
+        if let Some((name, _)) = of.iter().find(|(name, rates)| !known(name) || !rates.iter().all(fits)) {
+            return Err(BadTerm { term: (*name).to_owned(), why: "no budget, or no rate" });
+        }
+        let told = |name: &str| of.iter().find(|(n, _)| *n == name).map(|(_, rates)| *rates);
+        for (name, bucket) in &mut self.tenants {
+            bucket.grant(now, told(name).unwrap_or_default());
+        }
+        self.trials = told(TRIALS);
+        self.further = told(FURTHER).map(|rates| {
+            let empty = Bucket { least: 1.0, granted: true, filled: now, ..Bucket::default() };
+            let mut bucket = self.further.take().unwrap_or(empty);
+            bucket.grant(now, rates);
+            bucket
+        });
+        Ok(())
+    }
+
+    /// Whether an RPC of this tenant is within its share; it is spent then.
+    pub fn spend(&mut self, now: Time, tenant: &str) -> bool {
+        self.tenants.get_mut(tenant).is_none_or(|bucket| bucket.spend(now))
+    }
+
+    /// Whether a further transmission is within the budget.
+    pub fn may_repeat(&self, now: Time) -> bool {
+        self.further.as_ref().is_none_or(|bucket| bucket.left(now) >= 1.0)
+    }
+
+    /// A further transmission is of use; tells whether it is within the budget, where it counts as spent.
+    pub fn repeat(&mut self, now: Time) -> bool {
+        self.wished += 1;
+        self.further.as_mut().is_none_or(|bucket| bucket.spend(now))
+    }
+
+    /// Whether one more transmission to an upstream out of use is within the budget. What was tried before any grant is
+    /// nobody's debt.
+    pub fn may_try(&self, now: Time, tried: &mut Bucket) -> bool {
+        let Some(rates) = self.trials else { return true };
+        if !tried.granted {
+            *tried = Bucket { least: 1.0, granted: true, filled: now, ..Bucket::default() };
+        }
+        tried.grant(now, rates);
+        tried.left(now) >= 1.0
+    }
+
+    pub fn tried(&self, now: Time, tried: &mut Bucket) {
+        // What is not divided is not counted.
+        let _ = self.trials.is_some() && tried.spend(now);
+    }
+}
+
 #[derive(Clone)]
 pub struct Tx {
     pub upstream: Id,
--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -4,7 +4,7 @@
 
 use common::{balancer, upstream, Notebook, START};
 use fernroute::host::{Outcome, Time, SECOND};
-use fernroute::Balancer;
+use fernroute::{Balancer, FURTHER, TRIALS};
 use std::collections::{BTreeSet, VecDeque};
 
 /// Offers one RPC and reports where it went, if anywhere.
@@ -107,6 +107,68 @@
     assert_eq!(trials.count(), 3);
 }
 
+/// Guards against trials that many balancers send each by its own count: what the fleet grants to one upstream is the
+/// most, also as the last resort, and what it grants no more ends at once.
+#[test]
+fn trials_are_as_many_as_the_fleet_grants_for_one_upstream() {
+    let (mut b, notes) = balancer(6, &[("tier", "1")]);
+    let (dead, from) = (upstream(0).0, START + 60 * SECOND);
+    run(&mut b, &notes, START, 2000, |u| if u == dead { (Outcome::Reset, 50) } else { good(u) });
+    assert!(!notes.0.borrow().lines.is_empty(), "it opened");
+    b.new_shares(from, &[(TRIALS, [(0.5, from + 20 * SECOND), (0.0, 0)])]).expect("it fits");
+    let mut went = Vec::new();
+    for i in 0..400 {
+        let now = from + i * SECOND / 10;
+        let id = format!("t{i}");
+        if offer(&mut b, &notes, now, &id, "m0") == Some(dead.clone()) {
+            went.push(i);
+        }
+        b.tx_ended(now + 50, &id, 0, Outcome::Completed, 50, true, &[0.5]);
+    }
+    // One in two seconds; three good ones close it, and it takes its part again.
+    assert!(went.len() > 10 && went[..3].windows(2).all(|w| w[1] >= w[0] + 20), "{went:?}");
+    // Nothing of it is left, and nothing else stands: an RPC gets no answer rather than a trial beyond the budget.
+    let (mut b, notes) = balancer(6, &[("tier", "1")]);
+    run(&mut b, &notes, START, 2000, |u| if u == dead { (Outcome::Reset, 50) } else { good(u) });
+    (1..6).for_each(|n| b.upstream_gone(&upstream(n).0));
+    b.new_shares(from, &[(TRIALS, [(0.0, Time::MAX), (0.0, 0)])]).expect("it fits");
+    assert_eq!(offer(&mut b, &notes, from, "none", "m0"), None);
+    b.new_shares(from, &[]).expect("it fits");
+    assert_eq!(offer(&mut b, &notes, from + SECOND, "any", "m0"), Some(dead));
+}
+
+/// Guards against retries that each balancer counts for itself alone; and against a transmission cut short where no other
+/// may follow.
+#[test]
+fn transmissions_beyond_the_first_are_as_many_as_the_fleet_grants() {
+    let (mut b, notes) = balancer(6, &[]);
+    let further = |b: &mut Balancer<Notebook>, from: Time, count: u64| {
+        let before = notes.0.borrow().sent.len();
+        for i in 0..count {
+            let (id, now) = (format!("f{from}-{i}"), from + i * 100);
+            offer(b, &notes, now, &id, "m0");
+            b.tx_ended(now + 50, &id, 0, Outcome::Exhausted, 50, false, &[0.5]);
+            b.tx_ended(now + 99, &id, 1, Outcome::Completed, 49, true, &[0.5]);
+        }
+        notes.0.borrow().sent.len() - before - count as usize
+    };
+    assert_eq!(further(&mut b, START, 20), 20);
+    let (from, until) = (START + SECOND, START + 6 * SECOND);
+    b.new_shares(from, &[(FURTHER, [(4.0, until), (0.0, 0)])]).expect("it fits");
+    // Two seconds of it may be saved up; after its end there is none.
+    assert!((1..=2).contains(&further(&mut b, from, 50)), "half a second");
+    let all: usize = (1..5).map(|n| further(&mut b, from + n * SECOND, 80)).sum();
+    assert!((12..=20).contains(&all), "{all}");
+    assert_eq!(further(&mut b, until, 50), 0);
+    assert!(b.wished() > 300, "{}", b.wished());
+    let last = || notes.0.borrow().sent.last().cloned().expect("it is sent").2;
+    offer(&mut b, &notes, until + SECOND, "alone", "m0");
+    assert_eq!(last(), 3 * SECOND, "it has all its time");
+    // Where the fleet divides it no more, or never did, it has no end of its own.
+    b.new_shares(until + 2 * SECOND, &[]).expect("it fits");
+    assert_eq!(further(&mut b, until + 2 * SECOND, 20), 20);
+}
+
 #[test]
 fn outcomes_of_before_the_opening_are_no_trials() {
     let (mut b, notes) = balancer(6, &[("tier", "1")]);
