Real fleets keep budgets of further transmissions and trials; a wish is spent when sent

Cause: of what a balancer was granted of further transmissions half went unused: it was spent before the send, which may find nowhere to go. Seen by the new test of real processes as 12 a second of 22 granted (part of that was the stand-in, which did not mark what it turned away; both are mended).

Change: the purse is spent after the send. The rig's fleet has several upstreams with moods, and counts transmissions beyond the first by what upstreams saw.

Measured: two tests with real balancers: further transmissions at one balancer, then at another, then asked for by all, within 24 a second; an upstream that is well again gets no trial for nine seconds where the fleet grants none, and is back once it does.

--- a/crates/fernroute-lab/src/beside.rs
+++ b/crates/fernroute-lab/src/beside.rs
@@ -1,7 +1,7 @@
 //! One balancer on this machine with all that it needs beside it: stand-ins for the upstreams and the discovery that
 //! its file names, at the addresses that it names.
 
-use crate::processes::Fleet;
+use crate::processes::{Fleet, Shape};
 use fernroute_rig::http::answer;
 use fernroute_rig::stand_in::{entry, serve, Deed, Discovery};
 use fernroute_server::program::station::Station;
@@ -28,7 +28,7 @@
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     LocalSet::new().block_on(&runtime, async {
         let folder = std::env::temp_dir().join(format!("fernroute-fleet-{}", std::process::id()));
-        let fleet = Fleet::start(program, folder, 3, 4, WHOLE).await?;
+        let fleet = Fleet::start(program, folder, Shape::new(3, 4, WHOLE)).await?;
         let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
         let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
         for look in 0usize.. {
--- a/crates/fernroute-lab/src/processes.rs
+++ b/crates/fernroute-lab/src/processes.rs
@@ -1,15 +1,16 @@
 //! A fleet of real processes on loopback: stewards, balancers, one tenant's load, and a link from each balancer to each
 //! steward that can go wrong. What is judged is what an upstream ran, never what the fleet says of itself.
 
+use fernroute::{FURTHER, TRIALS};
 use fernroute_rig::caller::rpc;
-use fernroute_rig::http::read;
+use fernroute_rig::http::{answer, read};
 use fernroute_rig::link::Link;
 use fernroute_rig::process::{addresses, Process};
-use fernroute_rig::stand_in::{entry, ok, serve, Discovery};
+use fernroute_rig::stand_in::{entry, ok, serve, Deed, Discovery};
 use fernroute_rig::until;
 use fernroute_steward::keep::Status;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -47,18 +48,7 @@
     /// The window in which all balancers together ran more than the whole and what they may save up, if there is one: two
     /// seconds of it, and some RPCs each.
     pub fn beyond(&self, whole: usize, balancers: usize) -> Option<String> {
-        let ran = self.0.borrow();
-        for window in [1, 10] {
-            let most = whole * (window + 2) + 4 * balancers;
-            for (n, from) in ran.iter().enumerate() {
-                let until = *from + Duration::from_secs(window as u64);
-                let count = ran[n..].iter().take_while(|at| **at < until).count();
-                if count > most {
-                    return Some(format!("{count} in {window} s, at most {most} may be"));
-                }
-            }
-        }
-        None
+        beyond(&self.0.borrow(), whole as f64, 4 * balancers)
     }
 
     /// Forgets what is older than any window.
@@ -67,12 +57,84 @@
     }
 }
 
-/// Stewards, balancers before one upstream, and a tenant's load.
+/// The window in which there was more than a whole, two seconds of it that may be saved up, and some beside it.
+pub fn beyond(at: &[Instant], whole: f64, some: usize) -> Option<String> {
+    for window in [1, 10] {
+        let most = (whole * (window + 2) as f64) as usize + some;
+        for (n, from) in at.iter().enumerate() {
+            let until = *from + Duration::from_secs(window);
+            let count = at[n..].iter().take_while(|at| **at < until).count();
+            if count > most {
+                return Some(format!("{count} in {window} s, at most {most} may be"));
+            }
+        }
+    }
+    None
+}
+
+/// How many of what.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub stewards: usize,
+    pub balancers: usize,
+    /// Of each of which any may turn all away.
+    pub upstreams: usize,
+    /// The tenant's RPCs a second over all balancers.
+    pub whole: usize,
+    /// Transmissions beyond the first, and trials to one upstream, a second over all balancers; none is no budget.
+    pub further: Option<f64>,
+    pub trials: Option<f64>,
+}
+
+impl Shape {
+    pub fn new(stewards: usize, balancers: usize, whole: usize) -> Self {
+        Shape { stewards, balancers, upstreams: 1, whole, further: None, trials: None }
+    }
+
+    /// The budgets as a steward's file names them.
+    fn budgets(&self) -> String {
+        let tenant = ("acme", Some(self.whole as f64));
+        let all = [tenant, (FURTHER, self.further), (TRIALS, self.trials)];
+        let budget = |(name, whole): &(&str, Option<f64>)| {
+            whole.map(|whole| format!("[[budget]]\nname = \"{name}\"\nwhole = {whole}\nfloors = 0.1\n"))
+        };
+        all.iter().filter_map(budget).collect()
+    }
+
+    fn divides(&self) -> String {
+        let all = [("\"further\"", self.further), ("\"trials\"", self.trials)];
+        all.iter()
+            .filter(|(_, whole)| whole.is_some())
+            .map(|(word, _)| *word)
+            .collect::<Vec<&str>>()
+            .join(", ")
+    }
+}
+
+/// How an upstream does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mood {
+    #[default]
+    Well,
+    /// Every RPC: the connection ends without an answer.
+    Fails,
+    /// Every second transmission, unseen.
+    TurnsAwayHalf,
+}
+
+/// A transmission, as an upstream saw it.
+#[derive(Clone, Debug)]
+pub struct Came {
+    pub at: Instant,
+    pub upstream: usize,
+    pub rpc: String,
+}
+
+/// Stewards, balancers before upstreams, and a tenant's load.
 pub struct Fleet {
     program: PathBuf,
     pub folder: PathBuf,
-    /// RPCs a second over all balancers.
-    pub whole: usize,
+    pub shape: Shape,
     pub stewards: Vec<Process>,
     pub steward_addresses: Vec<SocketAddr>,
     steward_pages: Vec<String>,
@@ -84,6 +146,10 @@
     pub links: Vec<Vec<Rc<Link>>>,
     pages: Vec<String>,
     pub ran: Rc<Ran>,
+    /// All transmissions that came, turned away or not.
+    pub came: Rc<RefCell<Vec<Came>>>,
+    /// How each upstream does.
+    pub moods: Rc<Vec<Cell<Mood>>>,
     /// RPCs a second asked of each balancer.
     rates: Rc<Vec<Cell<u64>>>,
     /// Answers that were neither served nor refused.
@@ -93,13 +159,8 @@
 
 impl Fleet {
     /// `program` has the roles of the laboratory's own; `folder` is made, and gone with the fleet.
-    pub async fn start(
-        program: &Path,
-        folder: PathBuf,
-        stewards: usize,
-        balancers: usize,
-        whole: usize,
-    ) -> Result<Self, String> {
+    pub async fn start(program: &Path, folder: PathBuf, shape: Shape) -> Result<Self, String> {
+        let Shape { stewards, balancers, whole, .. } = shape;
         let trouble = |e: std::io::Error| e.to_string();
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         std::fs::create_dir_all(&folder).map_err(trouble)?;
@@ -119,27 +180,44 @@
             }
             let disk = folder.join(format!("s{n}"));
             steward_pages.push(format!(
-                "cluster = \"c\"\nname = \"s{n}\"\nfolder = \"{}\"\nmembers = {balancers}\nshares_ms = 3000\nfloors_s = 12\n{list}\
-                 [[budget]]\nname = \"acme\"\nwhole = {whole}\nfloors = 0.1\n",
+                "cluster = \"c\"\nname = \"s{n}\"\nfolder = \"{}\"\nmembers = {balancers}\nshares_ms = 3000\nfloors_s = 12\n{list}",
                 disk.display()
             ));
         }
-        let start = |(n, text): (usize, &String)| launch(program, "steward", &folder, &format!("s{n}"), text);
+        let start = |(n, text): (usize, &String)| {
+            launch(program, "steward", &folder, &format!("s{n}"), &format!("{text}{}", shape.budgets()))
+        };
         let stewards =
             steward_pages.iter().enumerate().map(start).collect::<Result<Vec<Process>, String>>()?;
         let ran = Rc::new(Ran::default());
-        let kept = Rc::clone(&ran);
-        let upstream = serve(any, move |_| {
-            kept.0.borrow_mut().push(Instant::now());
-            ok("whole")
-        });
-        let upstream = upstream.await.map_err(trouble)?;
-        let discovery = Discovery::start(any, entry("u", upstream, "a", "SERVING")).await.map_err(trouble)?;
+        let came: Rc<RefCell<Vec<Came>>> = Rc::default();
+        let moods: Rc<Vec<Cell<Mood>>> = Rc::new((0..shape.upstreams).map(|_| Cell::default()).collect());
+        let (mut upstreams, mut list) = (Vec::new(), Vec::new());
+        for n in 0..shape.upstreams {
+            let (ran, came, moods) = (Rc::clone(&ran), Rc::clone(&came), Rc::clone(&moods));
+            let upstream = serve(any, move |asked| {
+                let rpc = asked.header("req-id").unwrap_or_default().to_owned();
+                came.borrow_mut().push(Came { at: Instant::now(), upstream: n, rpc });
+                match moods[n].get() {
+                    Mood::Fails => return Deed::SayAndClose(Vec::new()),
+                    Mood::TurnsAwayHalf if came.borrow().len() % 2 == 0 => {
+                        return Deed::Say(answer(503, "Srv-Declined: 1\r\n", ""));
+                    }
+                    Mood::Well | Mood::TurnsAwayHalf => {}
+                }
+                ran.0.borrow_mut().push(Instant::now());
+                ok("whole")
+            });
+            let at = upstream.await.map_err(trouble)?;
+            list.push(entry(&format!("u{n}"), at, "a", "SERVING"));
+            upstreams.push(format!("[[upstream]]\nid = \"u{n}\"\naddress = \"{at}\"\nzone = \"a\"\n"));
+        }
+        let discovery = Discovery::start(any, list.join(",")).await.map_err(trouble)?;
         let rates: Rc<Vec<Cell<u64>>> = Rc::new((0..balancers).map(|_| Cell::new(0)).collect());
         let mut fleet = Fleet {
             program: program.to_owned(),
             folder,
-            whole,
+            shape,
             stewards,
             steward_addresses: at,
             steward_pages,
@@ -149,6 +227,8 @@
             links: Vec::new(),
             pages: Vec::new(),
             ran,
+            came,
+            moods,
             rates,
             wrong: Rc::default(),
             _discovery: discovery,
@@ -161,13 +241,15 @@
             let to: Vec<String> = own.iter().map(|link| format!("\"{}\"", link.address)).collect();
             let text = format!(
                 "name = \"b{n}\"\nlisten = \"127.0.0.1:0\"\ndiscovery = \"{}\"\n[place]\ninstances = {balancers}\nzone = \"a\"\n\
-                 [load]\nrefuse_over_share = true\n[fleet]\ncluster = \"c\"\nstewards = [{}]\nbeat_ms = 200\n\
+                 [load]\nrefuse_over_share = true\n[fleet]\ncluster = \"c\"\nstewards = [{}]\nbeat_ms = 200\ndivides = [{}]\n\
                  [rules]\ncold_from = 0.3\nwarm_within_s = 10\ncold_multiple = 3\ncold_window_s = 2\n\
                  [[method]]\nname = \"look\"\neffect = \"retriable\"\nsoft_ms = 1000\nhard_ms = 3000\n\
                  [[tenant]]\nname = \"acme\"\nrate = {whole}\n\
-                 [[upstream]]\nid = \"u\"\naddress = \"{upstream}\"\nzone = \"a\"\n",
+                 [limits]\ntransmissions = 4\n{}",
                 fleet._discovery.address,
-                to.join(", ")
+                to.join(", "),
+                fleet.shape.divides(),
+                upstreams.concat()
             );
             fleet.links.push(own);
             fleet.pages.push(text);
@@ -178,8 +260,8 @@
 
     /// Starts one again, with what is left on its disk.
     pub fn start_steward(&mut self, n: usize) -> Result<(), String> {
-        let text = &self.steward_pages[n];
-        self.stewards[n] = launch(&self.program, "steward", &self.folder, &format!("s{n}"), text)?;
+        let text = format!("{}{}", self.steward_pages[n], self.shape.budgets());
+        self.stewards[n] = launch(&self.program, "steward", &self.folder, &format!("s{n}"), &text)?;
         Ok(())
     }
 
@@ -274,7 +356,12 @@
 
     /// Until nearly the whole has run within a second.
     pub async fn until_used(&self) {
-        until(|| self.ran.within(Duration::from_secs(1)) * 20 >= self.whole * 19).await;
+        self.until_runs(self.shape.whole * 19 / 20).await;
+    }
+
+    /// Until so many have run within a second.
+    pub async fn until_runs(&self, least: usize) {
+        until(|| self.ran.within(Duration::from_secs(1)) >= least).await;
     }
 
     /// Which steward leads by its own word, once one does.
@@ -293,12 +380,20 @@
     /// What all balancers together did not keep, or answered wrongly.
     pub fn broken(&self) -> Option<String> {
         let wrong = self.wrong.borrow().first().cloned();
-        self.ran.beyond(self.whole, self.addresses.len()).or(wrong)
+        self.ran.beyond(self.shape.whole, self.addresses.len()).or(wrong)
+    }
+
+    /// When transmissions came that were not the first of their RPC.
+    pub fn further(&self) -> Vec<Instant> {
+        let mut seen = BTreeSet::new();
+        let came = self.came.borrow();
+        came.iter().filter(|came| !seen.insert(came.rpc.clone())).map(|came| came.at).collect()
     }
 
     /// What is kept for a judgement of all is not kept any more.
     pub fn forget(&self) {
         self.ran.forget();
+        self.came.borrow_mut().retain(|came| came.at.elapsed() < Duration::from_secs(11));
     }
 }
 
--- a/crates/fernroute-lab/tests/fleet.rs
+++ b/crates/fernroute-lab/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Real balancers and real stewards on loopback, a load that one tenant's budget divides, and faults between them.
 
-use fernroute_lab::processes::Fleet;
+use fernroute_lab::processes::{beyond, Fleet, Mood, Shape};
 use fernroute_rig::caller::{rpc, send};
 use fernroute_rig::http::read;
 use fernroute_rig::link::Way;
@@ -26,13 +26,13 @@
 }
 
 async fn start(name: &str, stewards: usize) -> Fleet {
-    start_with(name, stewards, BALANCERS).await
+    start_with(name, Shape::new(stewards, BALANCERS, WHOLE)).await
 }
 
-async fn start_with(name: &str, stewards: usize, balancers: usize) -> Fleet {
+async fn start_with(name: &str, shape: Shape) -> Fleet {
     let folder = std::env::temp_dir().join(format!("fernroute-fleet-{name}-{}", std::process::id()));
     let program = Path::new(env!("CARGO_BIN_EXE_fernroute-lab"));
-    Fleet::start(program, folder, stewards, balancers, WHOLE).await.expect("it starts")
+    Fleet::start(program, folder, shape).await.expect("it starts")
 }
 
 fn end(fleet: &Fleet) {
@@ -150,7 +150,7 @@
 #[test]
 fn half_of_the_fleet_cut_off_with_a_minority_of_stewards_spends_its_floors_alone() {
     run(async {
-        let fleet = start_with("apart", 3, 4).await;
+        let fleet = start_with("apart", Shape::new(3, 4, WHOLE)).await;
         fleet.rates(&[100, 100, 100, 100]);
         fleet.until_used().await;
         let leader = fleet.leader().await;
@@ -255,3 +255,55 @@
         end(&fleet);
     });
 }
+
+/// Guards against retries that are within each balancer's bounds and beyond what all upstreams can bear; and against a budget
+/// that lies at balancers which have nothing to send again.
+#[test]
+fn transmissions_beyond_the_first_are_within_one_whole_and_go_where_they_are_of_use() {
+    run(async {
+        const FURTHER: f64 = 24.0;
+        let shape = Shape { upstreams: 4, further: Some(FURTHER), ..Shape::new(1, BALANCERS, WHOLE) };
+        let fleet = start_with("further", shape).await;
+        fleet.rates(&[100, 2, 2]);
+        fleet.until_runs(90).await;
+        // All turn every second away: there would be nearly as many further transmissions as RPCs.
+        fleet.moods.iter().for_each(|mood| mood.set(Mood::TurnsAwayHalf));
+        let lately = || fleet.further().iter().filter(|at| at.elapsed() < Duration::from_secs(1)).count();
+        until(|| lately() as f64 >= FURTHER * 0.7).await;
+        fleet.rates(&[2, 2, 100]);
+        sleep(Duration::from_secs(2)).await;
+        until(|| lately() as f64 >= FURTHER * 0.7).await;
+        fleet.rates(&[100, 100, 100]);
+        sleep(LONG).await;
+        assert_eq!(beyond(&fleet.further(), FURTHER, BALANCERS), None);
+        end(&fleet);
+    });
+}
+
+/// Guards against trials by all balancers at once: an upstream that is out of use gets what is granted for it, and it is back once
+/// there is some.
+#[test]
+fn an_upstream_out_of_use_is_tried_as_often_as_the_whole_fleet_may() {
+    run(async {
+        let shape = Shape { upstreams: 4, trials: Some(0.001), ..Shape::new(1, BALANCERS, WHOLE) };
+        let mut fleet = start_with("trials", shape).await;
+        fleet.rates(&[30, 30, 30]);
+        fleet.until_runs(80).await;
+        fleet.moods[3].set(Mood::Fails);
+        until(|| fleet.balancers.iter().all(|b| b.says("-> Open"))).await;
+        sleep(Duration::from_millis(200)).await;
+        // It is well again, and nobody may find out: each balancer alone would try it within seven seconds.
+        fleet.moods[3].set(Mood::Well);
+        let from = Instant::now();
+        sleep(LONG).await;
+        let tried =
+            |from: Instant| fleet.came.borrow().iter().filter(|c| c.upstream == 3 && c.at > from).count();
+        assert_eq!(tried(from), 0);
+        // The whole is made larger: three good trials of each, and it has its part again.
+        fleet.stewards[0].kill();
+        fleet.shape.trials = Some(9.0);
+        fleet.start_steward(0).expect("it starts");
+        until(|| fleet.balancers.iter().all(|b| b.says("HalfOpen -> Closed"))).await;
+        end(&fleet);
+    });
+}
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -682,11 +682,12 @@
         let mean = rpc.method.times.get().mean;
         let cost = if rpc.may_have_run().is_none() { TURNED_AWAY } else { 1.0 };
         // The operators' way: only if the time left exceeds the time that it is expected to take.
-        if self.spare < cost || self.now as f64 + mean > rpc.until as f64 || !self.purse.repeat(self.now) {
+        if self.spare < cost || self.now as f64 + mean > rpc.until as f64 || !self.purse.wish(self.now) {
             return false;
         }
         let sent = self.send(rpc_id) == Sent::Out;
         self.spare -= if sent { cost } else { 0.0 };
+        self.purse.repeated(self.now, sent);
         sent
     }
 
--- a/crates/fernroute/src/records.rs
+++ b/crates/fernroute/src/records.rs
@@ -133,10 +133,15 @@
         self.further.as_ref().is_none_or(|bucket| bucket.left(now) >= 1.0)
     }
 
-    /// A further transmission is of use; tells whether it is within the budget, where it counts as spent.
-    pub fn repeat(&mut self, now: Time) -> bool {
+    /// The same where one would be of use now.
+    pub fn wish(&mut self, now: Time) -> bool {
         self.wished += 1;
-        self.further.as_mut().is_none_or(|bucket| bucket.spend(now))
+        self.may_repeat(now)
+    }
+
+    /// One that was sent is spent.
+    pub fn repeated(&mut self, now: Time, sent: bool) {
+        let _ = sent && self.further.as_mut().is_some_and(|bucket| bucket.spend(now));
     }
 
     /// Whether one more transmission to an upstream out of use is within the budget. What was tried before any grant is
