--- a/crates/fernroute-lab/src/live/fleet.rs
+++ b/crates/fernroute-lab/src/live/fleet.rs
@@ -45,12 +45,13 @@
         for n in 0..all.len() {
             let page = folder.join(format!("s{n}.toml"));
             let text = format!(
-                "cluster = {:?}\nname = \"s{n}\"\nfolder = {:?}\nmembers = {}\nshares_ms = {}\nfloors_s = {}\n\
+                "cluster = {:?}\nname = \"s{n}\"\nfolder = {:?}\nmembers = {}\nshares_ms = {}\nbeat_ms = {}\nfloors_s = {}\n\
                  drift_ppm = {}\n{list}",
                 scenario.name,
                 folder.join(format!("s{n}")),
                 scenario.tier[0].balancers,
                 f.shares_for_ms,
+                f.beat_ms,
                 f.floors_for_s,
                 f.drift_ppm
             );
--- a/crates/fernroute-lab/src/measure.rs
+++ b/crates/fernroute-lab/src/measure.rs
@@ -76,11 +76,13 @@
         fleet.rates(&rates);
         fleet.balancers[dead].kill();
         let from = Instant::now();
-        // As of the begin of the quarter second in which as much runs as the whole is.
-        while fleet.ran.within(Duration::from_millis(250)) * 4 * 20 < WHOLE * 19 {
+        // What ran before its death is out of sight; then as of the begin of the half second in which as much runs as the
+        // whole is.
+        sleep(Duration::from_millis(600)).await;
+        while fleet.ran.within(Duration::from_millis(500)) * 2 * 20 < WHOLE * 19 {
             sleep(Duration::from_millis(5)).await;
         }
-        used.push(from.elapsed().as_secs_f64() - 0.25);
+        used.push(from.elapsed().as_secs_f64() - 0.5);
         fleet.start_balancer(dead).await?;
     }
     spread("seconds until a killed balancer's part was in use, shares held for 3 s", used);
@@ -94,8 +96,8 @@
     let mut peer = Peer::new(TcpStream::connect(to.get()).await.ok()?);
     sleep(BEAT_EVERY.mul_f64(n as f64 / 300.0 % 1.0)).await;
     for turn in 0u64.. {
-        // What each asks for changes every four seconds or so, at one in thirty members at a time.
-        let wants = 500 + 1000 * ((turn / 16 + n as u64) % 30 / 29);
+        // One in thirty asks for ten times what the others do, and which ones changes every four seconds.
+        let wants = 800 + 7_200 * ((turn / 16 + n as u64) % 30 / 29);
         let beat = member.beat(now(), Shares::from([("acme".to_owned(), wants as Units)]));
         let envelope = Envelope { cluster: "c".to_owned(), version: VERSION, to: 0, message: &beat };
         let body = serde_json::to_string(&envelope).ok()?;
@@ -117,7 +119,7 @@
 async fn members(program: &Path, count: usize) -> Result<(), String> {
     const FOR: Duration = Duration::from_secs(20);
     let folder = std::env::temp_dir().join(format!("fernroute-measure-{}", std::process::id()));
-    let shape = Shape { members: count, ..Shape::new(3, 0, 1000) };
+    let shape = Shape { members: count, ..Shape::new(3, 0, count) };
     let fleet = Fleet::start(program, folder, shape).await?;
     let leader = fleet.leader().await;
     let to = Rc::new(Cell::new(fleet.steward_addresses[leader]));
--- a/crates/fernroute-steward/src/terms.rs
+++ b/crates/fernroute-steward/src/terms.rs
@@ -19,6 +19,9 @@
     members: usize,
     #[serde(default = "shares")]
     shares_ms: f64,
+    /// How often balancers beat, the slowest of them.
+    #[serde(default = "beat")]
+    beat_ms: f64,
     #[serde(default = "floors")]
     floors_s: f64,
     #[serde(default = "drift")]
@@ -32,6 +35,10 @@
     1000
 }
 
+fn beat() -> f64 {
+    250.0
+}
+
 /// Eight beats of a quarter second: some may be lost, and a new leader is found in time.
 fn shares() -> f64 {
     2000.0
@@ -130,6 +137,14 @@
             within(self.shares_ms, 300.0, 60_000.0),
             format!("shares_ms: {} is not between 300 and 60000", self.shares_ms),
         );
+        ask(
+            within(self.beat_ms, 10.0, 10_000.0),
+            format!("beat_ms: {} is not between 10 and 10000", self.beat_ms),
+        );
+        ask(
+            self.shares_ms >= 3.0 * self.beat_ms,
+            format!("shares_ms: {} is shorter than three beats of beat_ms: {}", self.shares_ms, self.beat_ms),
+        );
         let day = 86_400.0;
         ask(
             within(self.floors_s, self.shares_ms / 1000.0, day),
@@ -198,6 +213,12 @@
         for (old, new, what) in [
             ("name = \"a\"\nfolder", "name = \"b\"\nfolder", "no steward is called b"),
             ("cluster", "claster", "line 1"),
+            (
+                "folder",
+                "shares_ms = 700\nfolder",
+                "shares_ms: 700 is shorter than three beats of beat_ms: 250",
+            ),
+            ("folder", "beat_ms = 5\nfolder", "beat_ms: 5 is not between"),
             ("127.0.0.1:7001", "127.0.0.1:0", "has no port"),
         ] {
             let why = Terms::decode(&FILE.replace(old, new)).expect_err(what);
--- a/crates/fernroute/benches/decision.rs
+++ b/crates/fernroute/benches/decision.rs
@@ -3,7 +3,7 @@
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use fernroute::desk::Desk;
 use fernroute::host::SECOND;
-use fernroute::{Balancer, Outcome, Terms};
+use fernroute::{Balancer, Outcome, Terms, FURTHER, TRIALS};
 use std::hint::black_box;
 
 fn terms() -> Terms {
@@ -58,5 +58,40 @@
     group.finish();
 }
 
-criterion_group!(benches, decision);
+/// What budgets add to an RPC: none, a tenant's even part, and all that a fleet divides.
+fn budgets(c: &mut Criterion) {
+    let mut group = c.benchmark_group("budgets");
+    for (name, tenants, granted) in [("none", "0", false), ("even", "1", false), ("fleet", "1", true)] {
+        let desk = Desk::default();
+        let mut now = 1000 * SECOND;
+        let mut terms = terms();
+        let tenant = [("tenants.count", tenants), ("tenants.0.name", "acme"), ("tenants.0.rate", "1e9")];
+        terms.extend(tenant.map(|(name, value)| (name.to_owned(), value.to_owned())));
+        let mut balancer = Balancer::new(desk.clone(), now, 7, &terms).expect("the terms are whole");
+        balancer.list_begins(now, true);
+        (0..10).for_each(|n| balancer.upstream_ready(&format!("u-{n}"), "a", "0", "", 0));
+        balancer.list_ends(true);
+        if granted {
+            let rates = [(1e5, u64::MAX), (1e6, u64::MAX)];
+            let all = [("acme", rates), (FURTHER, rates), (TRIALS, rates)];
+            balancer.new_shares(now, &all).expect("they fit");
+        }
+        let mut rpc = 0_u64;
+        let mut one = || {
+            rpc += 1;
+            now += 10;
+            let id = format!("r{rpc}");
+            balancer.rpc_arrived(now, &id, "look", "acme", "", SECOND);
+            balancer.tx_ended(now + 5, &id, 0, Outcome::Completed, 5, true, &[0.5]);
+            while let Some(act) = desk.next() {
+                black_box(act);
+            }
+        };
+        (0..20_000).for_each(|_| one());
+        group.bench_function(BenchmarkId::from_parameter(name), |b| b.iter(&mut one));
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision, budgets);
 criterion_main!(benches);
