A steward that is down is told of once; what another cluster says was read

Change: the library is silent up to info; a steward says once that another is not reached, and once that it is again. Only what is no message, or too long, counts.

--- a/crates/fernroute-steward/src/commands.rs
+++ b/crates/fernroute-steward/src/commands.rs
@@ -157,10 +157,10 @@
 }
 
 /// A line to standard error for each thing that happens, at the level that `FERNROUTE_LOG` names; info where it names none.
-/// What the consensus library says to its developers is told from debug on.
+/// What the consensus library says to its developers, many lines a second while a steward is down, is told from debug on.
 fn log(json: bool) {
     let level = std::env::var("FERNROUTE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(LevelFilter::INFO);
-    let library = if level > LevelFilter::INFO { level } else { level.min(LevelFilter::ERROR) };
+    let library = if level > LevelFilter::INFO { level } else { LevelFilter::OFF };
     let which = Targets::new().with_default(level).with_target("openraft", library);
     let lines = tracing_subscriber::fmt::layer().with_ansi(false).with_writer(std::io::stderr);
     if json {
--- a/crates/fernroute-steward/src/door.rs
+++ b/crates/fernroute-steward/src/door.rs
@@ -77,7 +77,8 @@
     match done {
         Ok(body) => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
         Err(Unfit(status, why)) => {
-            if status.is_client_error() {
+            // One for another steward, or another cluster, was read.
+            if matches!(status, StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE) {
                 keeper.unread.set(keeper.unread.get() + 1);
             }
             tracing::debug!("{path}: {why}");
--- a/crates/fernroute-steward/src/peers.rs
+++ b/crates/fernroute-steward/src/peers.rs
@@ -20,7 +20,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -57,6 +57,8 @@
     /// from there.
     places: Rc<BTreeMap<String, SocketAddr>>,
     pub heard: Rc<RefCell<BTreeMap<u64, Mark>>>,
+    /// Stewards whose last message failed: told once, and once more when one gets through. Emptied by those.
+    lost: Rc<RefCell<BTreeSet<u64>>>,
 }
 
 /// What came of a message that got no answer of its own kind.
@@ -67,7 +69,13 @@
         // No redirect, no decompression; the time-out is each call's.
         let client = Client::builder().disable_redirects().no_default_headers().finish();
         let places = stewards.iter().map(|s| (s.name.clone(), s.address)).collect();
-        Peers { cluster: cluster.to_owned(), client, places: Rc::new(places), heard: Rc::default() }
+        Peers {
+            cluster: cluster.to_owned(),
+            client,
+            places: Rc::new(places),
+            heard: Rc::default(),
+            lost: Rc::default(),
+        }
     }
 
     /// Where the steward of this name is.
@@ -149,12 +157,18 @@
             Some(at) => self.peers.say(&at.to_string(), path, self.id, message, within).await,
             None => Err(format!("no steward of this file is called {}", self.name)),
         };
+        let mut lost = self.peers.lost.borrow_mut();
+        if said.is_ok() && lost.remove(&self.id) {
+            tracing::info!("steward {} is reached again", self.name);
+        }
         match said {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(why)) => Err(RPCError::RemoteError(RemoteError::new(self.id, why))),
-            // It waits a little before it tries again.
+            // The library waits a little before it tries again.
             Err(why) => {
-                tracing::debug!("steward {}: {why}", self.id);
+                if lost.insert(self.id) {
+                    tracing::warn!("steward {} is not reached: {why}", self.name);
+                }
                 Err(RPCError::Unreachable(Unreachable::new(&NetworkError::new(&AnyError::error(why)))))
             }
         }
--- a/crates/fernroute-steward/tests/fleet.rs
+++ b/crates/fernroute-steward/tests/fleet.rs
@@ -203,6 +203,10 @@
             members.iter_mut().for_each(|m| m.bare = 0);
             let next = stewards.leader(Some(leader)).await;
             beat_until(&stewards, &mut members, near_all).await;
+            // Told once, not at each message that fails.
+            let lost = format!("steward s{leader} is not reached");
+            until(|| async { stewards.places[next].process().says(&lost) }).await;
+            assert!(stewards.places[next].process().times(&lost) == 1);
             assert!(members.iter().all(|m| m.bare == 0), "a share lapsed");
             let status = stewards.status(next).await.expect("its word");
             assert!(status.epoch >= epoch && status.members.len() == 2, "{status:?}");
@@ -306,6 +310,8 @@
         }
         let mut members = [Asks::new("n0", 1, 150_000)];
         beat_until(&stewards, &mut members, near_all).await;
+        // Five were no messages; those for another cluster or steward were.
+        assert_eq!(stewards.status(leader).await.expect("its word").unread, 5);
         let mut command = Command::new(env!("CARGO_BIN_EXE_fernroute-steward"));
         let said = command.args(["status", &at.to_string()]).output().expect("it runs");
         let text = String::from_utf8_lossy(&said.stdout).into_owned();
