The balancer logs by tracing: the same lines, or JSON

Change: tracing's macros, a format that keeps NAME level: text, FERNROUTE_LOG_JSON=1 for JSON with times; nobody reading standard error fails nothing, at the steward either.

--- a/crates/fernroute-server/src/program/fleet.rs
+++ b/crates/fernroute-server/src/program/fleet.rs
@@ -152,7 +152,7 @@
                 Err(why) => format!("nothing is granted by the fleet {}: {why}", self.cluster),
             };
             if news != told {
-                log::info!("{news}");
+                tracing::info!("{news}");
                 told = news;
             }
             actix_rt::time::sleep(self.beat).await;
@@ -167,7 +167,7 @@
                 // The process before this one holds what there is.
                 Ok(None) => {}
                 Err(why) => {
-                    log::warn!("{}: {why}; a start of its own in the ledger", place.display());
+                    tracing::warn!("{}: {why}; a start of its own in the ledger", place.display());
                     return (draw(), None);
                 }
             }
@@ -207,7 +207,7 @@
         let names = tenants.chain(self.divides.iter().copied());
         let all: Vec<(&str, [(f64, Time); 2])> = names.map(|name| (name, member.rates(name))).collect();
         if let Err(bad) = self.board.new_shares(&all) {
-            log::warn!("not taken over, all stays as it was: {bad}");
+            tracing::warn!("not taken over, all stays as it was: {bad}");
         }
     }
 
--- a/crates/fernroute-server/src/program/ops.rs
+++ b/crates/fernroute-server/src/program/ops.rs
@@ -31,13 +31,13 @@
         Call::Metrics => Reply::figures(&board.figures()),
         Call::Drain => {
             if board.phase_change(|phase, now| phase.drain(now)) {
-                log::info!("told to drain");
+                tracing::info!("told to drain");
             }
             Reply::plain(StatusCode::OK, "draining")
         }
         Call::Resume => {
             if board.phase_change(|phase, _| phase.resume()) {
-                log::info!("told to resume");
+                tracing::info!("told to resume");
                 // At once, also for who comes before connections are looked over again.
                 server.sweep(board.closing() >= Closing::Idle);
             }
--- a/crates/fernroute-server/src/program/reload.rs
+++ b/crates/fernroute-server/src/program/reload.rs
@@ -19,21 +19,21 @@
         match taken {
             Ok(new) => {
                 for what in station.differs(&new) {
-                    log::warn!("{what} has changed: that needs a restart");
+                    tracing::warn!("{what} has changed: that needs a restart");
                 }
                 if new.terms != station.terms {
-                    log::info!("new settings from now on");
+                    tracing::info!("new settings from now on");
                 }
                 station.terms = new.terms;
                 if new.discovery == station.discovery {
-                    log::info!("read again, discovery is still at {}", new.discovery);
+                    tracing::info!("read again, discovery is still at {}", new.discovery);
                 } else {
-                    log::info!("read again, discovery is at {} from now on", new.discovery);
+                    tracing::info!("read again, discovery is at {} from now on", new.discovery);
                     running.turn_to(new.discovery);
                 }
                 station.discovery = new.discovery;
             }
-            Err(why) => log::error!("not taken over, all stays as it was: {why}"),
+            Err(why) => tracing::error!("not taken over, all stays as it was: {why}"),
         }
     }
 }
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -49,7 +49,7 @@
             return Err(why);
         }
         shutdown::leave(&running.board, &running.server).await;
-        log::info!("all is answered, ending");
+        tracing::info!("all is answered, ending");
         Ok(())
     })
 }
@@ -124,7 +124,7 @@
     }
 
     fn say_serving(&self) {
-        log::info!("serving on {}, {} upstreams known", self.address, self.board.lines.borrow().len());
+        tracing::info!("serving on {}, {} upstreams known", self.address, self.board.lines.borrow().len());
     }
 
     /// Tells its part in a fleet what becomes of this process, where it has one.
@@ -179,7 +179,7 @@
     socket.set_reuseaddr(true)?;
     // Not where the machine finds a port: it would find one that another process has.
     if let Err(why) = socket.set_reuseport(at.port() != 0) {
-        log::debug!("no second process can listen at {at}: {why}");
+        tracing::debug!("no second process can listen at {at}: {why}");
     }
     socket.bind(at)?;
     Ok(socket)
@@ -251,7 +251,7 @@
     let handle = move |message, visit| take_in::handle(Rc::clone(&handled), message, visit);
     actix_rt::spawn(Rc::clone(&server).run(handle));
     if let Some(door) = door {
-        log::info!("operators are answered on {door}");
+        tracing::info!("operators are answered on {door}");
     }
     let serves = matches!(before, Before::Nobody);
     let running = Running {
--- a/crates/fernroute-server/src/program/shutdown.rs
+++ b/crates/fernroute-server/src/program/shutdown.rs
@@ -26,7 +26,7 @@
 /// Not ready any more; serves on while clients still come and those that are here may be served, then ends each
 /// connection with its answer. Guards against an RPC that is open when the balancer is killed.
 pub async fn leave(board: &Rc<Switchboard>, server: &Server) {
-    log::info!("told to stop");
+    tracing::info!("told to stop");
     board.phase_change(|phase, now| phase.leave(now));
     // Whoever comes where a successor serves is its own: nothing is left to wait for once nobody is here.
     while board.closing() < Closing::Idle
--- a/crates/fernroute-server/src/program/upgrade.rs
+++ b/crates/fernroute-server/src/program/upgrade.rs
@@ -54,7 +54,7 @@
         let link = match Link::connect(&path).await {
             // Killed, and its file is still there: nobody serves.
             Err(why) if why.kind() == std::io::ErrorKind::ConnectionRefused => {
-                log::warn!("{}: left by a process that is no more", path.display());
+                tracing::warn!("{}: left by a process that is no more", path.display());
                 None
             }
             other => other.map_err(|e| format!("{}: {e}", path.display()))?,
@@ -73,7 +73,7 @@
             Err(format!("the process that serves on {listen} hands nothing over: {refused}"))
         }
         Err(why) => {
-            log::warn!("no process hands over, starting as if alone: {why}");
+            tracing::warn!("no process hands over, starting as if alone: {why}");
             Ok(Before::Unknown)
         }
     }
@@ -105,7 +105,7 @@
 pub async fn follow(running: Rc<Running>) -> Result<(), String> {
     let before = running.before.replace(Before::Nobody);
     // What is in the way of handing over has been told then.
-    let level = if matches!(before, Before::Unknown) { log::Level::Info } else { log::Level::Warn };
+    let usual = matches!(before, Before::Unknown);
     match before {
         Before::Nobody => {}
         Before::Unknown => begin_alone(&running).await?,
@@ -123,12 +123,16 @@
                 }
             }
             Err(why) => {
-                log::log!(level, "no successor can be handed over to: {why}");
+                if usual {
+                    tracing::info!("no successor can be handed over to: {why}");
+                } else {
+                    tracing::warn!("no successor can be handed over to: {why}");
+                }
                 return std::future::pending().await;
             }
         }
     }
-    log::info!("a successor has taken over");
+    tracing::info!("a successor has taken over");
     Ok(())
 }
 
@@ -151,7 +155,10 @@
 }
 
 async fn take_over(running: &Rc<Running>, mut link: Link) -> Result<(), String> {
-    log::info!("taking over from the process that serves, {} descriptors for a start", running.share().part);
+    tracing::info!(
+        "taking over from the process that serves, {} descriptors for a start",
+        running.share().part
+    );
     {
         let listed = pin!(async {
             while running.board.lines.borrow().is_empty() {
@@ -160,7 +167,7 @@
         });
         // Guards against a queue that nobody serves from: with the old process gone, what is in it waits for this one.
         if let Either::Right((word, _)) = select(listed, pin!(link.hear::<FromOld>())).await {
-            log::warn!("the old process did not wait for this one: {word:?}");
+            tracing::warn!("the old process did not wait for this one: {word:?}");
         }
     }
     if running.board.phase.get().is_leaving() {
@@ -178,10 +185,10 @@
                 match word {
                     FromOld::Left { descriptors } => running.set_share(|share| share.part = descriptors),
                     FromOld::Yours => is_yours.notify_one(),
-                    other => log::warn!("the old process says {other:?}"),
+                    other => tracing::warn!("the old process says {other:?}"),
                 }
             }
-            log::info!("the old process has ended");
+            tracing::info!("the old process has ended");
             running.set_share(|share| share.take_all());
             running.part(|part| part.take_all());
             is_yours.notify_one();
@@ -200,7 +207,7 @@
         let link = match meeting.accept().await {
             Ok(link) => link,
             Err(why) => {
-                log::warn!("a successor: {why}");
+                tracing::warn!("a successor: {why}");
                 actix_rt::time::sleep(TELL).await;
                 continue;
             }
@@ -220,12 +227,12 @@
         running.board.phase_change(|phase, now| phase.hand_over(now));
         running.server.set_accepting(false);
         running.set_share(|share| share.handed = true);
-        log::info!("a successor serves");
+        tracing::info!("a successor serves");
         drop(meeting);
         if leave_to(running, link).await {
             return true;
         }
-        log::warn!("the successor has ended, serving again");
+        tracing::warn!("the successor has ended, serving again");
         running.board.phase_change(|phase, _| phase.take_back());
         running.server.set_accepting(true);
         running.set_share(|share| share.take_all());
@@ -257,7 +264,7 @@
     let known = match timeout(ANSWER, link.hear::<FromNew>()).await {
         Ok(Ok(Some((word @ FromNew::Take { .. }, _)))) => word.is_known(),
         other => {
-            log::warn!("who came to take over says {other:?}");
+            tracing::warn!("who came to take over says {other:?}");
             return None;
         }
     };
@@ -267,7 +274,7 @@
     };
     running.set_share(|share| share.keep(running.connections()));
     let descriptors = running.share().left(running.connections());
-    log::info!("a successor comes, it gets {descriptors} descriptors");
+    tracing::info!("a successor comes, it gets {descriptors} descriptors");
     let mut handed = None;
     running.part(|part| handed = part.hand_over());
     let given = FromOld::given(running.known(), descriptors, handed);
@@ -278,7 +285,7 @@
     match link.hear::<FromNew>().await {
         Ok(Some((FromNew::Ready, _))) => Some(link),
         _ => {
-            log::warn!("the successor ended before it could serve");
+            tracing::warn!("the successor ended before it could serve");
             None
         }
     }
--- a/crates/fernroute-server/src/protocol/list.rs
+++ b/crates/fernroute-server/src/protocol/list.rs
@@ -87,7 +87,7 @@
     let mut places = BTreeMap::new();
     for one in value.get("servers")?.as_array()? {
         let Some(entry) = entry(one) else {
-            log::warn!("list {version}: entry {one} is not readable, skipped");
+            tracing::warn!("list {version}: entry {one} is not readable, skipped");
             continue;
         };
         match places.entry(entry.id.clone()) {
@@ -97,7 +97,7 @@
             }
             // Whatever is meant, nothing new to one that may be leaving.
             Occupied(place) => {
-                log::warn!("list {version}: {} is named twice, the least ready counts", entry.id);
+                tracing::warn!("list {version}: {} is named twice, the least ready counts", entry.id);
                 let before = &mut entries[*place.get()];
                 if entry.state > before.state {
                     *before = entry;
--- a/crates/fernroute-server/src/routing/book.rs
+++ b/crates/fernroute-server/src/routing/book.rs
@@ -30,7 +30,7 @@
             Ok(mut answer) => (answer.outcome, std::mem::take(&mut answer.loads), Some(answer)),
             Err(outcome) => (outcome, Vec::new(), None),
         };
-        log::debug!("RPC {rpc} transmission {tx}: {outcome:?} after {took} tenths of a ms");
+        tracing::debug!("RPC {rpc} transmission {tx}: {outcome:?} after {took} tenths of a ms");
         if let Some(answer) = answer.filter(|a| a.outcome == Outcome::Completed) {
             self.give(rpc, Final::Completed(answer));
         }
@@ -43,7 +43,7 @@
     pub(super) fn abandoned(self: &Rc<Self>, rpc: &str) {
         let waiting = self.open.borrow_mut().get_mut(rpc).and_then(|entry| entry.answer.take());
         if waiting.is_some() {
-            log::debug!("RPC {rpc}: the caller has gone");
+            tracing::debug!("RPC {rpc}: the caller has gone");
             self.decide(None, |b, now| b.rpc_abandoned(now, rpc));
             self.forget(rpc);
         }
@@ -54,7 +54,7 @@
         let open: Vec<Rc<str>> = self.open.borrow().keys().cloned().collect();
         for rpc in open {
             if self.give(&rpc, Final::Errored) {
-                log::warn!("RPC {rpc} errored, the program ends");
+                tracing::warn!("RPC {rpc} errored, the program ends");
                 self.decide(None, |b, now| b.rpc_abandoned(now, &rpc));
             }
         }
--- a/crates/fernroute-server/src/routing/relay.rs
+++ b/crates/fernroute-server/src/routing/relay.rs
@@ -10,7 +10,7 @@
     /// Gives an RPC its final answer, unless it has one; tells whether it did.
     pub(super) fn give(&self, rpc: &str, last: Final) -> bool {
         let answer = self.open.borrow_mut().get_mut(rpc).and_then(|entry| {
-            log::debug!("RPC {rpc}: {} after {} transmissions", last.word(), entry.made);
+            tracing::debug!("RPC {rpc}: {} after {} transmissions", last.word(), entry.made);
             entry.answer.take()
         });
         let given = answer.is_some_and(|answer| answer.send(last).is_ok());
--- a/crates/fernroute-server/src/routing/route.rs
+++ b/crates/fernroute-server/src/routing/route.rs
@@ -10,7 +10,7 @@
     pub(super) fn route(self: &Rc<Self>, rpc: &Rc<str>, upstream: &Rc<str>, time_out: Time) {
         let mut open = self.open.borrow_mut();
         let Some(entry) = open.get_mut(rpc) else {
-            log::error!("RPC {rpc} is to be sent, but is not open");
+            tracing::error!("RPC {rpc} is to be sent, but is not open");
             return;
         };
         let tx = entry.made;
@@ -22,7 +22,7 @@
         entry.out.insert(tx, Out { stop, time_out: time_out_key, lasts: time_out });
         let line = self.lines.borrow().get(upstream).map(|(_, line)| Rc::clone(line));
         let request = Rc::clone(&entry.request);
-        log::debug!("RPC {rpc} transmission {tx} to {upstream}");
+        tracing::debug!("RPC {rpc} transmission {tx} to {upstream}");
         actix_rt::spawn(Rc::clone(self).transmission(Rc::clone(rpc), tx, request, line, time_out, stopped));
     }
 
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -86,7 +86,7 @@
                 })
             }
             Ok(Err(broken)) => {
-                log::debug!("RPC {} at {}: {broken}", request.id, line.address);
+                tracing::debug!("RPC {} at {}: {broken}", request.id, line.address);
                 let caller_broke = request.upload.as_ref().is_some_and(|upload| upload.broken.get());
                 Err(match broken.reached {
                     // For want of connections here, or of the RPC: that says nothing of the upstream.
@@ -133,7 +133,7 @@
                 }
                 Ok(None) => break,
                 Err(why) => {
-                    log::debug!("RPC {rpc}, its answer begun: {why}");
+                    tracing::debug!("RPC {rpc}, its answer begun: {why}");
                     // Should the caller have gone: it needs no word.
                     let _ = passed.send(Err(Cut)).await;
                     return Err(Outcome::Reset);
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -200,7 +200,10 @@
         let decided = catch_unwind(AssertUnwindSafe(|| call(&mut self.balancer.borrow_mut(), now)));
         self.act();
         if decided.is_err() {
-            log::error!("the decisions failed{}", rpc.map_or(String::new(), |id| format!(" on RPC {id}")));
+            tracing::error!(
+                "the decisions failed{}",
+                rpc.map_or(String::new(), |id| format!(" on RPC {id}"))
+            );
             if let Some(id) = rpc {
                 self.give(id, Final::Errored);
             }
@@ -222,7 +225,7 @@
                     self.timers.set(after, Due::Token(token));
                 }
                 Act::FollowList => self.follow.notify_one(),
-                Act::Log(line) => log::info!("{line}"),
+                Act::Log(line) => tracing::info!("{line}"),
             }
         }
     }
--- a/crates/fernroute-server/src/routing/take_in.rs
+++ b/crates/fernroute-server/src/routing/take_in.rs
@@ -69,7 +69,7 @@
 
 /// Answers what is no RPC, and reads no further: who sent it may mean something else by the rest.
 fn turn_away(unfit: &Unfit, visit: &Visit) -> Response<BoxBody> {
-    log::debug!("not an RPC: {}", unfit.1);
+    tracing::debug!("not an RPC: {}", unfit.1);
     visit.last_answer();
     answer::unfit(unfit)
 }
--- a/crates/fernroute-server/src/transport/discovery.rs
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -99,13 +99,13 @@
                         let doubt = list.doubtful(version).filter(|_| !asked_again);
                         asked_again = doubt.is_some();
                         if let Some(why) = doubt {
-                            log::warn!("list {}: {why}, the whole list is asked for", list.version);
+                            tracing::warn!("list {}: {why}, the whole list is asked for", list.version);
                             version = None;
                             actix_rt::time::sleep(PAUSE).await;
                             continue;
                         }
                         if failing {
-                            log::info!("discovery answers again, list {}", list.version);
+                            tracing::info!("discovery answers again, list {}", list.version);
                         }
                         failing = false;
                         version = Some(list.version);
@@ -114,7 +114,7 @@
                     }
                     Err(why) => {
                         if !failing {
-                            log::warn!("discovery: {why}");
+                            tracing::warn!("discovery: {why}");
                         }
                         (failing, asked_again) = (true, false);
                         break;
--- a/crates/fernroute-server/src/transport/door.rs
+++ b/crates/fernroute-server/src/transport/door.rs
@@ -40,7 +40,7 @@
                 }));
             }
             Err(why) => {
-                log::warn!("operators' door: {why}");
+                tracing::warn!("operators' door: {why}");
                 actix_rt::time::sleep(Duration::from_millis(10)).await;
             }
         }
--- a/crates/fernroute-server/src/transport/mod.rs
+++ b/crates/fernroute-server/src/transport/mod.rs
@@ -13,6 +13,6 @@
 /// end a connection that may carry an RPC already.
 pub(crate) fn without_delay(stream: &actix_rt::net::TcpStream) {
     if let Err(why) = stream.set_nodelay(true) {
-        log::debug!("no delay: {why}");
+        tracing::debug!("no delay: {why}");
     }
 }
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -100,7 +100,7 @@
         F: Future<Output = Response<BoxBody>> + 'static,
     {
         let Ok(service) = protocol(handle).new_service(()).await else {
-            log::error!("the server did not start");
+            tracing::error!("the server did not start");
             return;
         };
         let service = Rc::new(service);
@@ -127,7 +127,7 @@
                     actix_rt::spawn(Rc::clone(&self).host(Rc::clone(&service), stream));
                 }
                 Some(Err(why)) => {
-                    log::warn!("accept: {why}");
+                    tracing::warn!("accept: {why}");
                     self.end_idlest();
                     actix_rt::time::sleep(Duration::from_millis(10)).await;
                 }
@@ -150,7 +150,7 @@
                 match select(connection, pin!(visit.wake.notified())).await {
                     Either::Left((Ok(_), _)) => break visit.is_last(),
                     Either::Left((Err(why), _)) => {
-                        log::debug!("connection ended: {why}");
+                        tracing::debug!("connection ended: {why}");
                         break true;
                     }
                     Either::Right(_) if visit.is_done() => break true,
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -337,25 +337,24 @@
 }
 
 /// Counts the breakers that open; no other test in this file opens any.
-struct Openings(AtomicUsize);
+struct Openings(&'static AtomicUsize);
 
-static OPENINGS: Openings = Openings(AtomicUsize::new(0));
+static OPENINGS: AtomicUsize = AtomicUsize::new(0);
 
-impl log::Log for Openings {
-    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
-        true
-    }
-    fn log(&self, record: &log::Record<'_>) {
-        self.0.fetch_add(usize::from(record.args().to_string().contains("-> Open")), Ordering::Relaxed);
+impl<S: tracing::Subscriber> tracing_subscriber::Layer<S> for Openings {
+    fn on_event(&self, event: &tracing::Event<'_>, _: tracing_subscriber::layer::Context<'_, S>) {
+        event.record(&mut |_: &tracing::field::Field, value: &dyn std::fmt::Debug| {
+            self.0.fetch_add(usize::from(format!("{value:?}").contains("-> Open")), Ordering::Relaxed);
+        });
     }
-    fn flush(&self) {}
 }
 
 /// All connections busy is no fault of the upstream: the RPC never left.
 #[test]
 fn too_few_connections_exhaust_and_open_no_breaker() {
-    log::set_logger(&OPENINGS).expect("the only logger");
-    log::set_max_level(log::LevelFilter::Info);
+    use tracing_subscriber::layer::SubscriberExt as _;
+    let counts = tracing_subscriber::registry().with(Openings(&OPENINGS));
+    tracing::subscriber::set_global_default(counts).expect("the only one");
     run(async {
         let up = stand_in(|n, _| if n < 12 { Deed::Silence } else { ok("whole") }).await;
         let b = balancer(&[&up, &up, &up, &up], &[("\"sockets\":1024", "\"sockets\":73")]).await;
@@ -368,7 +367,7 @@
             let answer = ask(b.address, rpc("POST", "/pay", "Content-Length: 0\r\n")).await;
             assert_eq!(answer.status(), 503);
         }
-        assert_eq!(OPENINGS.0.load(Ordering::Relaxed), 0);
+        assert_eq!(OPENINGS.load(Ordering::Relaxed), 0);
         waiting.clear();
         until(|| up.left.get() == 12).await;
         assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.status(), 200);
--- a/crates/fernroute-steward/src/commands.rs
+++ b/crates/fernroute-steward/src/commands.rs
@@ -162,7 +162,10 @@
     let level = std::env::var("FERNROUTE_LOG").ok().and_then(|l| l.parse().ok()).unwrap_or(LevelFilter::INFO);
     let library = if level > LevelFilter::INFO { level } else { LevelFilter::OFF };
     let which = Targets::new().with_default(level).with_target("openraft", library);
-    let lines = tracing_subscriber::fmt::layer().with_ansi(false).with_writer(std::io::stderr);
+    let lines = tracing_subscriber::fmt::layer()
+        .with_ansi(false)
+        .with_writer(std::io::stderr)
+        .log_internal_errors(false);
     if json {
         tracing_subscriber::registry().with(lines.json().with_filter(which)).init();
     } else {
