Reread: nothing of a divided budget is held before the first grant

Cause, found on rereading: a balancer that starts named no budgets to its decisions until it knew who it is and was granted something; a budget of further transmissions or trials that is not named has no end there. Seen in a test of real processes: a balancer that reaches no steward sent 19 further transmissions of 20 RPCs; none now.

Change: every name is handed over from the start, with nothing held; the empty call before it is gone. A beat asks for the count of avoided upstreams alone, and no longer for all figures, which look through all open RPCs.

--- a/crates/fernroute-lab/tests/fleet.rs
+++ b/crates/fernroute-lab/tests/fleet.rs
@@ -263,7 +263,7 @@
     run(async {
         const FURTHER: f64 = 24.0;
         let shape = Shape { upstreams: 4, further: Some(FURTHER), ..Shape::new(1, BALANCERS, WHOLE) };
-        let fleet = start_with("further", shape).await;
+        let mut fleet = start_with("further", shape).await;
         fleet.rates(&[100, 2, 2]);
         fleet.until_runs(90).await;
         // All turn every second away: there would be nearly as many further transmissions as RPCs.
@@ -276,6 +276,19 @@
         fleet.rates(&[100, 100, 100]);
         sleep(LONG).await;
         assert_eq!(beyond(&fleet.further(), FURTHER, BALANCERS), None);
+        // One that starts and reaches no steward has none, for RPCs of no tenant either.
+        fleet.rates(&[0; BALANCERS]);
+        fleet.stewards[0].kill();
+        fleet.balancers[0].kill();
+        fleet.start_balancer(0).await.expect("it serves");
+        sleep(Duration::from_secs(1)).await;
+        let (before, came) = (fleet.further().len(), fleet.came.borrow().len());
+        for _ in 0..20 {
+            let asked = rpc("GET", "/look", "Connection: close\r\n");
+            read(&mut send(fleet.addresses[0], asked).await).await.expect("an answer");
+        }
+        assert!(fleet.came.borrow().len() > came + 5, "they are sent once");
+        assert_eq!(fleet.further().len(), before);
         end(&fleet);
     });
 }
--- a/crates/fernroute-server/src/program/fleet.rs
+++ b/crates/fernroute-server/src/program/fleet.rs
@@ -35,8 +35,7 @@
     fleet: &Fleet,
     terms: &Terms,
     handed: Option<(Handed, Instant)>,
-) -> Result<Rc<Part>, String> {
-    board.new_shares(&[]).map_err(|bad| bad.to_string())?;
+) -> Rc<Part> {
     let now = board.clock.now();
     let count = terms.get("tenants.count").and_then(|n| n.parse().ok()).unwrap_or(0);
     let names = (0..count).filter_map(|i: usize| terms.get(&format!("tenants.{i}.name")).cloned());
@@ -59,7 +58,7 @@
     });
     part.grant();
     actix_rt::spawn(Rc::clone(&part).follow(place));
-    Ok(part)
+    part
 }
 
 /// Beats are counted on from where no earlier process under the same identity was.
@@ -183,7 +182,7 @@
             asked.iter_mut().flatten().map(|(name, meter)| (name.clone(), meter.wants(now))).collect();
         for budget in &self.divides {
             let want = match *budget {
-                TRIALS if self.board.figures().avoided > 0 => OF_TRIALS,
+                TRIALS if self.board.standing().1 > 0 => OF_TRIALS,
                 FURTHER => {
                     let (meter, seen) = &mut *self.further.borrow_mut();
                     let wished = self.board.wished();
@@ -198,14 +197,15 @@
         wants
     }
 
-    /// What is held now reaches the decisions.
+    /// What is held now reaches the decisions. Guards against a budget that has no end until it is known who this balancer
+    /// is: until then all that is divided is named, and nothing of it is held.
     fn grant(&self) {
         let member = self.member.borrow();
-        let Some(member) = &*member else { return };
+        let rates = |name| member.as_ref().map(|member| member.rates(name)).unwrap_or_default();
         let asked = self.board.asked.borrow();
         let tenants = asked.iter().flat_map(|asked| asked.keys().map(String::as_str));
         let names = tenants.chain(self.divides.iter().copied());
-        let all: Vec<(&str, [(f64, Time); 2])> = names.map(|name| (name, member.rates(name))).collect();
+        let all: Vec<(&str, [(f64, Time); 2])> = names.map(|name| (name, rates(name))).collect();
         if let Err(bad) = self.board.new_shares(&all) {
             tracing::warn!("not taken over, all stays as it was: {bad}");
         }
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -278,7 +278,7 @@
         };
         let place = running.meeting()?.with_extension("member");
         let (board, terms) = (Rc::clone(&running.board), &station.terms);
-        let part = fleet::join(board, &running.name, place, fleet, terms, handed)?;
+        let part = fleet::join(board, &running.name, place, fleet, terms, handed);
         running.part.replace(Some(part));
     }
     if serves {
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -181,8 +181,13 @@
         self.phase.get().closing(self.clock.now())
     }
 
+    /// As [`Balancer::standing`].
+    pub fn standing(&self) -> (usize, usize) {
+        self.balancer.borrow().standing()
+    }
+
     pub fn figures(&self) -> Figures {
-        let (listed, avoided) = self.balancer.borrow().standing();
+        let (listed, avoided) = self.standing();
         Figures {
             ends: self.tally.ends.borrow().clone(),
             taken: self.tally.taken.get(),
