Reread: the benches share one loop, and a steward's ledger has one owner

Need: the bench of budgets wrote the loop of an RPC again; the keeper held the book and, beside it, what is in the book.

Change: one function makes the loop for both benches; the keeper reads through its book.

--- a/crates/fernroute-steward/src/keep.rs
+++ b/crates/fernroute-steward/src/keep.rs
@@ -1,7 +1,7 @@
 //! The ledger of one steward: founded once, led by one of them at a time.
 
 use crate::peers::{Peers, Who, WHO};
-use crate::store::{Book, Disk, Kept, Mark, Own};
+use crate::store::{Book, Disk, Mark, Own};
 use crate::terms::{Steward, Terms};
 use crate::Raft;
 use fernroute::Time;
@@ -56,7 +56,6 @@
     raft: OnceCell<Raft>,
     /// Why it takes no part, if that is not the library's to say.
     waits: RefCell<Option<String>>,
-    kept: Rc<RefCell<Kept>>,
     book: Book,
     /// Messages that could not be read, since the start.
     pub unread: Cell<u64>,
@@ -117,7 +116,6 @@
     pub async fn open(terms: Terms) -> Result<Rc<Self>, String> {
         let (disk, own) = Disk::open(&terms.folder, &terms.cluster)?;
         let book = Book::open(disk.clone())?;
-        let kept = Rc::clone(&book.kept);
         let mark = disk.mark()?;
         let peers = Peers::new(&terms.cluster, &terms.stewards);
         Ok(Rc::new(Keeper {
@@ -127,7 +125,6 @@
             mark,
             raft: OnceCell::new(),
             waits: RefCell::default(),
-            kept,
             book,
             unread: Cell::default(),
             leading: RefCell::default(),
@@ -350,7 +347,7 @@
     }
 
     pub fn ledger<T>(&self, look: impl FnOnce(&Ledger) -> T) -> T {
-        look(&self.kept.borrow().ledger)
+        look(&self.book.kept.borrow().ledger)
     }
 
     /// Leads whenever this steward is elected, for as long as the program runs.
--- a/crates/fernroute/benches/decision.rs
+++ b/crates/fernroute/benches/decision.rs
@@ -3,7 +3,7 @@
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use fernroute::desk::Desk;
 use fernroute::host::SECOND;
-use fernroute::{Balancer, Outcome, Terms, FURTHER, TRIALS};
+use fernroute::{Balancer, Outcome, Terms, Time, FURTHER, TRIALS};
 use std::hint::black_box;
 
 fn terms() -> Terms {
@@ -26,30 +26,41 @@
     .collect()
 }
 
+/// One RPC of this tenant at each call, so long after the one before: taken on, sent, answered.
+fn rpcs(
+    mut balancer: Balancer<Desk>,
+    desk: Desk,
+    from: Time,
+    gap: Time,
+    tenant: &'static str,
+) -> impl FnMut() {
+    let (mut rpc, mut now) = (0_u64, from);
+    move || {
+        rpc += 1;
+        now += gap;
+        let id = format!("r{rpc}");
+        balancer.rpc_arrived(now, &id, "look", tenant, "", SECOND);
+        balancer.tx_ended(now + 5, &id, 0, Outcome::Completed, 5, true, &[0.5]);
+        while let Some(act) = desk.next() {
+            black_box(act);
+        }
+    }
+}
+
 fn decision(c: &mut Criterion) {
     let mut group = c.benchmark_group("decision");
     for count in [10, 100, 600] {
         // A busy balancer draws among all of them, one of few calls among six.
         for (pace, gap) in [("busy", 10), ("quiet", SECOND / 2)] {
             let desk = Desk::default();
-            let mut now = 1000 * SECOND;
+            let now = 1000 * SECOND;
             let mut balancer = Balancer::new(desk.clone(), now, 7, &terms()).expect("the terms are whole");
             balancer.list_begins(now, true);
             for n in 0..count {
                 balancer.upstream_ready(&format!("u-{n}"), "a", &(n / 8).to_string(), "", 0);
             }
             balancer.list_ends(true);
-            let mut rpc = 0_u64;
-            let mut one = || {
-                rpc += 1;
-                now += gap;
-                let id = format!("r{rpc}");
-                balancer.rpc_arrived(now, &id, "look", "", "", SECOND);
-                balancer.tx_ended(now + 5, &id, 0, Outcome::Completed, 5, true, &[0.5]);
-                while let Some(act) = desk.next() {
-                    black_box(act);
-                }
-            };
+            let mut one = rpcs(balancer, desk, now, gap, "");
             // Until its rate is what it will be.
             (0..20_000).for_each(|_| one());
             group.bench_function(BenchmarkId::new(pace, count), |b| b.iter(&mut one));
@@ -63,7 +74,7 @@
     let mut group = c.benchmark_group("budgets");
     for (name, tenants, granted) in [("none", "0", false), ("even", "1", false), ("fleet", "1", true)] {
         let desk = Desk::default();
-        let mut now = 1000 * SECOND;
+        let now = 1000 * SECOND;
         let mut terms = terms();
         let tenant = [("tenants.count", tenants), ("tenants.0.name", "acme"), ("tenants.0.rate", "1e9")];
         terms.extend(tenant.map(|(name, value)| (name.to_owned(), value.to_owned())));
@@ -76,17 +87,7 @@
             let all = [("acme", rates), (FURTHER, rates), (TRIALS, rates)];
             balancer.new_shares(now, &all).expect("they fit");
         }
-        let mut rpc = 0_u64;
-        let mut one = || {
-            rpc += 1;
-            now += 10;
-            let id = format!("r{rpc}");
-            balancer.rpc_arrived(now, &id, "look", "acme", "", SECOND);
-            balancer.tx_ended(now + 5, &id, 0, Outcome::Completed, 5, true, &[0.5]);
-            while let Some(act) = desk.next() {
-                black_box(act);
-            }
-        };
+        let mut one = rpcs(balancer, desk, now, 10, "acme");
         (0..20_000).for_each(|_| one());
         group.bench_function(BenchmarkId::from_parameter(name), |b| b.iter(&mut one));
     }
