--- a/crates/fernroute-rig/src/stand_in.rs
+++ b/crates/fernroute-rig/src/stand_in.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt as _;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -40,6 +40,14 @@
 pub async fn stand_in(script: impl Fn(usize, &Message) -> Deed + 'static) -> Rc<StandIn> {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
+    serve_on(listener, address, script)
+}
+
+fn serve_on(
+    listener: TcpListener,
+    address: SocketAddr,
+    script: impl Fn(usize, &Message) -> Deed + 'static,
+) -> Rc<StandIn> {
     let this =
         Rc::new(StandIn { address, seen: RefCell::default(), connections: Cell::new(0), left: Cell::new(0) });
     let (stand, script) = (Rc::clone(&this), Rc::new(script));
@@ -146,3 +154,34 @@
         }
     }
 }
+
+/// An address whose connections do not come up: its queue is full, and nobody is taken from it.
+pub struct Held {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    /// What fills the queue.
+    fill: Vec<TcpStream>,
+}
+
+impl Held {
+    pub async fn new() -> io::Result<Self> {
+        /// A connection to this machine that the queue has room for comes up in far less.
+        const FULL: Duration = Duration::from_millis(200);
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let listener = socket.listen(0)?;
+        let address = listener.local_addr()?;
+        let mut fill = Vec::new();
+        while let Ok(stream) = timeout(FULL, TcpStream::connect(address)).await {
+            fill.push(stream?);
+        }
+        Ok(Held { address, listener, fill })
+    }
+
+    /// Whoever still tries to connect comes up at its machine's next try, a second after its first, and is answered as the
+    /// script says.
+    pub fn let_go(self, script: impl Fn(usize, &Message) -> Deed + 'static) -> Rc<StandIn> {
+        drop(self.fill);
+        serve_on(self.listener, self.address, script)
+    }
+}
--- a/crates/fernroute-server/src/routing/admit.rs
+++ b/crates/fernroute-server/src/routing/admit.rs
@@ -1,5 +1,6 @@
 //! Puts an RPC before the decisions, and waits for its final answer.
 
+use super::phase::Closing;
 use super::switchboard::{Open, Switchboard};
 use super::tally::End;
 use crate::protocol::answer::Final;
@@ -28,17 +29,23 @@
         if self.open.borrow().contains_key(&rpc) {
             return Err(Unfit(StatusCode::BAD_REQUEST, "id in use"));
         }
+        let mut taken = self.tally.take(&request.method);
+        if self.closing() == Closing::Open {
+            // What is open has just been ended: nothing new begins that would be cut off, and this one never ran.
+            taken.end(End::Exhausted);
+            return Ok(Final::Exhausted(0));
+        }
         let (answer, waiting) = oneshot::channel();
         let request = Rc::new(request);
         let open = Open {
             request: Rc::clone(&request),
             answer: Some(answer),
+            taken: self.clock.now(),
             streaming: false,
             made: 0,
             out: BTreeMap::new(),
         };
         self.open.borrow_mut().insert(Rc::clone(&rpc), open);
-        let mut taken = self.tally.take(&request.method);
         if let Some(asked) = self.asked.borrow_mut().as_mut() {
             let now = self.clock.now();
             asked.get_mut(&request.tenant).into_iter().for_each(|meter| meter.count(now));
--- a/crates/fernroute-server/src/routing/book.rs
+++ b/crates/fernroute-server/src/routing/book.rs
@@ -21,7 +21,7 @@
     pub(super) fn book(self: &Rc<Self>, rpc: &str, tx: usize, result: Result<Answer, Outcome>, took: Time) {
         if let Some(entry) = self.open.borrow_mut().get_mut(rpc) {
             entry.streaming = false;
-            // One that was stopped is off the table already.
+            // Of one that was stopped no timer is left.
             if let Some(out) = entry.out.remove(&tx) {
                 out.time_out.iter().for_each(|time_out| self.timers.drop(time_out));
             }
@@ -45,6 +45,7 @@
         if waiting.is_some() {
             tracing::debug!("RPC {rpc}: the caller has gone");
             self.decide(None, |b, now| b.rpc_abandoned(now, rpc));
+            self.call_off_unwritten(rpc);
             self.forget(rpc);
         }
     }
@@ -56,6 +57,7 @@
             if self.give(&rpc, Final::Errored) {
                 tracing::warn!("RPC {rpc} errored, the program ends");
                 self.decide(None, |b, now| b.rpc_abandoned(now, &rpc));
+                self.call_off_unwritten(&rpc);
             }
         }
     }
--- a/crates/fernroute-server/src/routing/route.rs
+++ b/crates/fernroute-server/src/routing/route.rs
@@ -1,7 +1,10 @@
 //! From the upstream that was drawn to the transmission's task: its address, its number, its timer.
 
+use super::send::Way;
 use super::switchboard::{Out, Switchboard};
 use super::timers::Due;
+use crate::transport::client::Line;
+use crate::transport::outbound::{Course, Reached};
 use fernroute::{Outcome, Time};
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -19,11 +22,20 @@
         let due = Due::Transmission { rpc: Rc::clone(rpc), tx };
         // Its time counts from the last byte of an RPC that still comes.
         let time_out_key = entry.request.is_whole().then(|| self.timers.set(time_out, due));
-        entry.out.insert(tx, Out { stop, time_out: time_out_key, lasts: time_out });
         let line = self.lines.borrow().get(upstream).map(|(_, line)| Rc::clone(line));
+        let course = Course::counted(&self.tally.written);
+        let out = Out {
+            stop: Some(stop),
+            time_out: time_out_key,
+            lasts: time_out,
+            course: Rc::clone(&course),
+            line: line.clone(),
+        };
+        entry.out.insert(tx, out);
         let request = Rc::clone(&entry.request);
         tracing::debug!("RPC {rpc} transmission {tx} to {upstream}");
-        actix_rt::spawn(Rc::clone(self).transmission(Rc::clone(rpc), tx, request, line, time_out, stopped));
+        let way = Way { line, course, time_out, stopped };
+        actix_rt::spawn(Rc::clone(self).transmission(Rc::clone(rpc), tx, request, way));
     }
 
     /// The last byte of an RPC has come that was sent on while it came.
@@ -33,7 +45,7 @@
                 return;
             };
             upload.whole_at.set(Some(self.clock.now()));
-            for (tx, out) in &mut entry.out {
+            for (tx, out) in entry.out.iter_mut().filter(|(_, out)| out.stop.is_some()) {
                 let due = Due::Transmission { rpc: Rc::clone(rpc), tx: *tx };
                 out.time_out = Some(self.timers.set(out.lasts, due));
             }
@@ -44,13 +56,41 @@
     /// Ends a transmission that is out; how it ended is booked by its own task.
     pub(super) fn stop(&self, rpc: &str, tx: usize, why: Outcome) {
         let mut open = self.open.borrow_mut();
-        if let Some(out) = open.get_mut(rpc).and_then(|entry| entry.out.remove(&tx)) {
-            // A timer that has come due is off the queue, and its place there may be another's by now.
-            if let Some(time_out) = out.time_out.filter(|_| why != Outcome::TimedOut) {
-                self.timers.drop(&time_out);
-            }
-            // Its task may have ended this moment: then it was not stopped.
-            let _ = out.stop.send(why);
+        let Some(out) = open.get_mut(rpc).and_then(|entry| entry.out.get_mut(&tx)) else { return };
+        let Some(stop) = out.stop.take() else { return };
+        // A timer that has come due is off the queue, and its place there may be another's by now.
+        if let Some(time_out) = out.time_out.take().filter(|_| why != Outcome::TimedOut) {
+            self.timers.drop(&time_out);
         }
+        out.course.bar();
+        // Its task may have ended this moment: then it was not stopped.
+        let _ = stop.send(why);
+    }
+
+    /// What has not begun at an upstream that left the list, or started anew, does not begin there. Guards against a
+    /// connection that comes up past the grace.
+    pub(super) fn call_off_to_those_that_left(&self) {
+        let lines = self.lines.borrow();
+        let is_there = |line: &Rc<Line>| lines.values().any(|(_, listed)| Rc::ptr_eq(listed, line));
+        let has_left = |out: &Out| {
+            out.course.reached() == Reached::Nothing && out.line.as_ref().is_some_and(|line| !is_there(line))
+        };
+        let mut those = Vec::new();
+        for (rpc, entry) in &*self.open.borrow() {
+            let left = entry.out.iter().filter(|(_, out)| has_left(out));
+            those.extend(left.map(|(tx, _)| (Rc::clone(rpc), *tx)));
+        }
+        those.iter().for_each(|(rpc, tx)| self.stop(rpc, *tx, Outcome::Moot));
+    }
+
+    /// The caller has gone: what is not all written of its RPC never will be, also where what may have run is not to be
+    /// called off. Guards against a connection that comes up late, and an RPC that nobody waits for on it.
+    pub(super) fn call_off_unwritten(&self, rpc: &str) {
+        let unwritten = |out: &Out| out.course.reached() < Reached::Written;
+        let those: Vec<usize> = match self.open.borrow().get(rpc) {
+            Some(entry) => entry.out.iter().filter(|(_, out)| unwritten(out)).map(|(tx, _)| *tx).collect(),
+            None => return,
+        };
+        those.into_iter().for_each(|tx| self.stop(rpc, tx, Outcome::Cancelled));
     }
 }
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -1,11 +1,12 @@
 //! One transmission, from its first byte to its outcome.
 
-use super::switchboard::Switchboard;
+use super::clock;
+use super::switchboard::{Open, Switchboard};
 use super::upload::Sent;
 use super::windows::PIECES;
 use crate::protocol::answer::{Answer, Cut, Flow};
 use crate::protocol::request::Request;
-use crate::transport::client::{Body, Call, Line, Rest};
+use crate::transport::client::{Body, Call, Line, Rest, HELD};
 use crate::transport::outbound::{Course, Reached};
 use actix_http::body::BoxBody;
 use fernroute::{Outcome, Time};
@@ -22,18 +23,24 @@
 /// however little, is waited for.
 const SILENT: Duration = Duration::from_secs(10);
 
+/// What a transmission sets out with.
+pub struct Way {
+    pub line: Option<Rc<Line>>,
+    pub course: Rc<Course>,
+    pub time_out: Time,
+    pub stopped: oneshot::Receiver<Outcome>,
+}
+
 impl Switchboard {
     pub(super) async fn transmission(
         self: Rc<Self>,
         rpc: Rc<str>,
         tx: usize,
         request: Rc<Request>,
-        line: Option<Rc<Line>>,
-        time_out: Time,
-        stopped: oneshot::Receiver<Outcome>,
+        way: Way,
     ) {
         let sent = self.clock.now();
-        let made = self.make(&request, line, time_out, stopped);
+        let made = self.make(&request, way);
         let result = AssertUnwindSafe(made).catch_unwind().await.unwrap_or(Err(Outcome::Unknown));
         // An RPC that was sent on while it came is worked on from its last byte on.
         let whole = request.upload.as_ref().and_then(|upload| upload.whole_at.get());
@@ -53,14 +60,11 @@
     async fn make(
         self: &Rc<Self>,
         request: &Request,
-        line: Option<Rc<Line>>,
-        time_out: Time,
-        stopped: oneshot::Receiver<Outcome>,
+        Way { line, course, time_out, stopped }: Way,
     ) -> Result<(Answer, Option<Rest>), Outcome> {
         // Left the list after it was drawn: nothing was sent.
         let Some(line) = line else { return Err(Outcome::Moot) };
         let (verb, uri, headers) = request.encode(line.address, time_out);
-        let course = Course::counted(&self.tally.written);
         let body = match &request.upload {
             // What an earlier transmission took of it is nowhere any more: this one can't be made.
             Some(upload) if upload.gone.get() || upload.broken.get() => return Err(Outcome::Moot),
@@ -99,7 +103,8 @@
                 })
             }
             // Given up before its last byte was out: the upstream can't have begun it.
-            Err(_) if course.reached() < Reached::Written => Err(Outcome::ConnectFailed),
+            Err(Outcome::TimedOut) if course.reached() < Reached::Written => Err(Outcome::ConnectFailed),
+            // A caller's going says nothing of the upstream.
             Err(why) => Err(why),
         }
     }
@@ -116,17 +121,24 @@
         let window = self.windows.open();
         let loads = std::mem::take(&mut answer.loads);
         answer.flow = Some(Flow::new(coming, rest.length));
+        let mut handed_on = answer.body.len();
         if !self.begin(rpc, tx, answer) {
             return Err(Outcome::Cancelled);
         }
         loop {
-            let next =
-                match select(pin!(timeout(SILENT, rest.next(window.piece()))), pin!(passed.closed())).await {
-                    Either::Left((next, _)) => next.unwrap_or_else(|_| Err("silent".to_owned())),
-                    Either::Right(_) => return Err(Outcome::Cancelled),
-                };
+            // One that may be as short as those that are held whole is owed whole by the hard deadline. Guards against an
+            // answer that says no length and never ends, and against a caller that is never told.
+            let may_be_short = rest.length.is_none() && handed_on <= HELD;
+            let until = self.open.borrow().get(rpc).and_then(Open::hard_deadline).filter(|_| may_be_short);
+            let left = until.map(|until| clock::duration(until.saturating_sub(self.clock.now())));
+            let next = timeout(left.map_or(SILENT, |left| left.min(SILENT)), rest.next(window.piece()));
+            let next = match select(pin!(next), pin!(passed.closed())).await {
+                Either::Left((next, _)) => next.unwrap_or_else(|_| Err("no end in its time".to_owned())),
+                Either::Right(_) => return Err(Outcome::Cancelled),
+            };
             match next {
                 Ok(Some(more)) => {
+                    handed_on += more.len();
                     if passed.send(Ok(more)).await.is_err() {
                         return Err(Outcome::Cancelled);
                     }
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -11,6 +11,7 @@
 use crate::protocol::ops::Figures;
 use crate::protocol::request::{Request, Shape};
 use crate::transport::client::{Client, Line};
+use crate::transport::outbound::Course;
 use fernroute::desk::{Act, Desk};
 use fernroute::{BadTerm, Balancer, Outcome, Terms, Time};
 use fernroute_fleet::demand::Meter;
@@ -22,12 +23,17 @@
 use tokio::sync::{oneshot, Notify};
 use tokio_util::time::delay_queue::Key;
 
-/// One transmission that is out: how to end it, and the timer that will.
+/// One transmission that is out: how to end it, and the timer that will. It stays in the table until its own task has
+/// booked it. Guards against an id that is used again meanwhile: the new RPC would get the old one's outcome.
 pub struct Out {
-    pub stop: oneshot::Sender<Outcome>,
+    /// None once it is told to end.
+    pub stop: Option<oneshot::Sender<Outcome>>,
     /// None until the RPC's last byte has come, and once the answer has begun.
     pub time_out: Option<Key>,
     pub lasts: Time,
+    pub course: Rc<Course>,
+    /// The way that it takes; none where its upstream had left the list.
+    pub line: Option<Rc<Line>>,
 }
 
 /// An RPC that waits for its final answer, or for the end of a transmission.
@@ -35,6 +41,7 @@
     pub request: Rc<Request>,
     /// None once the final answer is given, or the caller has gone.
     pub answer: Option<oneshot::Sender<Final>>,
+    pub taken: Time,
     /// Its answer is being handed on.
     pub streaming: bool,
     /// How many transmissions were made; those that are out, by number.
@@ -43,6 +50,15 @@
 }
 
 impl Open {
+    /// When its time is up: counted from its last byte. None while that is to come.
+    pub fn hard_deadline(&self) -> Option<Time> {
+        let whole = match &self.request.upload {
+            Some(upload) => upload.whole_at.get()?,
+            None => self.taken,
+        };
+        Some(whole + self.request.time_left)
+    }
+
     /// It is taken and not ended. One whose last byte has not come is not taken yet.
     fn is_outstanding(&self) -> bool {
         self.answer.is_some() && self.request.is_whole() || self.streaming
@@ -111,6 +127,7 @@
         let desk = Desk::default();
         let balancer = Balancer::new(desk.clone(), clock.now(), seed, terms)?;
         let methods = shapes(terms);
+        // One that can't be read has been refused with the terms.
         let term_time = |name: &str| terms.get(name).and_then(|t| t.parse::<Time>().ok());
         let time = |name: &str| term_time(name).map(clock::duration);
         let client = Client::new(
@@ -267,6 +284,7 @@
                 lines.insert(Rc::from(id), (entry.clone(), line));
             }
         }
+        self.call_off_to_those_that_left();
         self.decide(None, |b, now| {
             b.list_begins(now, list.full);
             for entry in &list.entries {
--- a/crates/fernroute-server/src/routing/take_in.rs
+++ b/crates/fernroute-server/src/routing/take_in.rs
@@ -47,6 +47,10 @@
     let stay = visit.taken();
     match (decoded, body) {
         (Ok(mut request), Ok((body, upload))) => {
+            if visit.has_left() {
+                // Nobody waits for it. The library ends the connection in its next turn, and with it this.
+                return pending().await;
+            }
             (request.body, request.upload) = (body, upload.clone());
             let mut last = match board.admit(request).await {
                 Ok(last) => last,
--- a/crates/fernroute-server/src/routing/timers.rs
+++ b/crates/fernroute-server/src/routing/timers.rs
@@ -28,6 +28,11 @@
         self.0.borrow_mut().insert(due, clock::duration(after))
     }
 
+    /// How many are set and have not come due.
+    pub fn count(&self) -> usize {
+        self.0.borrow().len()
+    }
+
     /// For one that has not come due.
     pub fn drop(&self, key: &Key) {
         self.0.borrow_mut().try_remove(key);
--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -1,6 +1,6 @@
 //! Calls on upstreams. Nothing here sends twice, follows a redirect or gives up by itself.
 
-use super::outbound::{Course, Reached, Seats, COURSE};
+use super::outbound::{Course, Parked, Reached, Seats, COURSE};
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderMap, CONTENT_LENGTH};
 use actix_http::{Method, ResponseHead, Uri};
@@ -11,7 +11,7 @@
 use futures_util::{FutureExt as _, StreamExt as _};
 use std::fmt;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
 
@@ -32,10 +32,15 @@
 pub struct Client {
     seats: Rc<Seats>,
     connect_time_out: Duration,
+    rest: Duration,
     idle: Duration,
     most_body: usize,
 }
 
+/// A connection rests for this long after an answer. Guards against what comes some milliseconds late behind an answer, a
+/// second one say: the RPC that was written by then would take it for its own.
+const REST: Duration = Duration::from_millis(10);
+
 /// The way to one upstream, with connections of its own. Those that stand idle are closed with it: an upstream that
 /// comes to the address of another gets none that was made for the other.
 pub struct Line {
@@ -63,21 +68,32 @@
         // A call written as the other side closes ends as a reset that may have run: a fifth and a second
         // are far more than a call takes to cross.
         let idle = (keep * 4 / 5).min(keep.saturating_sub(Duration::from_secs(1)));
-        Client { seats: Rc::new(Seats::new(most, most_body)), connect_time_out, idle, most_body }
+        let seats = Rc::new(Seats::new(most, most_body));
+        Client { seats, connect_time_out, rest: REST, idle, most_body }
+    }
+
+    /// For one that is asked again at once, and whose answers are read for what they say.
+    pub fn without_rest(self) -> Self {
+        Client { rest: Duration::ZERO, ..self }
     }
 
     pub fn line(&self, address: SocketAddr) -> Line {
-        let (kept, fresh) = (self.pool(address), self.pool(address));
+        let parked = Parked::new(&self.seats, self.rest, self.idle);
+        let (kept, fresh) = (self.pool(address, Some(parked)), self.pool(address, None));
         Line { address, kept, fresh, most_body: self.most_body }
     }
 
-    fn pool(&self, address: SocketAddr) -> awc::Client {
+    /// Connections are kept in `parked`, or nowhere; the library's own pool gets none that it could use again.
+    fn pool(&self, address: SocketAddr, parked: Option<Rc<Parked>>) -> awc::Client {
         let for_new = Rc::clone(&self.seats);
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
-            let seats = Rc::clone(&for_new);
+            let (seats, parked) = (Rc::clone(&for_new), parked.clone());
             async move {
-                let stream = seats.connect(address).await.map_err(ConnectError::Io)?;
-                Ok(Connection::new(info.request().clone(), stream))
+                let stream = match &parked {
+                    Some(parked) => parked.connect(address).await,
+                    None => seats.connect(address, Weak::new()).await,
+                };
+                Ok(Connection::new(info.request().clone(), stream.map_err(ConnectError::Io)?))
             }
         });
         let connector = awc::Connector::new()
@@ -115,7 +131,7 @@
 
 /// How much of an answer comes before it is handed on: all, if it is no more than this. A longer one is handed on as it
 /// comes from here on.
-const HELD: usize = 64 * 1024;
+pub const HELD: usize = 64 * 1024;
 
 /// One that says to be longer need not be waited for so long: its first bytes are what its caller waits for. A moment
 /// still tells most that are spoilt.
--- a/crates/fernroute-server/src/transport/discovery.rs
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -42,6 +42,7 @@
     pub fn new(agent: SocketAddr) -> Self {
         // Half a second is ages on the balancer's own machine; two connections, of which one is dying.
         let client = Client::new(Duration::from_millis(500), Duration::from_secs(10), 4, MOST_LIST);
+        let client = client.without_rest();
         Watch { line: client.line(agent), client }
     }
 
--- a/crates/fernroute-server/src/transport/framing.rs
+++ b/crates/fernroute-server/src/transport/framing.rs
@@ -32,6 +32,7 @@
 pub struct Framing {
     rest: Rest,
     interim: usize,
+    closes: bool,
 }
 
 fn spoilt(why: &str) -> io::Error {
@@ -49,6 +50,11 @@
         matches!(self.rest, Rest::Chunks | Rest::Close)
     }
 
+    /// The connection ends with this answer.
+    pub fn closes(&self) -> bool {
+        self.closes
+    }
+
     /// The end of the connection is the answer's.
     pub fn ends_with_connection(&self) -> bool {
         self.rest == Rest::Close
@@ -90,6 +96,7 @@
             };
             if !(100..200).contains(&status) {
                 self.rest = rest(status, answer.version, answer.headers)?;
+                self.closes = answer.version == Some(0) || closes(answer.headers);
                 if let Rest::Length(body) = self.rest {
                     if body > most_body {
                         return Err(spoilt(&format!("a body of {body} bytes")));
--- a/crates/fernroute-server/src/transport/inbound.rs
+++ b/crates/fernroute-server/src/transport/inbound.rs
@@ -1,18 +1,23 @@
 //! One connection of a caller: whether it is between RPCs, and its end when it may be closed.
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
+use rustix::io::Errno;
+use rustix::net::RecvFlags;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 
 /// The library reads until nothing is left: after so many bytes the others have their turn, and what came is used.
 const TURN: usize = 16 * 1024;
 
+/// A message follows its connection in far less than that, on a busy machine too.
+const NEW: Duration = Duration::from_millis(200);
+
 /// What the server knows of a connection.
 #[derive(Debug)]
 pub struct Visit {
@@ -31,6 +36,10 @@
     /// Bytes that were read in this turn of the library.
     turn: Cell<usize>,
     ending: Cell<bool>,
+    /// Its room is wanted by another.
+    wanted: Cell<bool>,
+    /// Half a message has had its time.
+    late: Cell<bool>,
     /// The last answer is made: nothing that comes is read as an RPC any more.
     last: Cell<bool>,
     /// The library is done with it, whatever it thinks.
@@ -51,6 +60,8 @@
             since: Cell::new(Instant::now()),
             turn: Cell::new(0),
             ending: Cell::new(false),
+            wanted: Cell::new(false),
+            late: Cell::new(false),
             last: Cell::new(false),
             done: Cell::new(false),
             wake: Notify::new(),
@@ -75,6 +86,7 @@
 
     /// More of a body has come.
     pub fn progress(&self) {
+        self.late.set(false);
         self.since.set(Instant::now());
     }
 
@@ -113,6 +125,39 @@
         self.wake.notify_one();
     }
 
+    /// The same at once, and without waiting for the caller to read the last answer: its room is wanted.
+    pub fn make_room(&self) {
+        self.wanted.set(true);
+        self.end();
+        self.hurry.notify_one();
+    }
+
+    /// Half a message has had its time: closes it, unless the rest has come by now.
+    pub fn expire(&self) {
+        self.late.set(true);
+        self.wake.notify_one();
+    }
+
+    pub fn is_late(&self) -> bool {
+        self.late.get()
+    }
+
+    /// The library has had its turn since then.
+    pub fn expire_now(&self) {
+        if self.late.replace(false) && self.is_partial() && !self.has_more() {
+            self.cut();
+        }
+    }
+
+    fn may_end(&self) -> bool {
+        self.ending.get() && self.is_idle() && !self.is_new()
+    }
+
+    /// Its first message is on its way: who connects has something to ask, and loses it where the connection ends unasked.
+    fn is_new(&self) -> bool {
+        !self.asked.get() && !self.wanted.get() && self.since.get().elapsed() < NEW
+    }
+
     /// Closes it now, whatever the library waits for.
     pub fn cut(&self) {
         self.done.set(true);
@@ -125,9 +170,31 @@
         self.last.set(true);
     }
 
+    /// What lies in the socket: so many bytes, none where its caller has closed it, or nothing yet. Asked of the machine
+    /// itself: the event that tells of it may come a turn later.
+    fn peek(&self) -> Result<usize, Errno> {
+        let stream = self.stream.borrow();
+        let Some(stream) = &*stream else { return Ok(0) };
+        rustix::net::recv(stream, &mut [0; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT).map(|(_, bytes)| bytes)
+    }
+
+    /// Whether its caller has closed it; behind bytes that are not read yet that is not told.
+    pub fn has_left(&self) -> bool {
+        match self.peek() {
+            Ok(bytes) => bytes == 0,
+            Err(why) => [Errno::CONNRESET, Errno::PIPE, Errno::TIMEDOUT].contains(&why),
+        }
+    }
+
+    /// Whether there is more to read. Guards against the end of an idle connection on which the next RPC has come.
+    fn has_more(&self) -> bool {
+        self.peek().is_ok_and(|bytes| bytes > 0)
+    }
+
     /// A message has come whole; what is returned is held until its answer is made.
     pub fn taken(self: &Rc<Self>) -> Stay {
         self.partial.set(false);
+        self.late.set(false);
         self.asked.set(true);
         self.open.set(self.open.get() + 1);
         Stay(Rc::clone(self))
@@ -181,8 +248,10 @@
                 }
                 visit.partial.set(true);
             }
+            // Its event is still to come, and with it the next turn.
+            Poll::Pending if visit.may_end() && visit.has_more() => {}
             // Nothing is waiting in the socket, so nothing is lost by ending here.
-            Poll::Pending if visit.ending.get() && visit.is_idle() => return Poll::Ready(Ok(())),
+            Poll::Pending if visit.may_end() => return Poll::Ready(Ok(())),
             _ => {}
         }
         read
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -6,6 +6,8 @@
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use bytes::{Buf, BytesMut};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -39,6 +41,8 @@
     /// It never left, for want of connections here.
     held_back: Cell<bool>,
     seat: RefCell<Option<Rc<Seat>>>,
+    /// Called off, or its upstream has left the list: it does not begin any more.
+    barred: Cell<bool>,
     /// More of the body is to come: the last byte is not out.
     pub unfinished: Cell<bool>,
     /// The upstream answered before it had the whole body.
@@ -78,14 +82,22 @@
         self.held_back.get()
     }
 
+    /// From here on its first byte does not leave. Guards against a connection that comes up late: its caller may have
+    /// gone by then, or its upstream have been told to drain.
+    pub fn bar(&self) {
+        self.barred.set(true);
+    }
+
     /// The connection, if it is kept, stands idle from now on; one that may still bring something of this
     /// answer is closed. Guards against a second copy or noise that the next RPC would take for its answer.
     pub fn over(&self) {
-        if let Some(seat) = self.seat.take() {
-            if seat.spent.get() {
-                seat.stream.take();
-            }
-            seat.idle_since.set(Some(Instant::now()));
+        let Some(seat) = self.seat.take() else { return };
+        // Out of the library's hands, whose pool would give it to the next RPC at once.
+        let Some(stream) = seat.stream.take() else { return };
+        // All of the RPC is out and all of the answer is in.
+        let is_done = seat.whole.get() && !seat.spent.get() && seat.left.borrow().is_empty();
+        if let Some(home) = seat.home.upgrade().filter(|_| is_done) {
+            home.park(stream);
         }
     }
 
@@ -114,6 +126,61 @@
     }
 }
 
+/// Connections to one upstream that stand idle, the longest idle first. Emptied as they are used, by their ends, and with
+/// the line to the upstream.
+#[derive(Debug)]
+pub struct Parked {
+    seats: Rc<Seats>,
+    idle: RefCell<VecDeque<Rc<Seat>>>,
+    /// They rest for so long first, and are used for so long.
+    rest: Duration,
+    keep: Duration,
+}
+
+impl Parked {
+    pub fn new(seats: &Rc<Seats>, rest: Duration, keep: Duration) -> Rc<Self> {
+        Rc::new(Parked { seats: Rc::clone(seats), idle: RefCell::default(), rest, keep })
+    }
+
+    fn park(self: &Rc<Self>, stream: TcpStream) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|seat| seat.stream.borrow().is_some());
+        let seat = self.seats.enter(stream, Rc::downgrade(self));
+        seat.idle_since.set(Some(Instant::now()));
+        idle.push_back(seat);
+    }
+
+    /// One that has rested, and on which nothing has come since; others that have are closed.
+    async fn take(&self) -> Option<Rc<Seat>> {
+        poll_fn(|cx| {
+            let mut idle = self.idle.borrow_mut();
+            while let Some(since) = idle.front().map(|seat| seat.idle_since.get()) {
+                let age = since.map_or(self.keep, |since| since.elapsed());
+                if age < self.rest {
+                    break;
+                }
+                let Some(seat) = idle.pop_front().filter(|_| age < self.keep) else { continue };
+                let mut byte = [MaybeUninit::uninit(); 1];
+                let mut byte = ReadBuf::uninit(&mut byte);
+                if seat.with(|stream| stream.get_mut().poll_peek(cx, &mut byte)).is_pending() {
+                    seat.idle_since.set(None);
+                    return Poll::Ready(Some(seat));
+                }
+            }
+            Poll::Ready(None)
+        })
+        .await
+    }
+
+    /// An idle connection, or a new one.
+    pub async fn connect(self: &Rc<Self>, address: SocketAddr) -> io::Result<Outbound> {
+        match self.take().await {
+            Some(seat) => Ok(Outbound::new(seat)),
+            None => self.seats.connect(address, Rc::downgrade(self)).await,
+        }
+    }
+}
+
 /// A connection's place in the table; it is closed by taking the stream out.
 #[derive(Debug)]
 struct Seat {
@@ -124,6 +191,10 @@
     idle_since: Cell<Option<Instant>>,
     /// Of no further use after the answer that is on it.
     spent: Cell<bool>,
+    /// The answer on it has come whole, and nothing behind it.
+    whole: Cell<bool>,
+    /// Where it stands between two RPCs, if it is kept.
+    home: Weak<Parked>,
     most_body: u64,
 }
 
@@ -170,8 +241,8 @@
         }
     }
 
-    /// Connects, if there is room; at the limit the longest idle connection goes.
-    pub async fn connect(&self, address: SocketAddr) -> io::Result<Outbound> {
+    /// Connects, if there is room; at the limit the longest idle connection goes. It is kept at `home`, or nowhere.
+    pub async fn connect(&self, address: SocketAddr, home: Weak<Parked>) -> io::Result<Outbound> {
         /// No descriptors left in this process or on this machine, no local port left.
         const OURS: [i32; 3] = [23, 24, 99];
         let hold_back = || COURSE.try_with(|course| course.held_back.set(true));
@@ -189,11 +260,21 @@
             }
         })?;
         without_delay(&stream);
-        let (stream, spent) = (RefCell::new(Some(stream)), Cell::new(false));
-        let (left, idle_since) = (RefCell::default(), Cell::new(None));
-        let seat = Rc::new(Seat { stream, left, idle_since, spent, most_body: self.most_body });
+        Ok(Outbound::new(self.enter(stream, home)))
+    }
+
+    fn enter(&self, stream: TcpStream, home: Weak<Parked>) -> Rc<Seat> {
+        let seat = Rc::new(Seat {
+            stream: RefCell::new(Some(stream)),
+            left: RefCell::default(),
+            idle_since: Cell::new(None),
+            spent: Cell::new(false),
+            whole: Cell::new(false),
+            home,
+            most_body: self.most_body,
+        });
         self.all.borrow_mut().push(Rc::downgrade(&seat));
-        Ok(Outbound { seat, framing: Framing::default(), heard: BytesMut::new(), ready: 0 })
+        seat
     }
 
     /// How many there are, those that are being made with them.
@@ -266,6 +347,10 @@
 const HEAR: usize = 8 * 1024;
 
 impl Outbound {
+    fn new(seat: Rc<Seat>) -> Self {
+        Outbound { seat, framing: Framing::default(), heard: BytesMut::new(), ready: 0 }
+    }
+
     /// Takes in what has come; 0 bytes at the end of the connection.
     fn hear(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         self.heard.reserve(HEAR);
@@ -301,9 +386,10 @@
         // library finds.
         let more = self.framing.is_whole()
             && (self.heard.len() > self.ready || matches!(self.hear(cx), Poll::Ready(Ok(_) | Err(_))));
-        if more || self.framing.is_open_ended() {
+        if more || self.framing.is_open_ended() || self.framing.closes() {
             self.seat.spent.set(true);
         }
+        self.seat.whole.set(self.framing.is_whole());
         Poll::Ready(Ok(()))
     }
 
@@ -332,7 +418,7 @@
     ) -> Poll<io::Result<()>> {
         if self.ready == 0 {
             if self.framing.is_whole() {
-                // The pool asks whether it is still good: it is, if nothing comes.
+                // The library's pool asks whether it is still good; once parked it is not there any more.
                 return self.seat.with(|stream| stream.poll_read(cx, buf));
             }
             std::task::ready!(self.listen(cx))?;
@@ -349,15 +435,19 @@
 }
 
 impl AsyncWrite for Outbound {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        if self.framing.is_whole() {
-            self.framing = Framing::default();
-        }
-        let _ = COURSE.try_with(|course| {
-            self.seat.idle_since.set(None);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let barred = COURSE.try_with(|course| {
+            if course.barred.get() && course.reached() < Reached::Connected {
+                course.held_back.set(true);
+                return true;
+            }
             course.seat.replace(Some(Rc::clone(&self.seat)));
             course.come_to(Reached::Connected);
+            false
         });
+        if barred.unwrap_or(false) {
+            return Poll::Ready(Err(io::Error::other("called off before its first byte")));
+        }
         if let Poll::Ready(result) = self.seat.write_left(cx) {
             result?;
             let written = self.seat.with(|stream| stream.poll_write(cx, buf));
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -6,10 +6,11 @@
 use actix_http::{HttpService, KeepAlive, Request, Response};
 use actix_service::{fn_service, Service, ServiceFactory};
 use futures_util::future::{select, Either};
+use rustix::net::SocketFlags;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::fmt::{Debug, Display};
-use std::future::Future;
+use std::future::{ready, Future};
 use std::net::SocketAddr;
 use std::os::fd::{AsFd as _, OwnedFd};
 use std::pin::pin;
@@ -101,13 +102,16 @@
     {
         let Ok(service) = protocol(handle).new_service(()).await else {
             tracing::error!("the server did not start");
-            return;
+            return self.close();
         };
         let service = Rc::new(service);
         loop {
             self.make_room().await;
             if self.closed.get() {
-                return;
+                for stream in self.last_of_queue() {
+                    self.take_in(&service, stream);
+                }
+                return self.close();
             }
             if !self.accepting.get() || self.listener.borrow().is_none() {
                 self.accepts.notified().await;
@@ -124,7 +128,7 @@
             match accepted {
                 None => {}
                 Some(Ok((stream, _))) => {
-                    actix_rt::spawn(Rc::clone(&self).host(Rc::clone(&service), stream));
+                    self.take_in(&service, stream);
                 }
                 Some(Err(why)) => {
                     tracing::warn!("accept: {why}");
@@ -135,14 +139,37 @@
         }
     }
 
-    /// One connection, from its start to its end.
-    async fn host<S>(self: Rc<Self>, service: Rc<S>, stream: TcpStream)
+    /// What the machine has accepted already, as far as there is room. Asked of the machine itself: the event that tells
+    /// of it may not have been read yet.
+    fn last_of_queue(&self) -> Vec<TcpStream> {
+        let listener = self.listener.borrow();
+        let Some(listener) = listener.as_ref().filter(|_| self.accepting.get()) else { return Vec::new() };
+        let room = self.most.get().saturating_sub(self.connections());
+        let next = || {
+            let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+            let stream = rustix::net::accept_with(listener, flags).ok()?;
+            TcpStream::from_std(std::net::TcpStream::from(stream)).ok()
+        };
+        std::iter::from_fn(next).take(room).collect()
+    }
+
+    /// A connection stands in the table from the turn on in which it is accepted: the program does not end over it.
+    fn take_in<S>(self: &Rc<Self>, service: &Rc<S>, stream: TcpStream)
     where
-        S: Service<(Inbound, Option<SocketAddr>)>,
+        S: Service<(Inbound, Option<SocketAddr>)> + 'static,
         S::Error: Display,
     {
         without_delay(&stream);
         let visit = self.enter(stream);
+        actix_rt::spawn(Rc::clone(self).host(Rc::clone(service), visit));
+    }
+
+    /// One connection, from its start to its end.
+    async fn host<S>(self: Rc<Self>, service: Rc<S>, visit: Rc<Visit>)
+    where
+        S: Service<(Inbound, Option<SocketAddr>)>,
+        S::Error: Display,
+    {
         let _leave = Leave { server: &self, visit: &visit };
         let unread = {
             let mut connection = pin!(service.call((Inbound { visit: Rc::clone(&visit) }, None)));
@@ -154,6 +181,13 @@
                         break true;
                     }
                     Either::Right(_) if visit.is_done() => break true,
+                    Either::Right((_, same)) if visit.is_late() => {
+                        connection = match select(same, ready(())).await {
+                            Either::Left((ended, _)) => break ended.is_err() || visit.is_last(),
+                            Either::Right((_, same)) => same,
+                        };
+                        visit.expire_now();
+                    }
                     Either::Right((_, same)) => connection = same,
                 }
             }
@@ -227,8 +261,7 @@
         let visits = self.visits.borrow();
         let idle = visits.iter().filter(|v| v.is_done() || v.is_idle());
         if let Some(visit) = idle.min_by_key(|v| (!v.is_done(), v.since())) {
-            visit.end();
-            visit.hurry.notify_one();
+            visit.make_room();
         }
     }
 
@@ -241,9 +274,19 @@
             }
             let for_long = |time| visit.since().elapsed() >= time;
             let stuck = visit.is_stuck() && for_long(STUCK);
-            let late = visit.is_partial() && for_long(COMING) || visit.is_ending() && for_long(IDLE + COMING);
-            if stuck || late {
+            let late = visit.is_partial() && for_long(COMING);
+            // Or whom the library does not read from any more.
+            let stuck = stuck
+                || visit.is_partial() && for_long(2 * COMING)
+                || visit.is_ending() && for_long(IDLE + COMING);
+            if stuck {
                 visit.cut();
+            } else if late {
+                // The library has its turn first: the rest may lie in the socket.
+                visit.expire();
+            } else if self.ending.get() && visit.is_idle() {
+                // One that was too new to go.
+                visit.end();
             } else if visit.is_idle() && for_long(if visit.has_asked() { IDLE } else { SILENT }) {
                 visit.end();
             }
@@ -254,16 +297,25 @@
     /// others after their answer. Returns once none is left.
     pub async fn end(&self) {
         self.ending.set(true);
-        // The accepting task has had its turn for all that was waiting once this one is woken again.
+        // Callers that were on their way are in the queue by then, and the accepting task has had its turn.
         actix_rt::time::sleep(Duration::from_millis(20)).await;
         self.closed.set(true);
-        self.listener.replace(None);
         self.accepts.notify_one();
         self.visits.borrow().iter().for_each(|visit| visit.end());
-        while !self.visits.borrow().is_empty() {
-            self.left.notified().await;
+        loop {
+            let left = self.left.notified();
+            if self.listener.borrow().is_none() && self.visits.borrow().is_empty() {
+                return;
+            }
+            left.await;
         }
     }
+
+    /// The accepting task's last turn.
+    fn close(&self) {
+        self.listener.replace(None);
+        self.left.notify_waiters();
+    }
 }
 
 /// Takes the connection off the table, whichever way it ends.
@@ -303,7 +355,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let service = protocol(handle).new_service(()).await;
             let Ok(service) = service else { panic!("the server did not start") };
-            actix_rt::spawn(Server::new(Some(listener), 1).host(Rc::new(service), stream));
+            Server::new(Some(listener), 1).take_in(&Rc::new(service), stream);
             theirs.set_nonblocking(true).expect("it does not block");
             let mut theirs = tokio::net::UnixStream::from_std(theirs).expect("a stream");
             theirs.write_all(b"GET / HTTP/1.1\r\nHost: n0\r\n\r\n").await.expect("it is written");
--- a/crates/fernroute-server/tests/common/mod.rs
+++ b/crates/fernroute-server/tests/common/mod.rs
@@ -58,6 +58,11 @@
     Station::decode(&page(upstreams, discovery, changes)).expect("the file is whole")
 }
 
+/// Connections to upstreams that were used until now may be used again after this.
+pub async fn rested() {
+    tokio::time::sleep(Duration::from_millis(12)).await;
+}
+
 /// A balancer before these upstreams, with discovery silent.
 pub async fn balancer(upstreams: &[&StandIn], changes: &[(&str, &str)]) -> Running {
     balancer_at(&upstreams.iter().map(|u| u.address).collect::<Vec<_>>(), changes).await
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -184,6 +184,7 @@
         let discovery = discovery.await;
         let b = serve::start(station(&[up.address], discovery.address, &[])).await.expect("it starts");
         assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.status(), 200);
+        common::rested().await;
         assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.status(), 200);
         assert_eq!((up.connections.get(), up.left.get()), (1, 0));
         b.turn_to(discovery.address);
--- a/crates/fernroute-server/tests/relay.rs
+++ b/crates/fernroute-server/tests/relay.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use common::{ask, balancer, balancer_at, ok, read, rpc, run, say, send, stand_in, until, Deed};
+use common::{ask, balancer, balancer_at, ok, read, rested, rpc, run, say, send, stand_in, until, Deed};
 use fernroute_server::protocol::answer::Final;
 use fernroute_server::transport::outbound::{Course, Reached, Seats, COURSE};
 use std::cell::Cell;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket};
@@ -244,6 +244,7 @@
         let up = up.await;
         let b = balancer(&[&up], &[]).await;
         for n in 0..8 {
+            rested().await;
             let answer = ask(b.address, rpc("GET", "/look", "")).await;
             assert_eq!((answer.status(), answer.body), (200, format!("{n:02}").into_bytes()));
         }
@@ -267,6 +268,7 @@
         let up = up.await;
         let b = balancer(&[&up], &[]).await;
         for _ in 0..3 {
+            rested().await;
             assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.body, b"kept");
         }
         for _ in 0..5 {
@@ -324,6 +326,7 @@
         let up = stand_in(|_, _| ok("whole")).await;
         let b = balancer(&[&up], &[("\"keepalive-s\":30.0", "\"keepalive-s\":1.2")]).await;
         for _ in 0..2 {
+            rested().await;
             ask(b.address, rpc("GET", "/look", "")).await;
         }
         assert_eq!(up.connections.get(), 1);
@@ -346,8 +349,10 @@
         let course = Rc::<Course>::default();
         let body = vec![b'x'; 32 << 20];
         let write = async {
-            let mut out =
-                Seats::new(1, 0).connect(listener.local_addr().expect("an address")).await.expect("room");
+            let mut out = Seats::new(1, 0)
+                .connect(listener.local_addr().expect("an address"), Weak::new())
+                .await
+                .expect("room");
             assert_eq!(out.write(&body).await.expect("it takes bytes"), body.len());
             let early = tokio::time::timeout(Duration::from_millis(50), out.flush()).await;
             assert!(early.is_err() && course.reached() == Reached::Connected);
--- a/crates/fernroute-terms/src/lib.rs
+++ b/crates/fernroute-terms/src/lib.rs
@@ -91,6 +91,8 @@
     let value = match form {
         Form::Plain => value.to_owned(),
         Form::Words => value.split(',').map(word).collect::<Vec<_>>().join(","),
+        // Less than no time is left as it is written, which nobody can read.
+        Form::Seconds if value.starts_with('-') => value.to_owned(),
         Form::Seconds => time(value).map_or_else(|| value.to_owned(), |t| t.to_string()),
     };
     Some((ours.replace('#', place), value))
--- a/crates/fernroute/src/agreed.rs
+++ b/crates/fernroute/src/agreed.rs
@@ -119,7 +119,15 @@
         if let Some(i) = names.map(|name| seen.insert(name)).position(|new| !new) {
             return Err(bad(&format!("methods.{i}.name"), "there already"));
         }
-        let ask = terms.get("list_mode").is_some_and(|mode| mode == "ask");
+        // A word that is not known is no other's: one who means more by it would be run on a guess.
+        let ask = match terms.get("list_mode").map(String::as_str) {
+            None | Some("push") => false,
+            Some("ask") => true,
+            Some(_) => return Err(bad("list_mode", "no such mode")),
+        };
+        // Connections are made by these, not decided on; one that can't be read must not pass for one that is not there.
+        number(terms, "limits.connect_time_out", 1.0, MANY, Some(1.0))?;
+        number(terms, "limits.keep_alive", 0.0, MANY, Some(0.0))?;
         let advice = term(terms, "limits.stay_away")?.unwrap_or(false);
         let names = terms.get("load.names").map_or("", String::as_str);
         Ok(Agreed {
@@ -152,10 +160,11 @@
         "deduped" => match needed::<String>(terms, &at("group"))?.as_str() {
             "all" => Repeat::AmongAll,
             "zone" => Repeat::InZone,
-            _ => Repeat::InCell,
+            "cell" => Repeat::InCell,
+            _ => return Err(bad(&at("group"), "no such group")),
         },
-        // A word that is not known promises nothing.
-        _ => Repeat::Never,
+        "non_retriable" => Repeat::Never,
+        _ => return Err(bad(&at("effect"), "no such effect")),
     };
     let deduped = !matches!(repeat, Repeat::Anywhere | Repeat::Never);
     let (soft, hard) = (term(terms, &at("soft_deadline"))?, term(terms, &at("hard_deadline"))?);
