--- a/crates/fernroute-server/src/protocol/list.rs
+++ b/crates/fernroute-server/src/protocol/list.rs
@@ -79,6 +79,16 @@
     }
 }
 
+impl List {
+    /// What a list that is doubted says of those that leave: they count as told so, and where the answer to the doubt takes
+    /// its time nothing new is theirs. None where it is older than what is known.
+    pub fn leaving(&self, last: Option<u64>) -> Option<List> {
+        let leave = self.entries.iter().filter(|e| e.state != State::Ready).cloned().collect();
+        let is_news = last.is_none_or(|last| self.version >= last);
+        is_news.then(|| List { version: last.unwrap_or(0), full: false, entries: leave })
+    }
+}
+
 /// None where it is no list at all; an entry that can't be read is skipped.
 pub fn decode(value: &Value) -> Option<List> {
     let version = value.get("version")?.as_u64()?;
--- a/crates/fernroute-server/src/transport/discovery.rs
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -90,17 +90,37 @@
         let mut failing = false;
         // The next list is the answer to a doubt: it is believed.
         let mut asked_again = false;
+        // Who leaves by the list that is doubted.
+        let mut doubted: Option<List> = None;
         loop {
             if let Some(begin) = &begin {
                 begin.notified().await;
             }
             loop {
-                match self.ask(version).await {
+                let answer = {
+                    let mut asked = pin!(self.ask(version));
+                    match doubted.take() {
+                        None => asked.await,
+                        Some(leaving) => match timeout(PAUSE, &mut asked).await {
+                            Ok(Ok(list)) => Ok(list),
+                            late => {
+                                // Told is told: no answer to the doubt takes it back in time.
+                                news(Some(leaving));
+                                match late {
+                                    Ok(failed) => failed,
+                                    Err(_) => asked.await,
+                                }
+                            }
+                        },
+                    }
+                };
+                match answer {
                     Ok(list) => {
                         let doubt = list.doubtful(version).filter(|_| !asked_again);
                         asked_again = doubt.is_some();
                         if let Some(why) = doubt {
                             tracing::warn!("list {}: {why}, the whole list is asked for", list.version);
+                            doubted = list.leaving(version).filter(|leaving| !leaving.entries.is_empty());
                             version = None;
                             actix_rt::time::sleep(PAUSE).await;
                             continue;
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -5,17 +5,19 @@
 use super::without_delay;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use bytes::{Buf, BytesMut};
+use futures_util::future::{select, Either};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::sleep;
 use tokio_util::io::poll_read_buf;
 
 /// How far a transmission has come.
@@ -150,34 +152,47 @@
         idle.push_back(seat);
     }
 
-    /// One that has rested, and on which nothing has come since; others that have are closed.
-    async fn take(&self) -> Option<Rc<Seat>> {
-        poll_fn(|cx| {
-            let mut idle = self.idle.borrow_mut();
-            while let Some(since) = idle.front().map(|seat| seat.idle_since.get()) {
-                let age = since.map_or(self.keep, |since| since.elapsed());
-                if age < self.rest {
-                    break;
-                }
-                let Some(seat) = idle.pop_front().filter(|_| age < self.keep) else { continue };
-                let mut byte = [MaybeUninit::uninit(); 1];
-                let mut byte = ReadBuf::uninit(&mut byte);
-                if seat.with(|stream| stream.get_mut().poll_peek(cx, &mut byte)).is_pending() {
-                    seat.idle_since.set(None);
-                    return Poll::Ready(Some(seat));
-                }
+    /// The longest idle one that may be used, and how long it still rests; those that were kept too long are closed.
+    fn take(&self) -> Option<(Rc<Seat>, Duration)> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(seat) = idle.pop_front() {
+            // One that was closed to make room may be among them.
+            let age = seat.idle_since.get().map_or(self.keep, |since| since.elapsed());
+            if age < self.keep && seat.stream.borrow().is_some() {
+                return Some((seat, self.rest.saturating_sub(age)));
             }
-            Poll::Ready(None)
-        })
-        .await
+        }
+        None
     }
 
-    /// An idle connection, or a new one.
+    /// An idle connection, or a new one. One that rests is waited for beside the new one that is made: where connections
+    /// come up late it is there first, and where they come up at once there are soon enough of them.
     pub async fn connect(self: &Rc<Self>, address: SocketAddr) -> io::Result<Outbound> {
-        match self.take().await {
-            Some(seat) => Ok(Outbound::new(seat)),
-            None => self.seats.connect(address, Rc::downgrade(self)).await,
+        while let Some((seat, left)) = self.take() {
+            if left.is_zero() {
+                if seat.is_quiet().await {
+                    return Ok(Outbound::of(seat));
+                }
+                continue;
+            }
+            let (rested, new) = (pin!(sleep(left)), pin!(self.seats.connect(address, Rc::downgrade(self))));
+            return match select(rested, new).await {
+                Either::Left((_, _)) if seat.is_quiet().await => Ok(Outbound::of(seat)),
+                Either::Left((_, new)) => new.await,
+                Either::Right((Ok(new), _)) => {
+                    self.idle.borrow_mut().push_front(seat);
+                    Ok(new)
+                }
+                Either::Right((Err(why), rested)) => {
+                    rested.await;
+                    if seat.is_quiet().await {
+                        return Ok(Outbound::of(seat));
+                    }
+                    Err(why)
+                }
+            };
         }
+        self.seats.connect(address, Rc::downgrade(self)).await
     }
 }
 
@@ -199,6 +214,16 @@
 }
 
 impl Seat {
+    /// Nothing has come on it, and it has not ended.
+    async fn is_quiet(&self) -> bool {
+        poll_fn(|cx| {
+            let mut byte = [MaybeUninit::uninit(); 1];
+            let mut byte = ReadBuf::uninit(&mut byte);
+            Poll::Ready(self.with(|stream| stream.get_mut().poll_peek(cx, &mut byte)).is_pending())
+        })
+        .await
+    }
+
     fn with<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         match self.stream.borrow_mut().as_mut() {
             Some(stream) => act(Pin::new(stream)),
@@ -347,6 +372,12 @@
 const HEAR: usize = 8 * 1024;
 
 impl Outbound {
+    /// On a connection that stood idle.
+    fn of(seat: Rc<Seat>) -> Self {
+        seat.idle_since.set(None);
+        Outbound::new(seat)
+    }
+
     fn new(seat: Rc<Seat>) -> Self {
         Outbound { seat, framing: Framing::default(), heard: BytesMut::new(), ready: 0 }
     }
--- a/crates/fernroute-server/tests/endings.rs
+++ b/crates/fernroute-server/tests/endings.rs
@@ -86,7 +86,7 @@
         run(async move {
             let up = stand_in(|_, _| Deed::Silence).await;
             let b = balancer(&[&up], if allowed { &[] } else { &LATE[..1] }).await;
-            let caller = send(b.address, rpc("GET", "/look", "").replace("4000", "700")).await;
+            let caller = send(b.address, rpc("GET", "/look", "").replace("Ms: 4000", "Ms: 700")).await;
             until(|| up.seen.borrow().len() == 1).await;
             drop(caller);
             until(|| b.board.figures().outstanding == 0).await;
@@ -138,7 +138,7 @@
     run(async {
         let up = stand_in(|_, _| Deed::Silence).await;
         let b = balancer(&[&up], &[]).await;
-        let long = rpc("GET", "/look", "").replace("4000", "90000");
+        let long = rpc("GET", "/look", "").replace("Ms: 4000", "Ms: 90000");
         for behind in [String::new(), "GET /lo".to_owned(), rpc("GET", "/look", ""), "x".repeat(20_000)] {
             let seen = up.seen.borrow().len();
             let mut caller = send(b.address, &long).await;
@@ -352,7 +352,7 @@
         });
         let b = balancer_at(&[address], &[]).await;
         let from = Instant::now();
-        let mut caller = send(b.address, rpc("GET", "/look", "").replace("4000", "1500")).await;
+        let mut caller = send(b.address, rpc("GET", "/look", "").replace("Ms: 4000", "Ms: 1500")).await;
         let mut heard = Vec::new();
         let _ = caller.read_to_end(&mut heard).await;
         assert!(from.elapsed() < Duration::from_millis(4000), "{:?}", from.elapsed());
@@ -427,7 +427,7 @@
         let up = commanded(Rc::clone(&go)).await;
         let b = balancer_at(&[up], &[("\"max-transmissions\":3", "\"max-transmissions\":1")]).await;
         for n in 0..20 {
-            let mut caller = send(b.address, post("").replace("4000", "30")).await;
+            let mut caller = send(b.address, post("").replace("Ms: 4000", "Ms: 30")).await;
             until(|| b.board.figures().transmissions == n + 1).await;
             // Both come due while nothing runs here.
             go.notify_one();
@@ -494,7 +494,7 @@
     run(async {
         let up = stand_in(|_, _| Deed::Silence).await;
         let b = balancer(&[&up], &[]).await;
-        let whole = post("").replace("4000", "90000");
+        let whole = post("").replace("Ms: 4000", "Ms: 90000");
         let (first, rest) = whole.split_at(40);
         let mut slow = send(b.address, first).await;
         until(|| b.server.connections() == 1).await;
--- a/crates/fernroute-server/tests/program.rs
+++ b/crates/fernroute-server/tests/program.rs
@@ -411,7 +411,23 @@
             .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:9\"")
     };
     let (unread, same) = (file("unread", &door("nowhere")), file("same", &door("127.0.0.1:9")));
-    for path in [&empty, &words, &bare, &missing, &unread, &same] {
+    // What is there and can't be used never passes for what is not there.
+    let unusable = [
+        (r#""effect":"read_like""#, r#""effect":"perhaps""#),
+        (r#""group":"all""#, r#""group":"some""#),
+        (r#""membership-mode":"automatic""#, r#""membership-mode":"now and then""#),
+        (r#""connect-timeout-s":0.25"#, r#""connect-timeout-s":"soon""#),
+        (r#""connect-timeout-s":0.25"#, r#""connect-timeout-s":0"#),
+        (r#""keepalive-s":30.0"#, r#""keepalive-s":-1"#),
+        (r#""hard-deadline-s":6.0"#, r#""hard-deadline-s":-6.0"#),
+        (r#""cancel":true"#, r#""cancel":"maybe""#),
+    ];
+    let unusable = unusable.iter().enumerate().map(|(n, change)| {
+        let page = common::page(&[], "127.0.0.1:1".parse().expect("an address"), &[*change]);
+        file(&format!("unusable-{n}"), &page)
+    });
+    let unusable: Vec<String> = unusable.collect();
+    for path in [&empty, &words, &bare, &missing, &unread, &same].into_iter().chain(&unusable) {
         for command in ["serve", "check"] {
             let out = run(&[command, "--config", path]);
             let text = String::from_utf8_lossy(&out.stderr).into_owned();
