A signal in the midst of a start or a reload: forced, and it ends well

Need: the row of the endings table that had no test. Nothing was at fault there: the test passes on the program as it is.

--- a/crates/fernroute-server/tests/rolling.rs
+++ b/crates/fernroute-server/tests/rolling.rs
@@ -161,3 +161,32 @@
         assert!(served * 10 >= answered(&seen) * 9, "{by_status:?}");
     });
 }
+
+/// Guards against a signal that comes in the midst of something else: as it starts, as it reads its file again, and more
+/// than once; what it took before is answered.
+#[test]
+fn told_to_end_in_the_midst_of_something_it_answers_and_ends_well() {
+    run(async {
+        let up = stand_in(|_, _| Deed::Silence).await;
+        let discovery = stand_in(|_, _| Deed::Silence).await;
+        let upstreams = [Rc::clone(&up)];
+        let text = page(&upstreams, discovery.address, "0.5");
+        let starts = folder("starts");
+        let starting = Program::launch(&starts, &text, Some(&starts)).await;
+        starting.term();
+        starting.ends_well().await;
+        let reads = folder("reads");
+        let reading = Program::start(&reads, &text).await;
+        // One RPC is open; it is answered though its upstream never does.
+        let mut open =
+            common::send(reading.address, rpc("GET", "/look", "").replace("Ms: 4000", "Ms: 9000")).await;
+        until(|| up.seen.borrow().len() == 1).await;
+        reading.reload(&page(&upstreams, discovery.address, "1.0"));
+        reading.term();
+        reading.reload("no page at all");
+        reading.term();
+        assert_eq!(read(&mut open).await.expect("an answer").status(), 502);
+        drop(open);
+        reading.ends_well().await;
+    });
+}
