--- a/crates/fernroute-server/src/routing/admit.rs
+++ b/crates/fernroute-server/src/routing/admit.rs
@@ -40,7 +40,6 @@
         let open = Open {
             request: Rc::clone(&request),
             answer: Some(answer),
-            taken: self.clock.now(),
             streaming: false,
             made: 0,
             out: BTreeMap::new(),
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -1,12 +1,11 @@
 //! One transmission, from its first byte to its outcome.
 
-use super::clock;
-use super::switchboard::{Open, Switchboard};
+use super::switchboard::Switchboard;
 use super::upload::Sent;
 use super::windows::PIECES;
 use crate::protocol::answer::{Answer, Cut, Flow};
 use crate::protocol::request::Request;
-use crate::transport::client::{Body, Call, Line, Rest, HELD};
+use crate::transport::client::{Body, Call, Line, Rest};
 use crate::transport::outbound::{Course, Reached};
 use actix_http::body::BoxBody;
 use fernroute::{Outcome, Time};
@@ -121,24 +120,17 @@
         let window = self.windows.open();
         let loads = std::mem::take(&mut answer.loads);
         answer.flow = Some(Flow::new(coming, rest.length));
-        let mut handed_on = answer.body.len();
         if !self.begin(rpc, tx, answer) {
             return Err(Outcome::Cancelled);
         }
         loop {
-            // One that may be as short as those that are held whole is owed whole by the hard deadline. Guards against an
-            // answer that says no length and never ends, and against a caller that is never told.
-            let may_be_short = rest.length.is_none() && handed_on <= HELD;
-            let until = self.open.borrow().get(rpc).and_then(Open::hard_deadline).filter(|_| may_be_short);
-            let left = until.map(|until| clock::duration(until.saturating_sub(self.clock.now())));
-            let next = timeout(left.map_or(SILENT, |left| left.min(SILENT)), rest.next(window.piece()));
+            let next = timeout(SILENT, rest.next(window.piece()));
             let next = match select(pin!(next), pin!(passed.closed())).await {
-                Either::Left((next, _)) => next.unwrap_or_else(|_| Err("no end in its time".to_owned())),
+                Either::Left((next, _)) => next.unwrap_or_else(|_| Err("silent".to_owned())),
                 Either::Right(_) => return Err(Outcome::Cancelled),
             };
             match next {
                 Ok(Some(more)) => {
-                    handed_on += more.len();
                     if passed.send(Ok(more)).await.is_err() {
                         return Err(Outcome::Cancelled);
                     }
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -41,7 +41,6 @@
     pub request: Rc<Request>,
     /// None once the final answer is given, or the caller has gone.
     pub answer: Option<oneshot::Sender<Final>>,
-    pub taken: Time,
     /// Its answer is being handed on.
     pub streaming: bool,
     /// How many transmissions were made; those that are out, by number.
@@ -50,15 +49,6 @@
 }
 
 impl Open {
-    /// When its time is up: counted from its last byte. None while that is to come.
-    pub fn hard_deadline(&self) -> Option<Time> {
-        let whole = match &self.request.upload {
-            Some(upload) => upload.whole_at.get()?,
-            None => self.taken,
-        };
-        Some(whole + self.request.time_left)
-    }
-
     /// It is taken and not ended. One whose last byte has not come is not taken yet.
     fn is_outstanding(&self) -> bool {
         self.answer.is_some() && self.request.is_whole() || self.streaming
--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -131,7 +131,7 @@
 
 /// How much of an answer comes before it is handed on: all, if it is no more than this. A longer one is handed on as it
 /// comes from here on.
-pub const HELD: usize = 64 * 1024;
+const HELD: usize = 64 * 1024;
 
 /// One that says to be longer need not be waited for so long: its first bytes are what its caller waits for. A moment
 /// still tells most that are spoilt.
