--- a/crates/fernroute-server/src/protocol/list.rs
+++ b/crates/fernroute-server/src/protocol/list.rs
@@ -77,14 +77,12 @@
         let empty = self.full && self.entries.iter().all(|e| e.state != State::Ready);
         empty.then_some("it names no upstream that serves")
     }
-}
 
-impl List {
     /// What a list that is doubted says of those that leave: they count as told so, and where the answer to the doubt takes
-    /// its time nothing new is theirs. None where it is older than what is known.
+    /// its time nothing new is theirs. None where nobody leaves, or where it is older than what is known.
     pub fn leaving(&self, last: Option<u64>) -> Option<List> {
-        let leave = self.entries.iter().filter(|e| e.state != State::Ready).cloned().collect();
-        let is_news = last.is_none_or(|last| self.version >= last);
+        let leave: Vec<Entry> = self.entries.iter().filter(|e| e.state != State::Ready).cloned().collect();
+        let is_news = last.is_none_or(|last| self.version >= last) && !leave.is_empty();
         is_news.then(|| List { version: last.unwrap_or(0), full: false, entries: leave })
     }
 }
--- a/crates/fernroute-server/src/transport/discovery.rs
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -83,6 +83,26 @@
         list::decode(&value).ok_or("not a list".to_owned())
     }
 
+    /// The same after a list that was doubted: told is told, and where no answer comes in time those count that leave by it.
+    async fn answer(
+        &self,
+        version: Option<u64>,
+        doubted: Option<List>,
+        news: impl Fn(Option<List>),
+    ) -> Result<List, String> {
+        let Some(leaving) = doubted else { return self.ask(version).await };
+        let mut asked = pin!(self.ask(version));
+        let early = timeout(PAUSE, &mut asked).await;
+        if let Ok(Ok(list)) = early {
+            return Ok(list);
+        }
+        news(Some(leaving));
+        match early {
+            Ok(failed) => failed,
+            Err(_) => asked.await,
+        }
+    }
+
     /// Follows the list from this version on, for as long as the program runs. Where discovery answers only
     /// those who ask, each watch waits for `begin`: it is the decisions' to say when. Guards against a fleet
     /// that all asks at once, is turned away, and asks again at once.
@@ -97,30 +117,14 @@
                 begin.notified().await;
             }
             loop {
-                let answer = {
-                    let mut asked = pin!(self.ask(version));
-                    match doubted.take() {
-                        None => asked.await,
-                        Some(leaving) => match timeout(PAUSE, &mut asked).await {
-                            Ok(Ok(list)) => Ok(list),
-                            late => {
-                                // Told is told: no answer to the doubt takes it back in time.
-                                news(Some(leaving));
-                                match late {
-                                    Ok(failed) => failed,
-                                    Err(_) => asked.await,
-                                }
-                            }
-                        },
-                    }
-                };
+                let answer = self.answer(version, doubted.take(), &news).await;
                 match answer {
                     Ok(list) => {
                         let doubt = list.doubtful(version).filter(|_| !asked_again);
                         asked_again = doubt.is_some();
                         if let Some(why) = doubt {
                             tracing::warn!("list {}: {why}, the whole list is asked for", list.version);
-                            doubted = list.leaving(version).filter(|leaving| !leaving.entries.is_empty());
+                            doubted = list.leaving(version);
                             version = None;
                             actix_rt::time::sleep(PAUSE).await;
                             continue;
--- a/crates/fernroute-server/src/transport/inbound.rs
+++ b/crates/fernroute-server/src/transport/inbound.rs
@@ -1,8 +1,8 @@
 //! One connection of a caller: whether it is between RPCs, and its end when it may be closed.
 
+use super::peek;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use rustix::io::Errno;
-use rustix::net::RecvFlags;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -170,12 +170,9 @@
         self.last.set(true);
     }
 
-    /// What lies in the socket: so many bytes, none where its caller has closed it, or nothing yet. Asked of the machine
-    /// itself: the event that tells of it may come a turn later.
+    /// Closed here is closed.
     fn peek(&self) -> Result<usize, Errno> {
-        let stream = self.stream.borrow();
-        let Some(stream) = &*stream else { return Ok(0) };
-        rustix::net::recv(stream, &mut [0; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT).map(|(_, bytes)| bytes)
+        self.stream.borrow().as_ref().map_or(Ok(0), peek)
     }
 
     /// Whether its caller has closed it; behind bytes that are not read yet that is not told.
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -2,12 +2,11 @@
 //! connection stands idle.
 
 use super::framing::Framing;
-use super::without_delay;
+use super::{peek, without_delay};
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use bytes::{Buf, BytesMut};
 use futures_util::future::{select, Either};
 use rustix::io::Errno;
-use rustix::net::RecvFlags;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
@@ -40,6 +39,8 @@
     cut: Cell<bool>,
     /// That end was the answer's, too.
     to_the_end: Cell<bool>,
+    /// When its first byte was written.
+    begun_at: Cell<Option<Instant>>,
     heard_at: Cell<Option<Instant>>,
     /// It never left, for want of connections here.
     held_back: Cell<bool>,
@@ -98,9 +99,9 @@
         // Out of the library's hands, whose pool would give it to the next RPC at once.
         let Some(stream) = seat.stream.take() else { return };
         // All of the RPC is out and all of the answer is in.
-        let is_done = seat.whole.get() && !seat.spent.get() && seat.left.borrow().is_empty();
+        let is_done = seat.reusable.get() && seat.left.borrow().is_empty();
         if let Some(home) = seat.home.upgrade().filter(|_| is_done) {
-            home.park(stream, seat.used_since.get().map_or(Duration::ZERO, |since| since.elapsed()));
+            home.park(stream, self.begun_at.get().map_or(Duration::ZERO, |at| at.elapsed()));
         }
     }
 
@@ -186,14 +187,11 @@
     /// new one that is made.
     pub async fn connect(self: &Rc<Self>, address: SocketAddr) -> io::Result<Outbound> {
         while let Some((seat, left)) = self.take() {
-            if left.is_zero() {
-                if seat.is_quiet() {
-                    return Ok(Outbound::of(seat));
+            let is_waited_out = self.usual.get() >= LONG * self.rest.as_secs_f64();
+            if left.is_zero() || is_waited_out {
+                if !left.is_zero() {
+                    sleep(left).await;
                 }
-                continue;
-            }
-            if self.usual.get() >= LONG * self.rest.as_secs_f64() {
-                sleep(left).await;
                 if seat.is_quiet() {
                     return Ok(Outbound::of(seat));
                 }
@@ -228,25 +226,17 @@
     /// of it is taken here at once; flushing then writes it out.
     left: RefCell<BytesMut>,
     idle_since: Cell<Option<Instant>>,
-    /// When the transmission on it began to write.
-    used_since: Cell<Option<Instant>>,
-    /// Of no further use after the answer that is on it.
-    spent: Cell<bool>,
-    /// The answer on it has come whole, and nothing behind it.
-    whole: Cell<bool>,
+    /// The answer on it has come whole, nothing behind it, and it says nothing of an end.
+    reusable: Cell<bool>,
     /// Where it stands between two RPCs, if it is kept.
     home: Weak<Parked>,
     most_body: u64,
 }
 
 impl Seat {
-    /// Nothing has come on it, and it has not ended. Asked of the machine itself: the event that tells of a second answer, or of
-    /// the end, may come a turn after it.
+    /// Nothing has come on it, and it has not ended.
     fn is_quiet(&self) -> bool {
-        let stream = self.stream.borrow();
-        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-        let peeked = stream.as_ref().map(|stream| rustix::net::recv(stream, &mut [0; 1], flags));
-        peeked.is_some_and(|peeked| peeked.is_err_and(|why| why == Errno::AGAIN))
+        self.stream.borrow().as_ref().is_some_and(|stream| peek(stream) == Err(Errno::AGAIN))
     }
 
     fn with<T>(&self, act: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
@@ -318,9 +308,7 @@
             stream: RefCell::new(Some(stream)),
             left: RefCell::default(),
             idle_since: Cell::new(None),
-            used_since: Cell::new(None),
-            spent: Cell::new(false),
-            whole: Cell::new(false),
+            reusable: Cell::new(false),
             home,
             most_body: self.most_body,
         });
@@ -443,10 +431,7 @@
         // library finds.
         let more = self.framing.is_whole()
             && (self.heard.len() > self.ready || matches!(self.hear(cx), Poll::Ready(Ok(_) | Err(_))));
-        if more || self.framing.is_open_ended() || self.framing.closes() {
-            self.seat.spent.set(true);
-        }
-        self.seat.whole.set(self.framing.is_whole());
+        self.seat.reusable.set(self.framing.is_whole() && !more && !self.framing.closes());
         Poll::Ready(Ok(()))
     }
 
@@ -499,7 +484,7 @@
                 return true;
             }
             if course.reached() < Reached::Connected {
-                self.seat.used_since.set(Some(Instant::now()));
+                course.begun_at.set(Some(Instant::now()));
             }
             course.seat.replace(Some(Rc::clone(&self.seat)));
             course.come_to(Reached::Connected);
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -273,10 +273,9 @@
                 visit.set_ending(ending);
             }
             let for_long = |time| visit.since().elapsed() >= time;
-            let stuck = visit.is_stuck() && for_long(STUCK);
             let late = visit.is_partial() && for_long(COMING);
-            // Or whom the library does not read from any more.
-            let stuck = stuck
+            // Who takes nothing, or whom the library does not read from any more.
+            let stuck = visit.is_stuck() && for_long(STUCK)
                 || visit.is_partial() && for_long(2 * COMING)
                 || visit.is_ending() && for_long(IDLE + COMING);
             if stuck {
--- a/crates/fernroute-server/tests/common/mod.rs
+++ b/crates/fernroute-server/tests/common/mod.rs
@@ -8,8 +8,12 @@
 pub use fernroute_rig::stand_in::{entry, ok, say, stand_in, Deed, StandIn};
 pub use fernroute_rig::until;
 
+use actix_http::header::HeaderName;
+use actix_http::{Method, RequestHead};
 use fernroute_server::program::serve::{self, Running};
 use fernroute_server::program::station::Station;
+use fernroute_server::protocol::list::{self as lists, List};
+use fernroute_server::protocol::request::Request;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -58,6 +62,30 @@
     Station::decode(&page(upstreams, discovery, changes)).expect("the file is whole")
 }
 
+/// The id of an RPC as it is written.
+pub fn id_of(bytes: &str) -> &str {
+    bytes.split("Req-Id: ").nth(1).and_then(|rest| rest.lines().next()).expect("an id")
+}
+
+/// An RPC of one of the page's methods, read as the balancer reads it.
+pub fn request(b: &Running, id: &str, method: &str, ms: &str) -> Request {
+    let mut head = RequestHead::default();
+    head.uri = format!("/{method}").parse().expect("a path");
+    head.method = if method == "look" { Method::GET } else { Method::POST };
+    let key = (method == "put").then_some(("idempotency-key", "k"));
+    let words = [("req-id", id), ("req-kind", method), ("req-deadline-ms", ms)];
+    for (name, value) in words.into_iter().chain(key) {
+        head.headers.insert(HeaderName::from_static(name), value.parse().expect("a value"));
+    }
+    Request::decode(&head, &b.board.methods.borrow()).expect("an RPC")
+}
+
+/// A list as discovery would tell it; `entries` as [`entry`] makes them.
+pub fn list(version: u64, full: bool, entries: &[String]) -> List {
+    let text = format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, entries.join(","));
+    lists::decode(&serde_json::from_str(&text).expect("it is JSON")).expect("a list")
+}
+
 /// Connections to upstreams that were used until now may be used again after this.
 pub async fn rested() {
     tokio::time::sleep(Duration::from_millis(12)).await;
--- a/crates/fernroute-server/tests/endings.rs
+++ b/crates/fernroute-server/tests/endings.rs
@@ -3,17 +3,14 @@
 
 mod common;
 
-use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead};
 use common::{
-    ask, balancer, balancer_at, connect, entry, ok, read, rested, rpc, run, send, stand_in, until, Deed,
+    ask, balancer, balancer_at, connect, entry, id_of, list, ok, read, request, rested, rpc, run, send,
+    stand_in, until, Deed,
 };
 use fernroute_rig::http::{answer, Peer};
 use fernroute_rig::stand_in::Held;
 use fernroute_server::program::serve::Running;
 use fernroute_server::protocol::answer::Final;
-use fernroute_server::protocol::list::{self as lists, List};
-use fernroute_server::protocol::request::Request;
 use futures_util::FutureExt as _;
 use std::cell::{Cell, RefCell};
 use std::io::Write as _;
@@ -31,11 +28,6 @@
     (r#""connect-timeout-s":0.25"#, r#""connect-timeout-s":5.0"#),
 ];
 
-fn list(version: u64, full: bool, entries: &[String]) -> List {
-    let text = format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, entries.join(","));
-    lists::decode(&serde_json::from_str(&text).expect("it is JSON")).expect("a list")
-}
-
 /// Nothing is left of what the crossing was about.
 async fn nothing_left(b: &Running) {
     until(|| b.board.open.borrow().is_empty()).await;
@@ -228,7 +220,7 @@
         // A kept connection would be written to at once.
         assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.body, b"one");
         rested().await;
-        let mut asked = pin!(b.board.admit(request(&b, "turn", "look")));
+        let mut asked = pin!(b.board.admit(request(&b, "turn", "look", "4000")));
         assert!(asked.as_mut().now_or_never().is_none() && out(&b) == 1);
         let entries = [entry("s-0", one.address, "z", "DRAINING"), entry("s-1", two.address, "z", "SERVING")];
         b.board.take_list(&list(8, false, &entries), true);
@@ -323,8 +315,7 @@
                 let bytes = rpc("GET", "/look", "");
                 caller.write_all(bytes.as_bytes()).await.expect("it reads");
                 let last = read(&mut caller).await.expect("an answer");
-                let id = bytes.split("Req-Id: ").nth(1).and_then(|r| r.lines().next()).expect("an id");
-                assert_eq!((last.status(), last.body), (200, id.as_bytes().to_vec()));
+                assert_eq!((last.status(), last.body), (200, id_of(&bytes).as_bytes().to_vec()));
             }
             rested().await;
         }
@@ -389,16 +380,6 @@
 
 // --------------------------------------------------------------------------------------------- timers and ids
 
-fn request(b: &Running, id: &str, method: &str) -> Request {
-    let mut head = RequestHead::default();
-    head.uri = format!("/{method}").parse().expect("a path");
-    head.method = if method == "look" { Method::GET } else { Method::POST };
-    for (name, value) in [("req-id", id), ("req-kind", method), ("req-deadline-ms", "4000")] {
-        head.headers.insert(HeaderName::from_static(name), HeaderValue::from_str(value).expect("a value"));
-    }
-    Request::decode(&head, &b.board.methods.borrow()).expect("an RPC")
-}
-
 /// Guards against an id that is used again the moment its RPC has ended, while the old one's transmission is still to
 /// be booked: the new RPC would get its outcome, and the upstream's count of what is out never come back.
 #[test]
@@ -407,16 +388,16 @@
         let up = stand_in(|n, _| if n == 0 { Deed::Silence } else { ok("whole") }).await;
         let b = balancer(&[&up], &[]).await;
         {
-            let mut asked = Box::pin(b.board.admit(request(&b, "twice", "look")));
+            let mut asked = Box::pin(b.board.admit(request(&b, "twice", "look", "4000")));
             assert!(asked.as_mut().now_or_never().is_none());
             until(|| up.seen.borrow().len() == 1).await;
             drop(asked);
         }
         // In the same turn: nothing else has run since.
-        let again = b.board.admit(request(&b, "twice", "look")).await;
+        let again = b.board.admit(request(&b, "twice", "look", "4000")).await;
         assert!(again.is_err(), "the old one is not booked yet");
         nothing_left(&b).await;
-        let last = b.board.admit(request(&b, "twice", "look")).await;
+        let last = b.board.admit(request(&b, "twice", "look", "4000")).await;
         assert!(matches!(last, Ok(Final::Completed(_))), "{last:?}");
         nothing_left(&b).await;
     });
--- a/crates/fernroute-server/tests/schedules.rs
+++ b/crates/fernroute-server/tests/schedules.rs
@@ -7,12 +7,10 @@
 
 mod common;
 
-use common::{balancer_at, connect, entry, rested, rpc, run, until};
+use common::{balancer_at, connect, entry, id_of, list, request, rested, rpc, run, until};
 use fernroute_rig::http::{answer, Message, Peer};
 use fernroute_server::program::serve::Running;
 use fernroute_server::program::station::Station;
-use fernroute_server::protocol::list;
-use fernroute_server::protocol::request::Request;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
@@ -210,9 +208,11 @@
 
     fn list(&mut self, upstream: usize, state: &str) {
         self.version += 1;
-        let entry = entry(&format!("s-{upstream}"), self.addresses[upstream], "z", state);
-        let text = format!(r#"{{"version":{},"full":false,"servers":[{entry}]}}"#, self.version);
-        let list = list::decode(&serde_json::from_str(&text).expect("JSON")).expect("a list");
+        let list = list(
+            self.version,
+            false,
+            &[entry(&format!("s-{upstream}"), self.addresses[upstream], "z", state)],
+        );
         self.b.board.take_list(&list, true);
         self.ledger.drains[upstream].set(state != "SERVING");
     }
@@ -227,7 +227,7 @@
         let time = if short { "60" } else { "1000" };
         let bytes = rpc(verb, &format!("/{name}"), more)
             .replace("Req-Deadline-Ms: 4000", &format!("Req-Deadline-Ms: {time}"));
-        let id = bytes.split("Req-Id: ").nth(1).and_then(|rest| rest.lines().next()).unwrap_or("").to_owned();
+        let id = id_of(&bytes).to_owned();
         self.ledger.methods.borrow_mut().insert(id.clone(), method);
         (id, bytes)
     }
@@ -290,13 +290,7 @@
                 let Some(i) = self.leave(0).await else { return };
                 let id = self.callers[i].id.clone();
                 // Whether or not the end of the first was read by now: one of that id at most is open.
-                let (_, bytes) = self.whole(0, false);
-                let own = bytes
-                    .split("Req-Id: ")
-                    .nth(1)
-                    .and_then(|rest| rest.lines().next())
-                    .unwrap_or("")
-                    .to_owned();
+                let (own, bytes) = self.whole(0, false);
                 if self.ledger.methods.borrow().get(&id) == Some(&0) {
                     self.ask(id.clone(), &bytes.replace(&own, &id), false).await;
                 }
@@ -321,17 +315,7 @@
             Step::AskAndDrain { method, upstream } => {
                 self.settle().await;
                 let (id, _) = self.whole(method, false);
-                let (name, verb) = METHODS[method];
-                let mut head = actix_http::RequestHead::default();
-                head.uri = format!("/{name}").parse().expect("a path");
-                head.method = verb.parse().expect("a verb");
-                let key = (method == 1).then_some(("idempotency-key", "k"));
-                let words = [("req-id", id.as_str()), ("req-kind", name), ("req-deadline-ms", "1000")];
-                for (name, value) in words.into_iter().chain(key) {
-                    let name = actix_http::header::HeaderName::from_static(name);
-                    head.headers.insert(name, value.parse().expect("a value"));
-                }
-                let request = Request::decode(&head, &self.b.board.methods.borrow()).expect("an RPC");
+                let request = request(&self.b, &id, METHODS[method].0, "1000");
                 let board = Rc::clone(&self.b.board);
                 let mut asked = Box::pin(async move { board.admit(request).await.is_ok() });
                 let at_once = futures_util::FutureExt::now_or_never(asked.as_mut());
