Configuration for a fleet: the register, a balancer's side, parts laid over a file

Nothing carries a change of configuration to the balancers of a fleet: it is a file and a SIGHUP for each. Nothing uses them yet; beats and answers have room for them, left out where nobody follows any.

--- a/crates/fernroute-config/src/lib.rs
+++ b/crates/fernroute-config/src/lib.rs
@@ -1,6 +1,8 @@
 //! Files for installations of one's own: TOML, with this project's names and units, checked whole. All that is wrong
 //! is told at once, each with its place. What comes out are the terms that the platform's own files turn into, too.
 
+pub mod layers;
+
 use fernroute::{Terms, Time};
 use std::collections::BTreeMap;
 use std::fmt;
--- a/crates/fernroute-fleet/src/leader.rs
+++ b/crates/fernroute-fleet/src/leader.rs
@@ -101,6 +101,7 @@
             grant: holder.latest().clone(),
             shares_for,
             floors_for,
+            configuration: None,
         })
     }
 
--- a/crates/fernroute-fleet/src/ledger.rs
+++ b/crates/fernroute-fleet/src/ledger.rs
@@ -1,6 +1,7 @@
 //! The ledger: what each member may hold at the most. A deterministic state machine, the same at every process that
 //! applies the same entries. It trusts no entry: one that would let all together hold more than the whole is refused.
 
+use crate::configuration::register::Put;
 use crate::message::Grant;
 use crate::{Identity, Shares, Units, UNIT};
 use serde::{Deserialize, Serialize};
@@ -81,6 +82,8 @@
     /// held beyond it comes back as members accept less, or lapse.
     Budgets(BTreeMap<String, Budget>),
     Step(Step),
+    /// Of the register beside the ledger; nothing of the ledger's.
+    Configuration(Put),
 }
 
 /// Why an entry changed nothing.
@@ -133,6 +136,8 @@
         let mut next = self.clone();
         match entry {
             Entry::Budgets(budgets) => next.budgets.clone_from(budgets),
+            // The ledger's epoch is of who holds what alone.
+            Entry::Configuration(_) => return Ok(()),
             Entry::Step(step) => {
                 if step.base != self.epoch {
                     return Err(Refused::OutOfDate);
--- a/crates/fernroute-fleet/src/lib.rs
+++ b/crates/fernroute-fleet/src/lib.rs
@@ -6,10 +6,12 @@
 //! - [`leader`]: what only the leader of the ledger's processes knows: when it heard of whom, and what each asked for.
 //!   It decides what to enter next, and what a member is told.
 //! - [`member`]: a balancer's side: what it holds, and until when.
+//! - [`configuration`]: versioned entries of configuration, and who goes by which.
 //! - [`division`]: who should get how much. [`demand`]: what a member could use. [`lease`]: how long who believes what. [`message`]: what they say.
 //!
 //! The argument why budgets never sum to more than the whole stands in `docs/fleet.md`.
 
+pub mod configuration;
 pub mod demand;
 pub mod division;
 pub mod leader;
--- a/crates/fernroute-fleet/src/member.rs
+++ b/crates/fernroute-fleet/src/member.rs
@@ -95,6 +95,7 @@
             epoch: self.epoch(),
             wants,
             leaves: false,
+            configuration: None,
         }
     }
 
@@ -214,7 +215,14 @@
     }
 
     fn answer(beat: &Beat, grant: Grant) -> Answer {
-        Answer { identity: beat.identity, number: beat.number, grant, shares_for: 100, floors_for: 1000 }
+        Answer {
+            identity: beat.identity,
+            number: beat.number,
+            grant,
+            shares_for: 100,
+            floors_for: 1000,
+            configuration: None,
+        }
     }
 
     /// Guards against a process that spends what has lapsed because an answer took long, came twice or was overtaken,
--- a/crates/fernroute-fleet/src/message.rs
+++ b/crates/fernroute-fleet/src/message.rs
@@ -1,5 +1,6 @@
 //! What members and the leader say to each other, whatever carries it. Fields that are not known are passed over.
 
+use crate::configuration::{Report, Version};
 use crate::{Identity, Shares};
 use fernroute::Time;
 use serde::{Deserialize, Serialize};
@@ -18,6 +19,9 @@
     /// It spends nothing any more, and comes no more.
     #[serde(default)]
     pub leaves: bool,
+    /// The configuration that it goes by; none where it follows none, or is of a version that knows of none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub configuration: Option<Report>,
 }
 
 /// What a member may hold, as of one epoch of the ledger.
@@ -40,6 +44,9 @@
     /// For how long the grant's two parts hold, from when the beat left, by the member's clock.
     pub shares_for: Time,
     pub floors_for: Time,
+    /// The version that concerns it, where it reported another one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub configuration: Option<Version>,
 }
 
 /// Of the messages between stewards and from members. Another one is refused by name.
