A repeat whose connection comes up after the window of repeats does not begin

At fault: may_send judged the window when the repeat was decided (decide.rs); its first byte left whenever its connection was up. The decisions now say by when a transmission must have begun (Host::transmit, begins_by), 20 ms or two ticks before the window's end, and the connection bars a first byte after that; it ends as Moot.

--- a/crates/fernroute-benchlink/src/wire.rs
+++ b/crates/fernroute-benchlink/src/wire.rs
@@ -80,7 +80,7 @@
 }
 
 impl Host for Desk {
-    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time) {
+    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time, _: Option<Time>) {
         let cap = seconds(time_out);
         self.put(format_args!("hand_off\tcall={rpc}\tupstream={upstream}\tcap-s={cap}"));
     }
--- a/crates/fernroute-lab/src/player.rs
+++ b/crates/fernroute-lab/src/player.rs
@@ -229,7 +229,7 @@
         let Some(to) = to else { return false };
         rpc.txs.push((Rc::clone(&to), now, None));
         self.upstreams.get_mut(&to).into_iter().for_each(|k| k.out += 1);
-        self.host.transmit(&id, &to, hard - now);
+        self.host.transmit(&id, &to, hard - now, None);
         true
     }
 
--- a/crates/fernroute-lab/src/world.rs
+++ b/crates/fernroute-lab/src/world.rs
@@ -479,7 +479,9 @@
         call(&mut *self.nodes[node].player);
         while let Some(act) = self.nodes[node].desk.next() {
             match act {
-                Act::Transmit { rpc, upstream, time_out } => self.transmit(node, &rpc, &upstream, time_out),
+                Act::Transmit { rpc, upstream, time_out, .. } => {
+                    self.transmit(node, &rpc, &upstream, time_out)
+                }
                 Act::Cancel { rpc, tx } => {
                     let outcome = Outcome::Cancelled;
                     self.set(self.now, Due::Stopped { node, rpc, tx, outcome });
--- a/crates/fernroute-lab/tests/referee.rs
+++ b/crates/fernroute-lab/tests/referee.rs
@@ -54,7 +54,7 @@
         let Some(to) = self.next(&before) else { return false };
         self.rpcs.get_mut(rpc).into_iter().for_each(|r| r.2.push(Rc::clone(&to)));
         let room = if self.how == Rogue::AnswersLate { 2 * seconds(1.0) } else { 0 };
-        self.host.transmit(rpc, &to, (hard - now).max(1) + room);
+        self.host.transmit(rpc, &to, (hard - now).max(1) + room, None);
         true
     }
 }
--- a/crates/fernroute-server/src/routing/route.rs
+++ b/crates/fernroute-server/src/routing/route.rs
@@ -1,5 +1,6 @@
 //! From the upstream that was drawn to the transmission's task: its address, its number, its timer.
 
+use super::clock::duration;
 use super::send::Way;
 use super::switchboard::{Out, Switchboard};
 use super::timers::Due;
@@ -10,7 +11,13 @@
 use tokio::sync::oneshot;
 
 impl Switchboard {
-    pub(super) fn route(self: &Rc<Self>, rpc: &Rc<str>, upstream: &Rc<str>, time_out: Time) {
+    pub(super) fn route(
+        self: &Rc<Self>,
+        rpc: &Rc<str>,
+        upstream: &Rc<str>,
+        time_out: Time,
+        begins_by: Option<Time>,
+    ) {
         let mut open = self.open.borrow_mut();
         let Some(entry) = open.get_mut(rpc) else {
             tracing::error!("RPC {rpc} is to be sent, but is not open");
@@ -24,6 +31,8 @@
         let time_out_key = entry.request.is_whole().then(|| self.timers.set(time_out, due));
         let line = self.lines.borrow().get(upstream).map(|(_, line)| Rc::clone(line));
         let course = Course::counted(&self.tally.written);
+        let left = |by: Time| duration(by.saturating_sub(self.clock.now()));
+        begins_by.map(left).into_iter().for_each(|left| course.bar_after(left));
         let out = Out {
             stop: Some(stop),
             time_out: time_out_key,
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -225,7 +225,9 @@
     fn act(self: &Rc<Self>) {
         while let Some(act) = self.desk.next() {
             match act {
-                Act::Transmit { rpc, upstream, time_out } => self.route(&rpc, &upstream, time_out),
+                Act::Transmit { rpc, upstream, time_out, begins_by } => {
+                    self.route(&rpc, &upstream, time_out, begins_by);
+                }
                 Act::Cancel { rpc, tx } => self.stop(&rpc, tx, Outcome::Cancelled),
                 Act::Exhaust { rpc, stay_away } => {
                     self.give(&rpc, Final::Exhausted(stay_away));
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -47,6 +47,8 @@
     seat: RefCell<Option<Rc<Seat>>>,
     /// Called off, or its upstream has left the list: it does not begin any more.
     barred: Cell<bool>,
+    /// Nor after this.
+    begins_by: Cell<Option<Instant>>,
     /// More of the body is to come: the last byte is not out.
     pub unfinished: Cell<bool>,
     /// The upstream answered before it had the whole body.
@@ -92,6 +94,15 @@
         self.barred.set(true);
     }
 
+    /// The same in so long. Guards against a repeat on a connection that comes up when repeats are not dropped any more.
+    pub fn bar_after(&self, left: Duration) {
+        self.begins_by.set(Some(Instant::now() + left));
+    }
+
+    fn may_begin(&self) -> bool {
+        !self.barred.get() && self.begins_by.get().is_none_or(|by| Instant::now() < by)
+    }
+
     /// The connection, if it is kept, stands idle from now on; one that may still bring something of this
     /// answer is closed. Guards against a second copy or noise that the next RPC would take for its answer.
     pub fn over(&self) {
@@ -479,7 +490,7 @@
 impl AsyncWrite for Outbound {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let barred = COURSE.try_with(|course| {
-            if course.barred.get() && course.reached() < Reached::Connected {
+            if course.reached() < Reached::Connected && !course.may_begin() {
                 course.held_back.set(true);
                 return true;
             }
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -490,8 +490,7 @@
         }
         let m = &rpc.method.promise;
         let Some(first) = rpc.may_have_run() else { return true };
-        // A repeat arrives later than it is sent; two ticks keep it inside the window.
-        let in_window = self.now + 2 * self.agreed.tick < first.sent + m.window;
+        let in_window = rpc.begins_by(self.agreed.tick).is_none_or(|by| self.now < by);
         match m.repeat {
             Repeat::Anywhere => true,
             Repeat::AmongAll => in_window,
@@ -638,6 +637,7 @@
         }
         u.out.push(self.now);
         rpc.waiting = false;
+        let begins_by = rpc.begins_by(self.agreed.tick);
         rpc.txs.push(Tx {
             upstream: id.clone(),
             zone: u.zone.clone(),
@@ -648,7 +648,7 @@
             ahead,
             end: None,
         });
-        self.host.transmit(rpc_id, id, time_out);
+        self.host.transmit(rpc_id, id, time_out, begins_by);
         true
     }
 
--- a/crates/fernroute/src/desk.rs
+++ b/crates/fernroute/src/desk.rs
@@ -11,6 +11,7 @@
         rpc: Rc<str>,
         upstream: Rc<str>,
         time_out: Time,
+        begins_by: Option<Time>,
     },
     Cancel {
         rpc: Rc<str>,
@@ -47,8 +48,8 @@
 }
 
 impl Host for Desk {
-    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time) {
-        self.note(Act::Transmit { rpc: rpc.into(), upstream: upstream.into(), time_out });
+    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time, begins_by: Option<Time>) {
+        self.note(Act::Transmit { rpc: rpc.into(), upstream: upstream.into(), time_out, begins_by });
     }
     fn cancel(&mut self, rpc: &str, tx: usize) {
         self.note(Act::Cancel { rpc: rpc.into(), tx });
--- a/crates/fernroute/src/records.rs
+++ b/crates/fernroute/src/records.rs
@@ -1,6 +1,6 @@
 //! What the decisions keep of RPCs, methods and tenants. Nothing is decided here.
 
-use crate::agreed::Promise;
+use crate::agreed::{Promise, Repeat};
 use crate::host::{BadTerm, Outcome, Time, SECOND};
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -202,6 +202,17 @@
     pub fn may_have_run(&self) -> Option<&Tx> {
         self.txs.iter().find(|t| !t.end.is_some_and(Outcome::never_ran))
     }
+
+    /// By when a transmission must have begun, where one before it may have run and repeats are dropped for a while alone.
+    /// Guards against a repeat whose connection comes up late, when the window is over: it would run a second time.
+    pub fn begins_by(&self, tick: Time) -> Option<Time> {
+        /// It arrives later than it is begun: by a way between zones and a busy turn, which the first may have had less of.
+        const TRIP: Time = SECOND / 50;
+        let promise = &self.method.promise;
+        let dropped = matches!(promise.repeat, Repeat::AmongAll | Repeat::InZone | Repeat::InCell);
+        let first = self.may_have_run().filter(|_| dropped)?;
+        Some((first.sent + promise.window).saturating_sub(TRIP.max(2 * tick)))
+    }
 }
 
 /// Whether an RPC was sent; if not, because no upstream may get it now, or because it would come too late.
--- a/crates/fernroute/tests/common/mod.rs
+++ b/crates/fernroute/tests/common/mod.rs
@@ -24,7 +24,7 @@
 pub struct Notebook(pub Rc<RefCell<Notes>>);
 
 impl Host for Notebook {
-    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time) {
+    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time, _: Option<Time>) {
         self.0.borrow_mut().sent.push((rpc.into(), upstream.into(), time_out));
     }
     fn cancel(&mut self, rpc: &str, tx: usize) {
--- a/crates/fernroute/tests/rules.rs
+++ b/crates/fernroute/tests/rules.rs
@@ -111,7 +111,7 @@
 struct Checker(Rc<RefCell<Model>>);
 
 impl Host for Checker {
-    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time) {
+    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time, _: Option<Time>) {
         let mut m = self.0.borrow_mut();
         let (to, at) = (Model::number(upstream), m.now);
         m.check_send(&m.rpcs[rpc], to);
