No attempt begins once its caller has left: the caller's socket is asked before the first byte

Cause: the end of a caller's connection was known by its event alone. Where a turn was long, the event lay behind others, or unread bytes lay before the end (messages behind an open RPC, a long body that is not read on), first and further attempts began after it: of two hundred that left in one moment, 29,118 bytes were sent on after a turn of 150 ms.

Change: each transmission looks at its caller's socket before a connection is taken for it and before its first byte, unless the caller was seen there in the last 20 ms. Past unread bytes the machine's event of the end counts, and connections with an open RPC that are not read on are looked at each 200 ms. Whoever has left has its connection ended and its RPC told as abandoned. Connections to upstreams move from outbound.rs, which was over its length, to seats.rs.

--- a/crates/fernroute-server/src/routing/admit.rs
+++ b/crates/fernroute-server/src/routing/admit.rs
@@ -5,8 +5,10 @@
 use super::tally::End;
 use crate::protocol::answer::Final;
 use crate::protocol::request::{Request, Unfit};
+use crate::transport::inbound::Visit;
 use actix_http::StatusCode;
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
@@ -23,7 +25,12 @@
 }
 
 impl Switchboard {
-    pub async fn admit(self: &Rc<Self>, request: Request) -> Result<Final, Unfit> {
+    /// `caller` is the connection that it came on, if it came on one.
+    pub async fn admit(
+        self: &Rc<Self>,
+        request: Request,
+        caller: Option<&Rc<Visit>>,
+    ) -> Result<Final, Unfit> {
         let rpc = Rc::clone(&request.id);
         // One id, one final answer.
         if self.open.borrow().contains_key(&rpc) {
@@ -39,6 +46,7 @@
         let request = Rc::new(request);
         let open = Open {
             request: Rc::clone(&request),
+            caller: caller.map(Rc::downgrade),
             answer: Some(answer),
             streaming: false,
             made: 0,
@@ -53,7 +61,10 @@
         self.decide(Some(&rpc), |b, now| {
             b.rpc_arrived(now, &rpc, &request.method, &request.tenant, &request.key, request.time_left);
         });
-        let mut last = waiting.await.unwrap_or(Final::Errored);
+        let Ok(mut last) = waiting.await else {
+            // Found to have left: its connection is ended, and with it this.
+            return pending().await;
+        };
         let end = End::of(&last);
         if let Some(at_end) = last.at_end(move |whole| taken.end(if whole { end } else { End::Errored })) {
             at_end(true);
--- a/crates/fernroute-server/src/routing/route.rs
+++ b/crates/fernroute-server/src/routing/route.rs
@@ -30,7 +30,7 @@
         // Its time counts from the last byte of an RPC that still comes.
         let time_out_key = entry.request.is_whole().then(|| self.timers.set(time_out, due));
         let line = self.lines.borrow().get(upstream).map(|(_, line)| Rc::clone(line));
-        let course = Course::counted(&self.tally.written);
+        let course = Course::of(entry.caller.clone(), &self.tally.written);
         let left = |by: Time| duration(by.saturating_sub(self.clock.now()));
         begins_by.map(left).into_iter().for_each(|left| course.bar_after(left));
         let out = Out {
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -39,8 +39,13 @@
         way: Way,
     ) {
         let sent = self.clock.now();
+        let course = Rc::clone(&way.course);
         let made = self.make(&request, way);
         let result = AssertUnwindSafe(made).catch_unwind().await.unwrap_or(Err(Outcome::Unknown));
+        if course.is_unwanted() {
+            // Before it is booked: nothing further is to be sent.
+            self.abandoned(&rpc);
+        }
         // An RPC that was sent on while it came is worked on from its last byte on.
         let whole = request.upload.as_ref().and_then(|upload| upload.whole_at.get());
         let took = self.clock.now() - whole.map_or(sent, |whole| whole.max(sent));
@@ -92,6 +97,7 @@
                 tracing::debug!("RPC {} at {}: {broken}", request.id, line.address);
                 let caller_broke = request.upload.as_ref().is_some_and(|upload| upload.broken.get());
                 Err(match broken.reached {
+                    Reached::Nothing if course.is_unwanted() => Outcome::Cancelled,
                     // For want of connections here, or of the RPC: that says nothing of the upstream.
                     Reached::Nothing if course.held_back() => Outcome::Moot,
                     Reached::Nothing | Reached::Connected if caller_broke => Outcome::Moot,
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -11,6 +11,7 @@
 use crate::protocol::ops::Figures;
 use crate::protocol::request::{Request, Shape};
 use crate::transport::client::{Client, Line};
+use crate::transport::inbound::Visit;
 use crate::transport::outbound::Course;
 use fernroute::desk::{Act, Desk};
 use fernroute::{BadTerm, Balancer, Outcome, Terms, Time};
@@ -18,7 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
 use tokio_util::time::delay_queue::Key;
@@ -39,6 +40,8 @@
 /// An RPC that waits for its final answer, or for the end of a transmission.
 pub struct Open {
     pub request: Rc<Request>,
+    /// The connection that it came on.
+    pub caller: Option<Weak<Visit>>,
     /// None once the final answer is given, or the caller has gone.
     pub answer: Option<oneshot::Sender<Final>>,
     /// Its answer is being handed on.
--- a/crates/fernroute-server/src/routing/take_in.rs
+++ b/crates/fernroute-server/src/routing/take_in.rs
@@ -48,11 +48,12 @@
     match (decoded, body) {
         (Ok(mut request), Ok((body, upload))) => {
             if visit.has_left() {
-                // Nobody waits for it. The library ends the connection in its next turn, and with it this.
+                // Nobody waits for it: the connection ends, and with it this.
+                visit.leave();
                 return pending().await;
             }
             (request.body, request.upload) = (body, upload.clone());
-            let mut last = match board.admit(request).await {
+            let mut last = match board.admit(request, Some(visit)).await {
                 Ok(last) => last,
                 Err(unfit) => return turn_away(&unfit, visit),
             };
--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -1,6 +1,7 @@
 //! Calls on upstreams. Nothing here sends twice, follows a redirect or gives up by itself.
 
-use super::outbound::{Course, Parked, Reached, Seats, COURSE};
+use super::outbound::{Course, Reached, COURSE};
+use super::seats::{Parked, Seats};
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderMap, CONTENT_LENGTH};
 use actix_http::{Method, ResponseHead, Uri};
@@ -9,10 +10,10 @@
 use awc::ClientResponse;
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt as _, StreamExt as _};
-use std::fmt;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
+use std::{fmt, io};
 use tokio::time::timeout_at;
 
 /// A call that brought no whole answer, and how far it had come.
@@ -89,6 +90,10 @@
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
             let (seats, parked) = (Rc::clone(&for_new), parked.clone());
             async move {
+                if !COURSE.try_with(|course| course.may_begin()).unwrap_or(true) {
+                    // No connection is taken or made for it.
+                    return Err(ConnectError::Io(io::Error::other("called off before it was connected")));
+                }
                 let stream = match &parked {
                     Some(parked) => parked.connect(address).await,
                     None => seats.connect(address, Weak::new()).await,
--- a/crates/fernroute-server/src/transport/inbound.rs
+++ b/crates/fernroute-server/src/transport/inbound.rs
@@ -2,6 +2,7 @@
 
 use super::peek;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
+use futures_util::FutureExt as _;
 use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -9,7 +10,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::sync::Notify;
 
 /// The library reads until nothing is left: after so many bytes the others have their turn, and what came is used.
@@ -18,6 +19,10 @@
 /// A message follows its connection in far less than that, on a busy machine too.
 const NEW: Duration = Duration::from_millis(200);
 
+/// Who was there so short a time ago need not be looked for again: an attempt may begin a tenth of a second after its caller
+/// left, no later.
+const LOOKED: Duration = Duration::from_millis(20);
+
 /// What the server knows of a connection.
 #[derive(Debug)]
 pub struct Visit {
@@ -35,6 +40,10 @@
     since: Cell<Instant>,
     /// Bytes that were read in this turn of the library.
     turn: Cell<usize>,
+    /// The library has read all that was there when it last wanted to.
+    drained: Cell<bool>,
+    /// When its caller was last seen to be there.
+    seen_at: Cell<Option<Instant>>,
     ending: Cell<bool>,
     /// Its room is wanted by another.
     wanted: Cell<bool>,
@@ -59,6 +68,8 @@
             asked: Cell::new(false),
             since: Cell::new(Instant::now()),
             turn: Cell::new(0),
+            drained: Cell::new(false),
+            seen_at: Cell::new(None),
             ending: Cell::new(false),
             wanted: Cell::new(false),
             late: Cell::new(false),
@@ -175,12 +186,40 @@
         self.stream.borrow().as_ref().map_or(Ok(0), peek)
     }
 
-    /// Whether its caller has closed it; behind bytes that are not read yet that is not told.
+    /// Whether its caller has closed it, or ended its sending; also where bytes lie before the end that nobody reads on, as
+    /// of a body whose upstream is full, or of messages behind an open RPC.
     pub fn has_left(&self) -> bool {
-        match self.peek() {
-            Ok(bytes) => bytes == 0,
+        let left = match self.peek() {
+            Ok(0) => true,
+            Ok(_) => self.is_told_of_end(),
             Err(why) => [Errno::CONNRESET, Errno::PIPE, Errno::TIMEDOUT].contains(&why),
-        }
+        };
+        self.seen_at.set((!left).then(Instant::now));
+        left
+    }
+
+    /// The same for an attempt that is about to begin. Guards against one that nobody waits for: the event that tells of the
+    /// end may be a turn away, or lie behind what is not read.
+    pub fn has_left_by_now(&self) -> bool {
+        self.seen_at.get().is_none_or(|at| at.elapsed() >= LOOKED) && self.has_left()
+    }
+
+    /// The same for one with an open RPC that the library does not read on. Guards against work for who has left long ago.
+    pub fn has_left_unread(&self) -> bool {
+        self.open.get() > 0 && !self.drained.get() && self.has_left()
+    }
+
+    /// The event of its end has come, whatever lies unread before that.
+    fn is_told_of_end(&self) -> bool {
+        let stream = self.stream.borrow();
+        let ready = stream.as_ref().and_then(|stream| stream.ready(Interest::READABLE).now_or_never());
+        ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+    }
+
+    /// Its caller has left: what is open on it ends with it. The library may never come to the end itself.
+    pub fn leave(&self) {
+        self.last_answer();
+        self.cut();
     }
 
     /// Whether there is more to read. Guards against the end of an idle connection on which the next RPC has come.
@@ -238,6 +277,7 @@
             Poll::Ready(_) => visit.turn.set(visit.turn.get() + buf.filled().len() - before),
             Poll::Pending => visit.turn.set(0),
         }
+        visit.drained.set(read.is_pending());
         match &read {
             Poll::Ready(Ok(())) if buf.filled().len() > before => {
                 if visit.is_idle() {
--- a/crates/fernroute-server/src/transport/mod.rs
+++ b/crates/fernroute-server/src/transport/mod.rs
@@ -7,6 +7,7 @@
 pub mod handover;
 pub mod inbound;
 pub mod outbound;
+pub mod seats;
 pub mod server;
 
 use rustix::io::Errno;
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -278,7 +278,9 @@
             let stuck = visit.is_stuck() && for_long(STUCK)
                 || visit.is_partial() && for_long(2 * COMING)
                 || visit.is_ending() && for_long(IDLE + COMING);
-            if stuck {
+            if visit.has_left_unread() {
+                visit.leave();
+            } else if stuck {
                 visit.cut();
             } else if late {
                 // The library has its turn first: the rest may lie in the socket.
--- a/crates/fernroute-server/tests/endings.rs
+++ b/crates/fernroute-server/tests/endings.rs
@@ -220,7 +220,7 @@
         // A kept connection would be written to at once.
         assert_eq!(ask(b.address, rpc("GET", "/look", "")).await.body, b"one");
         rested().await;
-        let mut asked = pin!(b.board.admit(request(&b, "turn", "look", "4000")));
+        let mut asked = pin!(b.board.admit(request(&b, "turn", "look", "4000"), None));
         assert!(asked.as_mut().now_or_never().is_none() && out(&b) == 1);
         let entries = [entry("s-0", one.address, "z", "DRAINING"), entry("s-1", two.address, "z", "SERVING")];
         b.board.take_list(&list(8, false, &entries), true);
@@ -388,16 +388,16 @@
         let up = stand_in(|n, _| if n == 0 { Deed::Silence } else { ok("whole") }).await;
         let b = balancer(&[&up], &[]).await;
         {
-            let mut asked = Box::pin(b.board.admit(request(&b, "twice", "look", "4000")));
+            let mut asked = Box::pin(b.board.admit(request(&b, "twice", "look", "4000"), None));
             assert!(asked.as_mut().now_or_never().is_none());
             until(|| up.seen.borrow().len() == 1).await;
             drop(asked);
         }
         // In the same turn: nothing else has run since.
-        let again = b.board.admit(request(&b, "twice", "look", "4000")).await;
+        let again = b.board.admit(request(&b, "twice", "look", "4000"), None).await;
         assert!(again.is_err(), "the old one is not booked yet");
         nothing_left(&b).await;
-        let last = b.board.admit(request(&b, "twice", "look", "4000")).await;
+        let last = b.board.admit(request(&b, "twice", "look", "4000"), None).await;
         assert!(matches!(last, Ok(Final::Completed(_))), "{last:?}");
         nothing_left(&b).await;
     });
--- a/crates/fernroute-server/tests/relay.rs
+++ b/crates/fernroute-server/tests/relay.rs
@@ -4,7 +4,8 @@
 
 use common::{ask, balancer, balancer_at, ok, read, rested, rpc, run, say, send, stand_in, until, Deed};
 use fernroute_server::protocol::answer::Final;
-use fernroute_server::transport::outbound::{Course, Reached, Seats, COURSE};
+use fernroute_server::transport::outbound::{Course, Reached, COURSE};
+use fernroute_server::transport::seats::Seats;
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
--- a/crates/fernroute-server/tests/schedules.rs
+++ b/crates/fernroute-server/tests/schedules.rs
@@ -317,7 +317,7 @@
                 let (id, _) = self.whole(method, false);
                 let request = request(&self.b, &id, METHODS[method].0, "1000");
                 let board = Rc::clone(&self.b.board);
-                let mut asked = Box::pin(async move { board.admit(request).await.is_ok() });
+                let mut asked = Box::pin(async move { board.admit(request, None).await.is_ok() });
                 let at_once = futures_util::FutureExt::now_or_never(asked.as_mut());
                 self.list(upstream, "DRAINING");
                 if at_once.is_none() {
