--- /dev/null
+++ b/crates/fernroute-server/tests/told.rs
@@ -0,0 +1,321 @@
+//! What discovery has counts as told six seconds after it had it and could be reached, whatever became of the
+//! calls between. The longest chains of such calls are forced here, each from the moment at which the change
+//! is there.
+
+mod common;
+
+use common::{entry, run, station, until};
+use fernroute_rig::http::{answer, Message, Peer};
+use fernroute_rig::stand_in::{Deed, Held};
+use fernroute_server::program::serve::{self, Running};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+const TOLD: Duration = Duration::from_secs(6);
+
+/// After SIGHUP it counts sooner.
+const TOLD_MOVED: Duration = Duration::from_secs(4);
+
+/// What discovery does with one call.
+enum Does {
+    Say(String),
+    /// In many pieces, over this time.
+    Trickle(String, Duration),
+    /// Begins, and goes on for good.
+    Drip,
+    /// Begins, and says nothing more.
+    Stall(&'static str),
+    Silence,
+    Refuse,
+}
+
+/// Discovery that does with each call as it is told, with what came when.
+struct Agent {
+    address: SocketAddr,
+    calls: RefCell<Vec<(Instant, Message)>>,
+}
+
+impl Agent {
+    async fn start(script: impl Fn(usize, &Message) -> Does + 'static) -> Rc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let agent = Rc::new(Agent { address, calls: RefCell::default() });
+        let (serving, script) = (Rc::clone(&agent), Rc::new(script));
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (agent, script) = (Rc::clone(&serving), Rc::clone(&script));
+                spawn_local(async move {
+                    let mut peer = Peer::new(stream);
+                    while let Ok(Some(message)) = peer.read().await {
+                        let n = agent.calls.borrow().len();
+                        // Whoever has the change hears nothing more.
+                        let has_all = message.target.contains("index=9&");
+                        let does = if has_all { Does::Silence } else { script(n, &message) };
+                        agent.calls.borrow_mut().push((Instant::now(), message));
+                        if does.on(&mut peer).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        agent
+    }
+
+    fn count(&self) -> usize {
+        self.calls.borrow().len()
+    }
+
+    async fn until_called(&self, times: usize) -> Instant {
+        until(|| self.count() >= times).await;
+        self.calls.borrow()[times - 1].0
+    }
+}
+
+impl Does {
+    async fn on(self, peer: &mut Peer) -> std::io::Result<()> {
+        match self {
+            Does::Say(list) => peer.write(&answer(200, "", &list)).await,
+            Does::Trickle(list, over) => {
+                let bytes = answer(200, "", &list);
+                let pieces: Vec<&[u8]> = bytes.chunks(5).collect();
+                for piece in &pieces {
+                    peer.write(piece).await?;
+                    sleep(over / pieces.len() as u32).await;
+                }
+                Ok(())
+            }
+            Does::Drip => {
+                peer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n{\"version\":9,").await?;
+                loop {
+                    peer.write(b" ").await?;
+                    sleep(Duration::from_millis(100)).await;
+                }
+            }
+            Does::Stall(begin) => peer.write(begin.as_bytes()).await,
+            Does::Silence => Ok(()),
+            Does::Refuse => peer.write(&answer(503, "", "")).await,
+        }
+    }
+}
+
+fn nobody() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
+}
+
+fn whole(version: u64, entries: &str) -> String {
+    format!(r#"{{"version":{version},"full":true,"servers":[{entries}]}}"#)
+}
+
+/// What is known at first, and the change: in a list of its own it brings another upstream, and the first is
+/// gone.
+fn before() -> String {
+    whole(8, &entry("s-0", nobody(), "z", "SERVING"))
+}
+
+fn change() -> String {
+    whole(9, &entry("s-9", nobody(), "z", "SERVING"))
+}
+
+fn is_taken(b: &Running) -> bool {
+    let lines = b.board.lines.borrow();
+    lines.contains_key("s-9") && !lines.contains_key("s-0")
+}
+
+/// A balancer that knows the first list, and asks only where `within` is the time in which it has to.
+async fn balancer(discovery: SocketAddr, asks_within: Option<u32>) -> Running {
+    let must = asks_within.map(|s| format!("\"must-ask-in-s\":{s},\"cold-from\""));
+    let changes: Vec<(&str, &str)> = match &must {
+        Some(must) => vec![
+            ("\"membership-mode\":\"automatic\"", "\"membership-mode\":\"subscribe\""),
+            ("\"cold-from\"", must),
+        ],
+        None => Vec::new(),
+    };
+    serve::start(station(&[nobody()], discovery, &changes)).await.expect("it starts")
+}
+
+/// Waits until `what` is so, which has to be less than `within` after `from`.
+async fn acts(from: Instant, within: Duration, what: impl Fn() -> bool) {
+    until(&what).await;
+    println!("{:?} {:?}", std::thread::current().name().unwrap_or_default(), from.elapsed());
+    assert!(from.elapsed() < within, "{:?}", from.elapsed());
+}
+
+/// Guards against a doubt that is raised anew each time the call between falls silent: a list that names
+/// nobody, told again and again, was never believed.
+#[test]
+fn a_silent_watch_a_doubt_and_silence_after_it_sum_to_less() {
+    run(async {
+        let agent = Agent::start(|n, _| match n {
+            0 => Does::Say(before()),
+            n if n % 2 == 0 => Does::Say(whole(9, "")),
+            _ => Does::Silence,
+        })
+        .await;
+        let b = balancer(agent.address, None).await;
+        let from = agent.until_called(2).await;
+        assert!(b.board.is_ready());
+        acts(from, TOLD, || !b.board.is_ready()).await;
+    });
+}
+
+/// Guards against a list that is heard out while what changed as it began waits behind it.
+#[test]
+fn a_change_as_a_list_trickles_is_had_though_the_next_one_trickles_too() {
+    run(async {
+        let agent = Agent::start(|n, _| match n {
+            0 => Does::Say(before()),
+            1 => Does::Trickle(before(), Duration::from_millis(3900)),
+            _ => Does::Trickle(change(), Duration::from_millis(3300)),
+        })
+        .await;
+        let b = balancer(agent.address, None).await;
+        let from = agent.until_called(2).await;
+        acts(from, TOLD, || is_taken(&b)).await;
+    });
+}
+
+/// Guards against lists without end that take all the places for calls.
+#[test]
+fn lists_that_never_end_are_not_waited_for() {
+    run(async {
+        let agent = Agent::start(|n, _| match n {
+            0 => Does::Say(before()),
+            1..=3 => Does::Drip,
+            _ => Does::Say(change()),
+        })
+        .await;
+        let b = balancer(agent.address, None).await;
+        let from = agent.until_called(4).await;
+        acts(from, TOLD, || is_taken(&b)).await;
+        // Three at once are the most: there was one more, and the next watch.
+        assert!(agent.count() <= 6, "{}", agent.count());
+    });
+}
+
+/// Guards against a stall that is waited out as a silent watch is.
+#[test]
+fn a_silent_watch_and_a_list_that_stalls_sum_to_less() {
+    run(async {
+        let agent = Agent::start(|n, _| match n {
+            0 => Does::Say(before()),
+            1 => Does::Silence,
+            2 => Does::Stall("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"version\":9,"),
+            _ => Does::Say(change()),
+        })
+        .await;
+        let b = balancer(agent.address, None).await;
+        let from = agent.until_called(2).await;
+        acts(from, TOLD, || is_taken(&b)).await;
+    });
+}
+
+/// Guards against calls on one kept connection after another to an agent that is no more: all that it
+/// accepted before is silent, and a new one is answered at once.
+#[test]
+fn connections_that_have_all_fallen_silent_cost_one_call() {
+    run(async {
+        // A list that trickles has another call beside it: two connections are there when all fall silent.
+        let dead = Rc::new(Cell::new(false));
+        let is_dead = Rc::clone(&dead);
+        let agent = Agent::start(move |n, _| match n {
+            0 => Does::Trickle(before(), Duration::from_millis(1600)),
+            1 | 2 => Does::Say(before()),
+            _ if !is_dead.replace(true) => Does::Silence,
+            _ => Does::Say(change()),
+        })
+        .await;
+        let b = balancer(agent.address, None).await;
+        let from = agent.until_called(4).await;
+        assert!(dead.get());
+        acts(from, TOLD, || is_taken(&b)).await;
+        assert!(agent.calls.borrow()[4].0 - from < Duration::from_millis(3500));
+    });
+}
+
+/// Guards against an outage whose end is waited for as long as news are: calls that ask whether discovery is
+/// back are short.
+#[test]
+fn after_an_outage_silent_calls_are_given_up_soon() {
+    run(async {
+        let agent = Agent::start(|n, _| match n {
+            0..=3 => Does::Silence,
+            _ => Does::Say(change()),
+        })
+        .await;
+        let b = balancer(agent.address, None).await;
+        // The change is there as two silent calls are still to come.
+        let from = agent.until_called(2).await;
+        acts(from, TOLD, || is_taken(&b)).await;
+        // A discovery that is away is not asked all the time, either.
+        let calls: Vec<Instant> = agent.calls.borrow().iter().map(|(at, _)| *at).collect();
+        assert!(calls[..5].windows(2).all(|pair| pair[1] - pair[0] > Duration::from_millis(750)));
+    });
+}
+
+/// Guards against pauses that grow with the failures of an outage, up to four seconds each where a balancer
+/// must have asked within ten.
+#[test]
+fn where_it_must_ask_pauses_after_failures_sum_to_less() {
+    run(async {
+        let silent = Agent::start(|n, _| match n {
+            0 => Does::Say(before()),
+            1 => Does::Silence,
+            2 => Does::Refuse,
+            _ => Does::Say(change()),
+        })
+        .await;
+        // Away for long: refused until then, and once more.
+        let away = Agent::start(|n, _| if n < 4 { Does::Refuse } else { Does::Say(change()) }).await;
+        let (one, two) = (balancer(silent.address, Some(10)).await, balancer(away.address, Some(20)).await);
+        let first = async {
+            let from = silent.until_called(2).await;
+            acts(from, TOLD, || is_taken(&one)).await;
+        };
+        let second = async {
+            let from = away.until_called(3).await;
+            acts(from, TOLD, || is_taken(&two)).await;
+        };
+        futures_util::future::join(first, second).await;
+    });
+}
+
+/// Guards against a move to another discovery that waits for the old one, or for the decisions' next word:
+/// with both silent at first, in a queue that is full, and in either mode.
+#[test]
+fn moved_by_sighup_it_is_had_within_four_seconds() {
+    run(async {
+        let old = || async { Agent::start(|_, _| Does::Silence).await };
+        // Silent, then doubted, and silent as it is asked again.
+        let new = || async {
+            Agent::start(|n, _| match n % 2 {
+                0 => Does::Silence,
+                _ => Does::Say(whole(3, "")),
+            })
+            .await
+        };
+        let mut all = Vec::new();
+        for asks in [None, Some(10)] {
+            let (old, new) = (old().await, new().await);
+            let b = balancer(old.address, asks).await;
+            old.until_called(2).await;
+            all.push((b, new));
+        }
+        let full = Held::new().await.expect("a queue that is full");
+        let third = balancer(old().await.address, None).await;
+        let from = Instant::now();
+        all.iter().for_each(|(b, new)| b.turn_to(new.address));
+        third.turn_to(full.address);
+        sleep(Duration::from_millis(100)).await;
+        let late = full.let_go(|_, _| Deed::Say(answer(200, "", &change())));
+        acts(from, TOLD_MOVED, || is_taken(&third)).await;
+        assert!(late.connections.get() > 0);
+        acts(from, TOLD_MOVED, || all.iter().all(|(b, _)| !b.board.is_ready())).await;
+    });
+}
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -303,11 +303,11 @@
 
     // ---------------------------------------------------------------------------------- following the list
 
-    /// Asks again after a spread-out wait, all well within the time in which a balancer must have asked.
+    /// Asks again after a spread-out wait, in time to have asked; two leave room in the 6 s of being told.
     fn ask_later(&mut self, failures: u32) {
         if let Some(within) = self.agreed.ask_within {
             // At start a twentieth of it: enough to spread a fleet that starts at once; doubled by failures.
-            let most = ((within / 20) << failures.min(3)) as f64;
+            let most = ((within / 20) << failures.min(3)).min(5 * SECOND / 4) as f64;
             let wait = (most * (0.5 + 0.5 * self.rng.generate::<f64>())) as Time;
             self.set_ask(wait);
         }
