--- a/crates/fernroute-fleet/src/configuration/mod.rs
+++ b/crates/fernroute-fleet/src/configuration/mod.rs
@@ -6,9 +6,13 @@
 //!
 //! - [`register`]: what is replicated: the latest entry of each scope, and a history without contents.
 //! - [`follower`]: a balancer's side: what is in force, what it was told of, when it asks for it.
+//! - [`standing`]: how far the members are, for `status`.
+//!
+//! Why an older one never lands over a newer, and none by half, stands in `docs/fleet-configuration-design.md`.
 
 pub mod follower;
 pub mod register;
+pub mod standing;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
@@ -24,6 +28,22 @@
 /// The longest name of a service, a zone, a balancer or an operator.
 pub const MOST_NAME: usize = 64;
 
+/// The longest reason of a refusal that is told on, in characters.
+pub const MOST_REASON: usize = 200;
+
+/// What a service, a zone or a balancer may be called in a scope: a line of a log or a table takes it as it is.
+pub fn is_name(text: &str) -> bool {
+    !text.is_empty()
+        && text.len() <= MOST_NAME
+        && text.trim() == text
+        && !text.chars().any(|c| c == '/' || c.is_control())
+}
+
+/// In one line of so many characters at the most.
+pub fn tidy(text: &str, most: usize) -> String {
+    text.chars().take(most).map(|c| if c.is_control() { ' ' } else { c }).collect()
+}
+
 /// Where a steward hands out what concerns a balancer.
 pub const FETCH: &str = "/-/configuration/fetch";
 
@@ -53,8 +73,11 @@
 
     fn from_str(text: &str) -> Result<Self, String> {
         let words: Vec<&str> = text.split('/').collect();
-        if words[1..].iter().any(|word| word.is_empty() || word.len() > MOST_NAME) {
-            return Err(format!("{text}: a name is empty, or longer than {MOST_NAME}"));
+        if words[1..].iter().any(|word| !is_name(word)) {
+            let text = tidy(text, MOST_REASON);
+            return Err(format!(
+                "{text}: a name is empty, longer than {MOST_NAME}, or has blanks about it or control characters"
+            ));
         }
         match words[..] {
             ["all"] => Ok(Scope::All),
@@ -63,7 +86,10 @@
                 Ok(Scope::Zone { service: service.to_owned(), zone: zone.to_owned() })
             }
             ["balancer", name] => Ok(Scope::Balancer(name.to_owned())),
-            _ => Err(format!("{text}: is none of all, service/S, service/S/zone/Z, balancer/B")),
+            _ => Err(format!(
+                "{}: is none of all, service/S, service/S/zone/Z, balancer/B",
+                tidy(text, MOST_REASON)
+            )),
         }
     }
 }
@@ -119,6 +145,16 @@
     Sha256::digest(content.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// SHA-256 of all that concerns a balancer as of one version, without the contents: two that say the same are the same
+/// whole. Guards against parts of one version laid over parts of another, whatever became of a part in between.
+pub fn whole<'a>(place: &Place, version: Version, parts: impl IntoIterator<Item = &'a Part>) -> String {
+    let mut text = format!("{}\n{}\n{}\n{version}\n", place.name, place.service, place.zone);
+    for part in parts {
+        text.push_str(&format!("{} {} {}\n", part.scope, part.version, part.hash));
+    }
+    hash(&text)
+}
+
 /// What a balancer says in its beats of the configuration that it goes by.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -136,7 +172,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fetch {
     pub place: Place,
-    /// It has all parts up to this one.
+    /// It has all parts up to this one; 0 for none, and then it takes the answer for all there is.
     pub have: Version,
     /// It was told of this one: a steward that does not know it yet is behind.
     pub want: Version,
@@ -147,7 +183,8 @@
 #[serde(rename_all = "snake_case")]
 pub enum Fetched {
     /// The highest version that concerns the balancer, and the parts above what it has, from the widest to the narrowest.
-    Parts { version: Version, parts: Vec<Part> },
+    /// The [`whole`] is of these and of those that it has.
+    Parts { version: Version, whole: String, parts: Vec<Part> },
     /// This steward has not applied that far: another one, or later.
     Behind,
 }
--- a/crates/fernroute-fleet/src/configuration/register.rs
+++ b/crates/fernroute-fleet/src/configuration/register.rs
@@ -1,13 +1,20 @@
 //! What is replicated of the configuration: a deterministic state machine, the same at every steward that applies the
 //! same entries. It trusts no entry.
 
-use super::{hash, Fetch, Fetched, Part, Place, Scope, Version, MOST_CONTENT, MOST_NAME};
+use super::{hash, whole, Fetch, Fetched, Part, Place, Scope, Version, MOST_CONTENT, MOST_NAME};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Scopes at the most: some thousand balancers' own and their services.
 const MOST_SCOPES: usize = 10_000;
 
+/// Of all contents together: each steward holds them, and sends them to one that has come back in one piece.
+const MOST_BYTES: usize = 16 << 20;
+
+/// How far an entry's version may be above the last one: more entries than were ever lost with a register. Guards against
+/// a member that reports the last number there is.
+const MOST_AHEAD: Version = 1_000_000;
+
 /// Lines of history: more than a day's changes of the largest fleet, without contents.
 const MOST_HISTORY: usize = 4_000;
 
@@ -22,6 +29,10 @@
     pub who: String,
     /// Unix time in milliseconds, by the steward that entered it.
     pub when_ms: u64,
+    /// Its version is above this one, whatever the register's last was: the highest that any member reported
+    /// ([`crate::leader::Leader::reported`]), or one less than another region's version of this entry.
+    #[serde(default)]
+    pub above: Version,
 }
 
 /// A line of history.
@@ -44,8 +55,9 @@
     /// The content is not what the hash says.
     Spoilt,
     TooLong,
-    /// No name, or too long a one.
+    /// No name, too long a one, or one that a line can't take.
     BadName,
+    /// As many scopes, or as much content, as there may be.
     Full,
 }
 
@@ -68,17 +80,25 @@
         if put.content.len() > MOST_CONTENT {
             return Err(NotEntered::TooLong);
         }
-        if put.who.is_empty() || put.who.len() > MOST_NAME {
+        let who = !put.who.trim().is_empty() && put.who.len() <= MOST_NAME;
+        // A scope that can't be read again from what is kept would end a steward's next start.
+        let scope = put.scope.to_string().parse().as_ref() == Ok(&put.scope);
+        if !who || put.who.chars().any(char::is_control) || !scope {
             return Err(NotEntered::BadName);
         }
         if hash(&put.content) != put.hash {
             return Err(NotEntered::Spoilt);
         }
-        if at == 0 && self.parts.len() >= MOST_SCOPES {
+        let others = self.parts.values().filter(|part| part.scope != put.scope);
+        let bytes: usize = others.map(|part| part.content.len()).sum();
+        // What empties a scope always fits.
+        let fits = put.content.is_empty() || bytes + put.content.len() <= MOST_BYTES;
+        if at == 0 && self.parts.len() >= MOST_SCOPES || !fits {
             return Err(NotEntered::Full);
         }
-        self.version += 1;
-        let version = self.version;
+        let above = put.above.clamp(self.version, self.version.saturating_add(MOST_AHEAD));
+        let version = above.checked_add(1).ok_or(NotEntered::Full)?;
+        self.version = version;
         let (scope, hash, content) = (put.scope.clone(), put.hash.clone(), put.content.clone());
         self.history.push_back(Line {
             version,
@@ -129,8 +149,10 @@
             return Fetched::Behind;
         }
         let scopes = fetch.place.scopes();
-        let parts = scopes.iter().filter_map(|scope| self.parts.get(scope));
-        let parts = parts.filter(|part| part.version > fetch.have).cloned().collect();
-        Fetched::Parts { version: self.concerns(&fetch.place), parts }
+        let parts: Vec<&Part> = scopes.iter().filter_map(|scope| self.parts.get(scope)).collect();
+        let version = self.concerns(&fetch.place);
+        let whole = whole(&fetch.place, version, parts.iter().copied());
+        let parts = parts.into_iter().filter(|part| part.version > fetch.have).cloned().collect();
+        Fetched::Parts { version, whole, parts }
     }
 }
--- a/crates/fernroute-fleet/src/leader.rs
+++ b/crates/fernroute-fleet/src/leader.rs
@@ -5,6 +5,9 @@
 //! The caller answers a beat with [`Leader::answer`] only once it is certain that it still led after the beat came, and
 //! has applied all that was entered before: a leader that is none any more must promise nothing.
 
+use crate::configuration::register::Register;
+use crate::configuration::standing::MemberStanding;
+use crate::configuration::{is_name, tidy, Place, Report, Version, MOST_REASON};
 use crate::division::divide;
 use crate::lease::Lease;
 use crate::ledger::{Budget, Entry, Holder, Ledger, Step};
@@ -26,11 +29,32 @@
     /// The epoch that it goes by.
     epoch: u64,
     leaves: bool,
+    /// What the last beat said of the configuration, if it said anything; by its number and when it came.
+    report: Option<Report>,
+    reported: (u64, Time),
 }
 
 impl Known {
     fn new(heard: Time) -> Self {
-        Known { heard, wants: None, epoch: 0, leaves: false }
+        Known { heard, wants: None, epoch: 0, leaves: false, report: None, reported: (0, 0) }
+    }
+
+    /// A beat that was overtaken says nothing of what is in force now. One that is numbered lower and comes when no other
+    /// has come for long is of a machine that began to count anew.
+    fn report(&mut self, now: Time, beat: &Beat, lapse: Time) {
+        let (number, at) = self.reported;
+        if beat.number < number && now.saturating_sub(at) <= lapse {
+            return;
+        }
+        self.reported = (beat.number, now);
+        self.report = beat
+            .configuration
+            .clone()
+            .filter(|report| is_name(&report.service) && (report.zone.is_empty() || is_name(&report.zone)));
+        // Guards against a table of `status` that a member's own words break, and against long ones.
+        if let Some((_, why)) = self.report.iter_mut().find_map(|report| report.refused.as_mut()) {
+            *why = tidy(why, MOST_REASON);
+        }
     }
 }
 
@@ -82,12 +106,14 @@
             known.wants = Some(beat.wants.clone());
             known.epoch = known.epoch.max(beat.epoch);
             known.leaves = beat.leaves;
+            known.report(now, beat, self.shares.lapse());
         }
         Ok(())
     }
 
-    /// What the member of this beat may be told now.
-    pub fn answer(&self, beat: &Beat, ledger: &Ledger) -> Result<Answer, Refusal> {
+    /// What the member of this beat may be told now. The version of the configuration that concerns it is told for as long
+    /// as its beats report another one, and nothing is noted of that: guards against a notice that is lost for ever.
+    pub fn answer(&self, beat: &Beat, ledger: &Ledger, register: &Register) -> Result<Answer, Refusal> {
         let holder = ledger.holders().get(&beat.identity).ok_or(Refusal::Later)?;
         // Guards against a promise to a member whose lapse is being entered.
         let ends = |step: &Step| step.lapsed.contains(&beat.identity) || step.gone.contains(&beat.identity);
@@ -95,16 +121,47 @@
             return Err(Refusal::Later);
         }
         let (shares_for, floors_for) = (self.shares.length, self.floors.length);
+        let concerns = beat.configuration.as_ref().and_then(|report| {
+            let version = register.concerns(&place(&beat.name, report));
+            (version != report.in_force).then_some(version)
+        });
         Ok(Answer {
             identity: beat.identity,
             number: beat.number,
             grant: holder.latest().clone(),
             shares_for,
             floors_for,
-            configuration: None,
+            configuration: concerns,
         })
     }
 
+    /// How far each member is with the configuration, as of now.
+    pub fn standings(&self, now: Time, ledger: &Ledger, register: &Register) -> Vec<MemberStanding> {
+        let standing = |(identity, holder): (&Identity, &Holder)| {
+            let known = self.known.get(identity).map(|(_, known)| known);
+            // A new leader takes all for heard of, since what they hold was promised; of their configuration it has heard
+            // nothing before their first beat.
+            let heard = known.is_some_and(|known| {
+                let silent = now.saturating_sub(known.heard);
+                known.wants.is_some() && !known.leaves && silent <= self.shares.lapse()
+            });
+            let report = known.and_then(|known| known.report.as_ref());
+            let wanted = report.map_or(0, |report| register.concerns(&place(&holder.name, report)));
+            MemberStanding::new(&holder.name, wanted, report, heard)
+        };
+        ledger.holders().iter().map(standing).collect()
+    }
+
+    /// The highest version that any member said it goes by, or refused: [`crate::configuration::register::Put::above`]
+    /// is to be this. Guards against numbers that are given twice, where a register was lost with all stewards' disks and
+    /// balancers still go by what it said.
+    pub fn reported(&self) -> Version {
+        let reports = self.known.values().filter_map(|(_, known)| known.report.as_ref());
+        let highest =
+            |report: &Report| report.in_force.max(report.refused.as_ref().map_or(0, |(version, _)| *version));
+        reports.map(highest).max().unwrap_or(0)
+    }
+
     /// What is to be entered now, if anything. Until [`Leader::entered`] is called there is nothing more.
     pub fn due(&mut self, now: Time, ledger: &Ledger) -> Option<Step> {
         if self.entering.is_some() {
@@ -248,6 +305,10 @@
     }
 }
 
+fn place(name: &str, report: &Report) -> Place {
+    Place { name: name.to_owned(), service: report.service.clone(), zone: report.zone.clone() }
+}
+
 fn holds_shares(holder: &Holder) -> bool {
     let any = |grant: &Grant| grant.shares.values().any(|share| *share > 0);
     any(&holder.accepted) || holder.offered.as_ref().is_some_and(any)
--- a/crates/fernroute-fleet/tests/cases.rs
+++ b/crates/fernroute-fleet/tests/cases.rs
@@ -301,6 +301,7 @@
 /// All at once, each with a name of its own: divided in a few steps, and all of it in use.
 #[test]
 fn a_thousand_members_at_once_are_divided_in_a_few_steps() {
+    use fernroute_fleet::configuration::register::Register;
     use fernroute_fleet::leader::Leader;
     use fernroute_fleet::ledger::{Budget, Entry, Ledger};
     use fernroute_fleet::member::Member;
@@ -320,7 +321,7 @@
             let wants = Shares::from([(BUDGET.to_owned(), if n % 10 == 0 { 5_000 } else { 500 })]);
             let beat = member.beat(now, wants);
             leader.hear(now, &beat, &ledger).expect("there is room");
-            if let Ok(answer) = leader.answer(&beat, &ledger) {
+            if let Ok(answer) = leader.answer(&beat, &ledger, &Register::default()) {
                 member.hear(now, &answer);
             }
         }
--- a/crates/fernroute-fleet/tests/world/mod.rs
+++ b/crates/fernroute-fleet/tests/world/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 use fernroute::Time;
+use fernroute_fleet::configuration::register::Register;
 use fernroute_fleet::leader::Leader;
 use fernroute_fleet::lease::Lease;
 use fernroute_fleet::ledger::{Budget, Entry, Holder, Ledger, Step};
@@ -264,7 +265,7 @@
         led.heard = unsure;
         let sure: Vec<(Beat, bool)> = sure;
         for (beat, _) in sure {
-            match led.leader.answer(&beat, &led.ledger) {
+            match led.leader.answer(&beat, &led.ledger, &Register::default()) {
                 Ok(answer) => {
                     // A leader that lapses early promises as long as any.
                     let (shares_for, floors_for) = (SHARES.length, FLOORS.length);
--- a/crates/fernroute-lab/src/fleet.rs
+++ b/crates/fernroute-lab/src/fleet.rs
@@ -3,6 +3,7 @@
 
 use crate::scenario::{millis, seconds, Scenario};
 use fernroute::Time;
+use fernroute_fleet::configuration::register::Register;
 use fernroute_fleet::demand::Meter;
 use fernroute_fleet::leader::Leader;
 use fernroute_fleet::lease::Lease;
@@ -76,7 +77,7 @@
         if self.entering.is_none() {
             self.entering = leader.due(now, &self.ledger);
         }
-        leader.answer(beat, &self.ledger).ok()
+        leader.answer(beat, &self.ledger, &Register::default()).ok()
     }
 
     /// What was due a moment ago is entered.
--- a/crates/fernroute-lab/src/measure.rs
+++ b/crates/fernroute-lab/src/measure.rs
@@ -3,6 +3,7 @@
 
 use crate::processes::{Fleet, Shape};
 use fernroute::host::SECOND;
+use fernroute_fleet::configuration::register::Register;
 use fernroute_fleet::leader::Leader;
 use fernroute_fleet::lease::Lease;
 use fernroute_fleet::ledger::{Budget, Entry, Ledger};
@@ -179,7 +180,7 @@
             let beat = all[n as usize].beat(now, Shares::from([("acme".to_owned(), wants)]));
             let from = Instant::now();
             let heard = leader.hear(now, &beat, &ledger);
-            let answer = leader.answer(&beat, &ledger);
+            let answer = leader.answer(&beat, &ledger, &Register::default());
             spent += from.elapsed();
             beats += 1;
             let envelope = Envelope { cluster: "c".to_owned(), version: VERSION, to: 0, message: &beat };
--- a/crates/fernroute-steward/src/keep.rs
+++ b/crates/fernroute-steward/src/keep.rs
@@ -5,6 +5,7 @@
 use crate::terms::{Steward, Terms};
 use crate::Raft;
 use fernroute::Time;
+use fernroute_fleet::configuration::register::Register;
 use fernroute_fleet::leader::Leader;
 use fernroute_fleet::ledger::{Entry, Ledger};
 use fernroute_fleet::message::{Answer, Beat, Unanswered};
@@ -427,7 +428,7 @@
         let Some((_, leader)) = leading.as_ref() else {
             return Err(Unanswered::Elsewhere(None));
         };
-        self.ledger(|ledger| leader.answer(beat, ledger)).map_err(Unanswered::Refused)
+        self.ledger(|ledger| leader.answer(beat, ledger, &Register::default())).map_err(Unanswered::Refused)
     }
 
     /// As this steward's own file says it: members may reach it elsewhere, and then ask the others in turn.
