Stewards enter the fleet's configuration, and each hands it out

Need: operators change what balancers go by without a file on each machine. Change: the register stands in what a steward keeps, applied from the log. The leader takes a put that loads, alone and laid over what the wider scopes say; it tells the version, that the scope is at another one, or that it is not known. Every steward answers fetch from what it has applied. Commands check, put, get, status, history. An append carries 32 entries at the most, so that long ones fit into a message. The status for people has a file of its own; the tests' stewards too. Result: one steward test more; three stewards hand a change to whom it concerns, a member of an older version keeps its grants.

--- a/crates/fernroute-steward/src/commands.rs
+++ b/crates/fernroute-steward/src/commands.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+mod configuration;
+
 use crate::keep::{Keeper, Status, StewardLine};
 use crate::peers::{Peers, CHANGE, STATUS};
 use crate::{door, terms::Terms};
@@ -40,6 +42,7 @@
     Check(Check),
     Status(Ask),
     Change(Change),
+    Configuration(configuration::Configuration),
 }
 
 /// Serve until told to stop (SIGTERM or SIGINT).
@@ -91,6 +94,7 @@
 /// Runs one command. Bad use and bad files are one line on standard error and exit with 2.
 pub fn run(arguments: &[String]) -> ExitCode {
     let words: Vec<&str> = arguments.iter().skip(1).map(String::as_str).collect();
+    let words = configuration::waits(words);
     let line = match Line::from_args(&[NAME], &words) {
         Ok(line) => line,
         Err(early) if early.status.is_ok() => {
@@ -120,6 +124,7 @@
         Command::Change(change) => {
             Terms::read(&change.config).and_then(|terms| run_on_one_thread(change_stewards(terms)))
         }
+        Command::Configuration(command) => return configuration::run(command),
     };
     done.map_or_else(|why| refuse(&why), |()| ExitCode::SUCCESS)
 }
@@ -148,11 +153,16 @@
 }
 
 fn refuse(why: &str) -> ExitCode {
+    end(2, why)
+}
+
+/// Ends with this code and one line.
+fn end(code: u8, why: &str) -> ExitCode {
     eprintln!("{NAME}: {}", why.split_whitespace().collect::<Vec<_>>().join(" "));
-    ExitCode::from(2)
+    ExitCode::from(code)
 }
 
-fn run_on_one_thread(what: impl std::future::Future<Output = Result<(), String>>) -> Result<(), String> {
+fn run_on_one_thread<T>(what: impl std::future::Future<Output = Result<T, String>>) -> Result<T, String> {
     actix_rt::Runtime::new().map_err(|e| format!("runtime: {e}"))?.block_on(what)
 }
 
--- a/crates/fernroute-steward/src/door.rs
+++ b/crates/fernroute-steward/src/door.rs
@@ -1,5 +1,6 @@
 //! Answers other stewards, members and people.
 
+use crate::configuration::{self, GET, HISTORY, PUT};
 use crate::keep::Keeper;
 use crate::peers::{sent, APPEND, CHANGE, MOST_BYTES, SNAPSHOT, STATUS, VOTE, WHO};
 use crate::store::Mark;
@@ -7,6 +8,7 @@
 use actix_http::body::BoxBody;
 use actix_http::{HttpService, Method, Payload, Request, Response, StatusCode};
 use actix_service::{fn_service, Service as _, ServiceFactory as _};
+use fernroute_fleet::configuration::{Scope, FETCH, MOST_CONTENT};
 use fernroute_fleet::message::{Beat, Envelope, BEAT, VERSION};
 use futures_util::StreamExt as _;
 use openraft::raft::{AppendEntriesRequest, VoteRequest};
@@ -24,6 +26,9 @@
 /// A message of a member is short: its name and what it wants of each budget.
 const MOST_BEAT: usize = 64 << 10;
 
+/// The longest content as JSON, every character of it escaped, and what stands round it.
+const MOST_PUT: usize = 6 * MOST_CONTENT + MOST_BEAT;
+
 /// Why a message is not taken.
 struct Unfit(StatusCode, String);
 
@@ -69,9 +74,24 @@
             Ok(names) => json(&keeper.change(&names).await),
             Err(why) => Err(why),
         },
-        (_, APPEND | VOTE | SNAPSHOT | BEAT | CHANGE | WHO | STATUS) => {
-            Err(Unfit(StatusCode::METHOD_NOT_ALLOWED, "another verb".to_owned()))
+        (&Method::POST, FETCH | PUT | GET | HISTORY | configuration::STATUS) => {
+            configured(keeper, &path, &mut request).await
         }
+        (
+            _,
+            APPEND
+            | VOTE
+            | SNAPSHOT
+            | BEAT
+            | CHANGE
+            | WHO
+            | STATUS
+            | FETCH
+            | PUT
+            | GET
+            | HISTORY
+            | configuration::STATUS,
+        ) => Err(Unfit(StatusCode::METHOD_NOT_ALLOWED, "another verb".to_owned())),
         _ => Err(Unfit(StatusCode::NOT_FOUND, "nothing is here".to_owned())),
     };
     match done {
@@ -112,6 +132,26 @@
     }
 }
 
+/// What concerns configuration. One that takes no part, or can't use its disk, says so: whoever asks goes to another.
+async fn configured(keeper: &Keeper, path: &str, request: &mut Request) -> Result<Vec<u8>, Unfit> {
+    if let Some(why) = keeper.trouble() {
+        return Err(Unfit(StatusCode::SERVICE_UNAVAILABLE, format!("takes no part: {why}")));
+    }
+    match path {
+        FETCH => json(&keeper.fetch(&read(keeper, request, MOST_BEAT, false).await?)),
+        PUT => json(&keeper.put(read(keeper, request, MOST_PUT, false).await?).await),
+        configuration::STATUS => {
+            read::<()>(keeper, request, MOST_BEAT, false).await?;
+            json(&keeper.standings().await)
+        }
+        GET => json(&keeper.latest(&read(keeper, request, MOST_BEAT, false).await?).await),
+        _ => {
+            let scope: Option<Scope> = read(keeper, request, MOST_BEAT, false).await?;
+            json(&keeper.history(scope.as_ref()).await)
+        }
+    }
+}
+
 fn json(what: &impl Serialize) -> Result<Vec<u8>, Unfit> {
     serde_json::to_vec(what).map_err(|e| Unfit(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()))
 }
--- a/crates/fernroute-steward/src/keep.rs
+++ b/crates/fernroute-steward/src/keep.rs
@@ -1,18 +1,16 @@
 //! The ledger of one steward: founded once, led by one of them at a time.
 
 use crate::peers::{Peers, Who, WHO};
+pub use crate::status::{BudgetLine, MemberLine, Status, StewardLine};
 use crate::store::{Book, Disk, Mark, Own};
 use crate::terms::{Steward, Terms};
 use crate::Raft;
 use fernroute::Time;
-use fernroute_fleet::configuration::register::Register;
 use fernroute_fleet::leader::Leader;
 use fernroute_fleet::ledger::{Entry, Ledger};
 use fernroute_fleet::message::{Answer, Beat, Unanswered};
-use fernroute_fleet::UNIT;
 use openraft::{BasicNode, Config, RaftMetrics, ServerState, SnapshotPolicy, Vote};
 use rustix::time::{clock_gettime, ClockId};
-use serde::{Deserialize, Serialize};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -31,6 +29,14 @@
 /// Entries between snapshots: some seconds of a large fleet's changes.
 const SNAPSHOT_AFTER: u64 = 2_000;
 
+/// Guards against a message that is longer than is taken (`MOST_BYTES`), and so against a steward that never catches up:
+/// an entry of configuration is some 400 kB at the most as JSON, every character of it escaped.
+const ENTRIES_AT_ONCE: u64 = 32;
+
+/// A snapshot goes in pieces of so many bytes, each some four times as long on its way, and has this long for each, ms.
+const CHUNK: u64 = 512 << 10;
+const CHUNK_WITHIN: u64 = 2_000;
+
 /// How long a question to another steward may take while a ledger is founded.
 const ASK: Duration = Duration::from_millis(500);
 
@@ -57,62 +63,18 @@
     raft: OnceCell<Raft>,
     /// Why it takes no part, if that is not the library's to say.
     waits: RefCell<Option<String>>,
-    book: Book,
+    pub(crate) book: Book,
     /// Messages that could not be read, since the start.
     pub unread: Cell<u64>,
     /// While this steward leads, and as of which term.
-    leading: RefCell<Option<(u64, Leader)>>,
+    pub(crate) leading: RefCell<Option<(u64, Leader)>>,
+    /// Since when it leads.
+    pub(crate) leads_from: Cell<Time>,
     /// A term in which a step was sent off and is not known to be entered: nobody is answered in it any more.
     unsure: Cell<Option<u64>>,
     pub peers: Peers,
 }
 
-/// A member of the fleet, for people.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct MemberLine {
-    pub name: String,
-    pub epoch: u64,
-    /// What it may hold at the most, a second, by budget.
-    pub holds: BTreeMap<String, f64>,
-}
-
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct BudgetLine {
-    pub whole: f64,
-    pub floor: f64,
-    pub held: f64,
-}
-
-/// One of the ledger's processes.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct StewardLine {
-    pub name: String,
-    pub id: u64,
-    /// One that has no vote is being taken in.
-    pub votes: bool,
-}
-
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Status {
-    pub cluster: String,
-    pub steward: String,
-    pub id: u64,
-    /// leader, follower, candidate, learner, blank, waiting (until it is known that its disk is no older one), or stopped.
-    pub state: String,
-    /// Why it takes no part, if it takes none.
-    pub trouble: Option<String>,
-    /// Of the ledger, as this one knows them.
-    pub stewards: Vec<StewardLine>,
-    /// Messages that it could not read, since its start.
-    pub unread: u64,
-    /// Who leads, by its name.
-    pub leader: Option<String>,
-    pub term: u64,
-    pub epoch: u64,
-    pub budgets: BTreeMap<String, BudgetLine>,
-    pub members: Vec<MemberLine>,
-}
-
 impl Keeper {
     pub async fn open(terms: Terms) -> Result<Rc<Self>, String> {
         let (disk, own) = Disk::open(&terms.folder, &terms.cluster)?;
@@ -129,6 +91,7 @@
             book,
             unread: Cell::default(),
             leading: RefCell::default(),
+            leads_from: Cell::default(),
             unsure: Cell::default(),
             peers,
         }))
@@ -138,7 +101,7 @@
         self.raft.get()
     }
 
-    fn metrics(&self) -> Option<RaftMetrics<u64, BasicNode>> {
+    pub(crate) fn metrics(&self) -> Option<RaftMetrics<u64, BasicNode>> {
         self.raft().map(|raft| raft.metrics().borrow().clone())
     }
 
@@ -165,6 +128,9 @@
             election_timeout_min: ELECTION.0,
             election_timeout_max: ELECTION.1,
             snapshot_policy: SnapshotPolicy::LogsSinceLast(SNAPSHOT_AFTER),
+            max_payload_entries: ENTRIES_AT_ONCE,
+            snapshot_max_chunk_size: CHUNK,
+            install_snapshot_timeout: CHUNK_WITHIN,
             ..Config::default()
         };
         let config = Arc::new(config.validate().map_err(|e| e.to_string())?);
@@ -335,18 +301,6 @@
         Ok(taken)
     }
 
-    fn stewards(&self) -> Vec<StewardLine> {
-        let Some(metrics) = self.metrics() else { return Vec::new() };
-        let membership = metrics.membership_config.membership();
-        let voters: BTreeSet<u64> = membership.voter_ids().collect();
-        let line = |(id, node): (&u64, &BasicNode)| StewardLine {
-            name: node.addr.clone(),
-            id: *id,
-            votes: voters.contains(id),
-        };
-        membership.nodes().map(line).collect()
-    }
-
     pub fn ledger<T>(&self, look: impl FnOnce(&Ledger) -> T) -> T {
         look(&self.book.kept.borrow().ledger)
     }
@@ -361,7 +315,7 @@
     }
 
     /// Begins to lead, or ends, as the library says.
-    fn look(&self) {
+    pub(crate) fn look(&self) {
         let Some(metrics) = self.metrics() else { return };
         let leads = metrics.state == ServerState::Leader && self.unsure.get() != Some(metrics.current_term);
         let mut leading = self.leading.borrow_mut();
@@ -373,6 +327,7 @@
             let t = &self.terms;
             let leader = self.ledger(|ledger| Leader::new(now(), ledger, t.shares, t.floors, t.members));
             *leading = Some((metrics.current_term, leader));
+            self.leads_from.set(now());
             tracing::info!("leads, term {}", metrics.current_term);
         }
     }
@@ -428,69 +383,23 @@
         let Some((_, leader)) = leading.as_ref() else {
             return Err(Unanswered::Elsewhere(None));
         };
-        self.ledger(|ledger| leader.answer(beat, ledger, &Register::default())).map_err(Unanswered::Refused)
+        let kept = self.book.kept.borrow();
+        leader.answer(beat, &kept.ledger, &kept.register).map_err(Unanswered::Refused)
     }
 
     /// As this steward's own file says it: members may reach it elsewhere, and then ask the others in turn.
-    fn leader_address(&self) -> Option<String> {
+    pub(crate) fn leader_address(&self) -> Option<String> {
         let metrics = self.metrics()?;
         let leader = metrics.current_leader.filter(|leader| *leader != self.own.id)?;
         let name = &metrics.membership_config.membership().get_node(&leader)?.addr;
         self.peers.place(name).map(|at| at.to_string())
     }
-
-    pub fn status(&self) -> Status {
-        let (metrics, trouble, stewards) = (self.metrics(), self.trouble(), self.stewards());
-        let leader = metrics.as_ref().and_then(|m| m.current_leader);
-        let leader = leader.and_then(|leader| Some(stewards.iter().find(|s| s.id == leader)?.name.clone()));
-        let state = match &metrics {
-            None => "waiting".to_owned(),
-            Some(_) if trouble.is_some() => "stopped".to_owned(),
-            Some(_) if self.who().blank => "blank".to_owned(),
-            Some(metrics) => format!("{:?}", metrics.state).to_lowercase(),
-        };
-        self.ledger(|ledger| Status {
-            cluster: self.terms.cluster.clone(),
-            steward: self.terms.name.clone(),
-            id: self.own.id,
-            state,
-            trouble,
-            stewards,
-            unread: self.unread.get(),
-            leader,
-            term: metrics.as_ref().map_or(0, |m| m.current_term),
-            epoch: ledger.epoch(),
-            budgets: ledger
-                .budgets()
-                .iter()
-                .map(|(name, b)| {
-                    let of = |units: u64| units as f64 / UNIT;
-                    let line =
-                        BudgetLine { whole: of(b.whole), floor: of(b.floor), held: of(ledger.held(name)) };
-                    (name.clone(), line)
-                })
-                .collect(),
-            members: ledger
-                .holders()
-                .values()
-                .map(|holder| MemberLine {
-                    name: holder.name.clone(),
-                    epoch: holder.latest().epoch,
-                    holds: ledger
-                        .budgets()
-                        .keys()
-                        .map(|name| (name.clone(), holder.holds(name) as f64 / UNIT))
-                        .collect(),
-                })
-                .collect(),
-        })
-    }
 }
 
 async fn write(raft: &Raft, entry: Entry) -> Result<(), String> {
     let written = raft.client_write(entry).await.map_err(|e| e.to_string())?;
     if let Err(why) = written.data {
-        tracing::warn!("refused by the ledger: {why}");
+        tracing::warn!("refused by the ledger: {}", why.why);
     }
     Ok(())
 }
--- a/crates/fernroute-steward/src/lib.rs
+++ b/crates/fernroute-steward/src/lib.rs
@@ -1,20 +1,33 @@
 //! The ledger's processes. One is enough to divide budgets; three or five go on when one or two are lost.
 //!
 //! `terms` reads the file, `store` keeps log and votes on the disk, `peers` carries what stewards say to each other,
-//! `keep` holds the ledger and leads it, `door` answers members, stewards and people, `commands` is the command line.
+//! `keep` holds the ledger and leads it, `configuration` enters what balancers go by and hands it out, `status` tells people,
+//! `door` answers members, stewards and people, `commands` is the command line.
 
 pub mod commands;
+pub mod configuration;
 pub mod door;
 pub mod keep;
 pub mod peers;
+pub mod status;
 pub mod store;
 pub mod terms;
 
+use fernroute_fleet::configuration::Version;
 use fernroute_fleet::ledger::Entry;
+use serde::{Deserialize, Serialize};
 use std::io::Cursor;
 
-/// Whether an entry was taken: what refused it is for the log.
-pub type Applied = Result<(), String>;
+/// What became of an entry: the version of one of configuration, 0 of any other.
+pub type Applied = Result<Version, NotApplied>;
+
+/// Why an entry changed nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NotApplied {
+    pub why: String,
+    /// The scope's version, where the operator did not start from it.
+    pub latest: Option<Version>,
+}
 
 openraft::declare_raft_types!(
     /// What the consensus library is told of the ledger.
--- a/crates/fernroute-steward/src/store.rs
+++ b/crates/fernroute-steward/src/store.rs
@@ -4,8 +4,10 @@
 // The library's own error, which its traits ask for.
 #![allow(clippy::result_large_err)]
 
-use crate::{Applied, Kinds};
-use fernroute_fleet::ledger::Ledger;
+use crate::{Applied, Kinds, NotApplied};
+use fernroute_fleet::configuration::register::{NotEntered, Register};
+use fernroute_fleet::configuration::MOST_CONTENT;
+use fernroute_fleet::ledger::{Entry as Command, Ledger};
 use openraft::storage::{LogFlushed, LogState, RaftLogStorage, RaftStateMachine, Snapshot};
 use openraft::{
     AnyError, BasicNode, Entry, EntryPayload, ErrorSubject, ErrorVerb, LogId, OptionalSend, RaftLogReader,
@@ -251,10 +253,28 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Kept {
     pub ledger: Ledger,
+    /// A disk of a version before has none.
+    #[serde(default)]
+    pub register: Register,
     applied: Option<LogId<u64>>,
     membership: StoredMembership<u64, BasicNode>,
 }
 
+fn not_put(why: NotEntered) -> NotApplied {
+    let latest = match why {
+        NotEntered::OutOfDate(latest) => Some(latest),
+        _ => None,
+    };
+    let why = match why {
+        NotEntered::OutOfDate(latest) => format!("the scope is at version {latest}"),
+        NotEntered::Spoilt => "its content is not what its hash says".to_owned(),
+        NotEntered::TooLong => format!("it is longer than {MOST_CONTENT} bytes"),
+        NotEntered::BadName => "the operator's name is empty, or too long".to_owned(),
+        NotEntered::Full => "there are as many scopes as may be".to_owned(),
+    };
+    NotApplied { why, latest }
+}
+
 /// The ledger of this process. It is in memory; what the disk has of it is the last snapshot and the log since.
 #[derive(Clone)]
 pub struct Book {
@@ -302,11 +322,18 @@
         let apply = |entry: Entry<Kinds>| {
             kept.applied = Some(entry.log_id);
             match entry.payload {
-                EntryPayload::Blank => Ok(()),
-                EntryPayload::Normal(entry) => kept.ledger.apply(&entry).map_err(|why| format!("{why:?}")),
+                EntryPayload::Blank => Ok(0),
+                EntryPayload::Normal(Command::Configuration(put)) => {
+                    kept.register.apply(&put).map_err(not_put)
+                }
+                EntryPayload::Normal(entry) => kept
+                    .ledger
+                    .apply(&entry)
+                    .map(|()| 0)
+                    .map_err(|why| NotApplied { why: format!("{why:?}"), latest: None }),
                 EntryPayload::Membership(membership) => {
                     kept.membership = StoredMembership::new(Some(entry.log_id), membership);
-                    Ok(())
+                    Ok(0)
                 }
             }
         };
--- /dev/null
+++ b/crates/fernroute-steward/tests/common/balancer.rs
@@ -0,0 +1,117 @@
+//! Balancers played by the parts that decide in real ones, beating on a task of their own.
+
+use super::{Asks, Stewards, WITHIN};
+use fernroute_fleet::configuration::follower::Follower;
+use fernroute_fleet::configuration::{Fetched, Place, Version, FETCH};
+use fernroute_steward::keep::now;
+use fernroute_steward::peers::Peers;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What can be seen of a balancer.
+#[derive(Default)]
+pub struct View {
+    /// All versions that it has applied, in that order, and the contents of the last.
+    pub applied: RefCell<Vec<Version>>,
+    pub contents: RefCell<Vec<String>>,
+    /// It does not beat.
+    pub pauses: Cell<bool>,
+    /// Beats that were answered.
+    pub beats: Cell<usize>,
+    /// Stewards that said that they are behind.
+    pub behind: Cell<usize>,
+    pub holds: Cell<u64>,
+    /// A content with these words will not do here.
+    pub refuses: RefCell<Option<String>>,
+}
+
+pub struct Balancer {
+    pub view: Rc<View>,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Balancer {
+    /// One that follows the configuration of a service in a zone; one of a version that knows of none where there is no
+    /// service. It asks for what it was told of at one steward after another, from the one with this number on.
+    pub fn new(
+        stewards: &Stewards,
+        identity: u64,
+        name: &str,
+        service: &str,
+        zone: &str,
+        first: usize,
+    ) -> Self {
+        let view = Rc::new(View::default());
+        let place = Place { name: name.to_owned(), service: service.to_owned(), zone: zone.to_owned() };
+        let follower = (!service.is_empty()).then(|| Follower::new(place, None));
+        let asks = Asks::new(name, identity, 10_000);
+        let (peers, at) = (stewards.peers.clone(), stewards.addresses());
+        let task = actix_rt::spawn(live(Rc::clone(&view), asks, follower, peers, at, first));
+        Balancer { view, task }
+    }
+
+    pub fn in_force(&self) -> Version {
+        self.view.applied.borrow().last().copied().unwrap_or(0)
+    }
+
+    pub fn says(&self) -> Vec<String> {
+        self.view.contents.borrow().clone()
+    }
+
+    /// No version was ever applied after a later one.
+    pub fn is_in_order(&self) -> bool {
+        self.view.applied.borrow().is_sorted_by(|a, b| a < b)
+    }
+}
+
+async fn live(
+    view: Rc<View>,
+    mut asks: Asks,
+    mut follower: Option<Follower>,
+    peers: Peers,
+    at: Vec<SocketAddr>,
+    mut turn: usize,
+) {
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(25)).await;
+        if view.pauses.get() {
+            continue;
+        }
+        asks.report = follower.as_ref().map(Follower::report);
+        if asks.beat(&peers, &at).await {
+            view.beats.set(view.beats.get() + 1);
+            view.holds.set(asks.holds());
+        }
+        let Some(follower) = follower.as_mut() else { continue };
+        asks.told.take().into_iter().for_each(|version| follower.hear(version));
+        let Some(fetch) = follower.due(now()) else { continue };
+        let steward = at[turn % at.len()].to_string();
+        turn += 1;
+        let fetched: Result<Fetched, String> = peers.say(&steward, FETCH, 0, &fetch, WITHIN).await;
+        if let Ok(Fetched::Behind) = fetched {
+            view.behind.set(view.behind.get() + 1);
+        }
+        let Some(snapshot) = fetched.ok().and_then(|fetched| follower.fetched(fetched).ok()) else {
+            follower.failed(now(), 0.5);
+            continue;
+        };
+        let contents: Vec<String> = snapshot.contents().map(str::to_owned).collect();
+        let refuses = view.refuses.borrow().clone();
+        match refuses.filter(|words| contents.iter().any(|content| content.contains(words.as_str()))) {
+            Some(words) => follower.refuse(snapshot.version, &format!("{words} will not do here")),
+            None => {
+                view.applied.borrow_mut().push(snapshot.version);
+                view.contents.replace(contents);
+                follower.applied(snapshot);
+            }
+        }
+    }
+}
