A balancer's file names the service whose configuration it follows; parts checked by line

The table has fleet.service, fleet.folder and fleet.wait_ms: a name that no scope can say, and a folder or a wait without a service, are refused. Parts that say what is each balancer's own, or what needs a restart, are refused where they are laid over a file, too, not only where they are entered. Faults of a part have the part's own lines; where a part clashes with a balancer's file, the fault says which text and line of it has the say.

--- a/crates/fernroute-config/src/layers.rs
+++ b/crates/fernroute-config/src/layers.rs
@@ -1,8 +1,9 @@
 //! Parts of a file, laid over a balancer's own: what a fleet's stewards hand out. A part says what it names and nothing
 //! else: tables are laid over each other key by key, lists (`[[method]]`, `[[tenant]]`) take each other's place whole.
 
-use crate::{decode, Fault};
-use toml::{Table, Value};
+use crate::{decode, Fault, Plan};
+use toml::de::{DeTable, DeValue};
+use toml::{Spanned, Table, Value};
 
 /// What a part may say. The rest is each balancer's own: who it is, where it is, what its machine holds.
 const SHARED: [&str; 6] = ["list", "load", "limits", "rules", "method", "tenant"];
@@ -15,39 +16,104 @@
     [rules]\ncold_from = 0.3\nwarm_within_s = 10\ncold_multiple = 3\ncold_window_s = 2\n\
     [[method]]\nname = \"m\"\neffect = \"retriable\"\nhard_ms = 1000\n";
 
-/// All that is wrong with a part, whichever balancer's file it is laid over.
+/// All that is wrong with a part, whichever balancer's file it is laid over; lines are the part's own.
 pub fn check(part: &str) -> Result<(), Vec<Fault>> {
-    let table = parse(part)?;
-    let fault = |place: String, why: &str| Fault { line: 1, place, why: why.to_owned() };
-    let mut faults: Vec<Fault> = table
-        .keys()
-        .filter(|key| !SHARED.contains(&key.as_str()))
-        .map(|key| fault(key.clone(), "is each balancer's own, and stands in its file"))
-        .collect();
-    let named = |(table_name, key): &&(&str, &str)| {
-        table.get(*table_name).and_then(Value::as_table).is_some_and(|t| t.contains_key(*key))
-    };
-    faults.extend(
-        AT_A_START
-            .iter()
-            .filter(named)
-            .map(|(under, key)| fault(format!("{under}.{key}"), "needs a restart, and stands in each file")),
-    );
-    if !faults.is_empty() {
-        return Err(faults);
-    }
-    decode(&lay(PLAIN, &[part])?).map(drop)
+    decode(&lay(PLAIN, &[part])?).map(drop).map_err(|faults| {
+        let mut faults: Vec<Fault> = faults
+            .into_iter()
+            .map(|fault| Fault { line: find(part, &fault.place).map_or(1, |(line, _)| line), ..fault })
+            .collect();
+        faults.sort();
+        faults
+    })
 }
 
-/// The file with these parts laid over it, the first the widest.
+/// The file with these parts laid over it, the first the widest. A part that says what is each balancer's own is refused:
+/// whoever entered it, it does not reach a balancer.
 pub fn lay(file: &str, parts: &[&str]) -> Result<String, Vec<Fault>> {
     let mut all = parse(file)?;
     for part in parts {
-        over(&mut all, parse(part)?);
+        let table = parse(part)?;
+        let faults = foreign(part, &table);
+        if !faults.is_empty() {
+            return Err(faults);
+        }
+        over(&mut all, table);
     }
     toml::to_string(&all).map_err(|e| vec![Fault { line: 1, place: String::new(), why: e.to_string() }])
 }
 
+/// What a balancer with this file goes by under these parts; or all that is wrong, each with where it is said: the
+/// narrowest part that has a say in it, else the balancer's own file.
+pub fn load(file: &str, parts: &[&str]) -> Result<Plan, Vec<Fault>> {
+    for (n, part) in parts.iter().enumerate() {
+        lay("", &[part]).map_err(|faults| told(faults, &format!("part {} of {}", n + 1, parts.len())))?;
+    }
+    decode(&lay(file, parts)?).map_err(|faults| {
+        let told = |fault: Fault| {
+            let texts = parts.iter().enumerate().rev().map(|(n, part)| (Some(n), *part));
+            let said =
+                texts.chain([(None, file)]).filter_map(|(n, text)| Some((n, find(text, &fault.place)?)));
+            // The one that says most of the place; of these the narrowest.
+            let best = said.reduce(|best, next| if next.1 .1 > best.1 .1 { next } else { best });
+            let (of, line) = match best {
+                Some((Some(n), (line, _))) => (format!("part {} of {}", n + 1, parts.len()), line),
+                Some((None, (line, _))) => ("the balancer's own file".to_owned(), line),
+                None => ("the balancer's own file".to_owned(), 1),
+            };
+            Fault { line, why: format!("{} ({of})", fault.why), ..fault }
+        };
+        faults.into_iter().map(told).collect()
+    })
+}
+
+fn told(faults: Vec<Fault>, of: &str) -> Vec<Fault> {
+    faults.into_iter().map(|fault| Fault { why: format!("{} ({of})", fault.why), ..fault }).collect()
+}
+
+/// What a part says and must not.
+fn foreign(part: &str, table: &Table) -> Vec<Fault> {
+    let fault = |place: String, why: &str| {
+        let line = find(part, &place).map_or(1, |(line, _)| line);
+        Fault { line, place, why: why.to_owned() }
+    };
+    let own = table.keys().filter(|key| !SHARED.contains(&key.as_str()));
+    let own = own.map(|key| fault(key.clone(), "is each balancer's own, and stands in its file"));
+    let named = |(under, key): &&(&str, &str)| {
+        table.get(*under).and_then(Value::as_table).is_some_and(|table| table.contains_key(*key))
+    };
+    let late = AT_A_START.iter().filter(named);
+    let late =
+        late.map(|(under, key)| fault(format!("{under}.{key}"), "needs a restart, and stands in each file"));
+    let mut faults: Vec<Fault> = own.chain(late).collect();
+    faults.sort();
+    faults
+}
+
+/// The line of a place as it is shown (`method[0].name`), or of as much of it as the text says, and how many steps that
+/// is; none where it says nothing of it.
+fn find(text: &str, place: &str) -> Option<(usize, usize)> {
+    let table = DeTable::parse(text).ok()?;
+    let (mut at, mut steps, mut under) = (None, 0, None::<&Spanned<DeValue<'_>>>);
+    for step in place.split(['.', '[']) {
+        let next = match (under.map(Spanned::get_ref), step.strip_suffix(']')) {
+            (None, None) => entry(table.get_ref(), step),
+            (Some(DeValue::Table(table)), None) => entry(table, step),
+            (Some(DeValue::Array(items)), Some(n)) => {
+                n.parse().ok().and_then(|n: usize| items.get(n)).map(|item| (item.span().start, item))
+            }
+            _ => None,
+        };
+        let Some((start, value)) = next else { break };
+        (at, steps, under) = (Some(start), steps + 1, Some(value));
+    }
+    Some((text[..at?.min(text.len())].matches('\n').count() + 1, steps))
+}
+
+fn entry<'a, 'i>(table: &'a DeTable<'i>, key: &str) -> Option<(usize, &'a Spanned<DeValue<'i>>)> {
+    table.iter().find(|(name, _)| name.get_ref() == key).map(|(name, value)| (name.span().start, value))
+}
+
 fn over(under: &mut Table, part: Table) {
     for (key, value) in part {
         match (under.get_mut(&key), value) {
--- a/crates/fernroute-config/src/lib.rs
+++ b/crates/fernroute-config/src/lib.rs
@@ -1,8 +1,11 @@
 //! Files for installations of one's own: TOML, with this project's names and units, checked whole. All that is wrong
 //! is told at once, each with its place. What comes out are the terms that the platform's own files turn into, too.
 
+mod fleet;
 pub mod layers;
 
+pub use fleet::Fleet;
+
 use fernroute::{Terms, Time};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -28,20 +31,6 @@
     pub terms: Terms,
 }
 
-/// The fleet that the balancer is of.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fleet {
-    pub cluster: String,
-    pub stewards: Vec<SocketAddr>,
-    /// How often they are asked.
-    pub beat: Time,
-    /// What is divided beside tenants' shares, by the names that the ledger has for it.
-    pub divides: Vec<&'static str>,
-}
-
-/// Six to a share of the usual length.
-const USUAL_BEAT: Time = 2_500;
-
 /// An upstream that is known before discovery has said anything.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Upstream {
@@ -144,6 +133,9 @@
     ("fleet.stewards", "", Addresses, false),
     ("fleet.beat_ms", "", Millis, false),
     ("fleet.divides", "", Words(DIVIDES), false),
+    ("fleet.service", "", Text, false),
+    ("fleet.folder", "", Text, false),
+    ("fleet.wait_ms", "", Millis, false),
     ("method.#.name", "methods.#.name", Text, true),
     ("method.#.effect", "methods.#.effect", Word(EFFECTS), true),
     ("method.#.group", "methods.#.group", Word(GROUPS), false),
@@ -375,29 +367,7 @@
                 "is missing, where the list must be asked for".to_owned(),
             ));
         }
-        if let Some(line) = ["fleet.cluster", "fleet.stewards", "fleet.beat_ms", "fleet.divides"]
-            .iter()
-            .find_map(|p| Some(of(p)?.1))
-        {
-            for needed in ["fleet.cluster", "fleet.stewards"] {
-                if !self.has(needed) {
-                    found.push((line, needed.to_owned(), "is missing, where there is a fleet".to_owned()));
-                }
-            }
-            let (all, line) = of("fleet.stewards").unwrap_or_default();
-            let all: Vec<&str> = all.split(',').filter(|at| !at.is_empty()).collect();
-            if self.values.contains_key("fleet.stewards") && all.is_empty() {
-                found.push((line, "fleet.stewards".to_owned(), "names none".to_owned()));
-            }
-            if let Some((n, at)) = all.iter().enumerate().find(|(n, at)| all[..*n].contains(at)) {
-                found.push((line, format!("fleet.stewards.{n}"), format!("{at} is there already")));
-            }
-            let beat = number("fleet.beat_ms").filter(|(beat, _)| !(100.0..=100_000.0).contains(beat));
-            if let Some((beat, line)) = beat {
-                let why = format!("{} is not between 10 and 10000", beat / 10.0);
-                found.push((line, "fleet.beat_ms".to_owned(), why));
-            }
-        }
+        found.extend(fleet::agree(&self.values, |place| self.has(place)));
         for (n, begins) in self.lists.get("method").into_iter().flatten().enumerate() {
             let at = |what: &str| format!("method.{n}.{what}");
             if let (Some((soft, line)), Some((hard, _))) = (number(&at("soft_ms")), number(&at("hard_ms"))) {
@@ -475,18 +445,7 @@
             seed: text("seed").and_then(|t| u64::from_str_radix(&t, 16).ok()),
             descriptors: text("descriptors").and_then(|t| t.parse().ok()).unwrap_or(USUAL_DESCRIPTORS),
             megabytes: text("memory_mb").and_then(|t| t.parse().ok()).unwrap_or(USUAL_MEGABYTES),
-            fleet: text("fleet.cluster").zip(text("fleet.stewards")).map(|(cluster, stewards)| Fleet {
-                cluster,
-                stewards: stewards.split(',').filter_map(|at| at.parse().ok()).collect(),
-                divides: [("further", fernroute::FURTHER), ("trials", fernroute::TRIALS)]
-                    .into_iter()
-                    .filter(|(word, _)| {
-                        text("fleet.divides").is_some_and(|all| all.split(',').any(|w| w == *word))
-                    })
-                    .map(|(_, name)| name)
-                    .collect(),
-                beat: text("fleet.beat_ms").and_then(|beat| beat.parse().ok()).unwrap_or(USUAL_BEAT),
-            }),
+            fleet: fleet::plan(&self.values),
             upstreams: (0..self.lists.get("upstream").map_or(0, Vec::len)).map(upstream).collect(),
             terms,
         }
--- a/crates/fernroute-config/tests/files.rs
+++ b/crates/fernroute-config/tests/files.rs
@@ -145,6 +145,11 @@
     let divides = |text: &str| with(&format!("{both}\n{text}")).expect("it will do").fleet.map(|f| f.divides);
     assert_eq!((fleet.divides, divides("divides = []")), (vec![], Some(vec![])));
     assert_eq!(divides("divides = [\"trials\"]"), Some(vec![fernroute::TRIALS]));
+    let follows = format!("{both}\nservice = \"shop\"\nfolder = \"/var/lib/f\"\nwait_ms = 500");
+    let follows = with(&follows).expect("it will do").fleet.expect("it is named");
+    assert_eq!((follows.service.as_deref(), follows.wait), (Some("shop"), 5_000));
+    assert_eq!(follows.folder.as_deref(), Some(std::path::Path::new("/var/lib/f")));
+    assert_eq!((fleet.service, fleet.folder, fleet.wait), (None, None, 20_000));
     for (text, why) in [
         ("cluster = \"c\"", "fleet.stewards: is missing"),
         ("stewards = [\"127.0.0.1:7001\"]", "fleet.cluster: is missing"),
@@ -160,6 +165,14 @@
         (&format!("{both}\nmore = 5"), "fleet.more: is not known"),
         (&format!("{both}\ndivides = [\"all\"]"), "fleet.divides"),
         ("divides = [\"trials\"]", "fleet.cluster: is missing"),
+        ("service = \"shop\"", "fleet.cluster: is missing"),
+        (&format!("{both}\nfolder = \"/var\""), "fleet.folder: is for a balancer that goes by"),
+        (&format!("{both}\nwait_ms = 100"), "fleet.wait_ms: is for a balancer that goes by"),
+        (&format!("{both}\nservice = \"a/b\""), "fleet.service: a/b is longer than 64, or has a /"),
+        (
+            &format!("{both}\nservice = \"a\"\nwait_ms = 9000"),
+            "fleet.wait_ms: 9000 is not between 0 and 5000",
+        ),
     ] {
         let faults = with(text).expect_err(why);
         let told: Vec<String> = faults.iter().map(ToString::to_string).collect();
