Balancers follow the configuration of their service: fetched, applied as SIGHUP is, kept, reported

Cause: each balancer's terms stood in its own file alone; a change for a whole service was a file at each of them. Change: a balancer whose file names fleet.service says in its beats what it goes by, hears in the answers which version concerns it, fetches that from a steward drawn by chance (the others after it, pauses that grow and are drawn), lays the parts over its own file as it was read last, and applies the outcome by the path that SIGHUP takes, now one function for both. A SIGHUP lays the parts in force over the file that it reads, and has what was refused tried again.

start goes by a sound copy and waits fleet.wait_ms (2 s) at the most for the stewards' word. Nothing of it runs where no service is named. The meters of what is asked of tenants' shares follow a change of tenants, by SIGHUP too: before, a tenant that was gone had all grants refused, and a new one had an even part beside them. /-/metrics has a fleet's control messages, their bytes, and the versions in force, told and refused. Running stands in a file of its own; upgrade and reload no longer import serve, which imports them.

--- a/crates/fernroute-config/src/fleet.rs
+++ b/crates/fernroute-config/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::Values;
 use fernroute::Time;
+use fernroute_fleet::configuration::{is_name, MOST_NAME};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -29,9 +30,6 @@
 const USUAL_WAIT: Time = 20_000;
 const LONGEST_WAIT: Time = 50_000;
 
-/// As stewards have it of names in a scope.
-const MOST_NAME: usize = 64;
-
 const KEYS: [&str; 7] = [
     "fleet.cluster",
     "fleet.stewards",
@@ -80,9 +78,12 @@
     }
     // What a scope can't name no entry could ever concern.
     for place in ["fleet.service", "place.zone", "name"] {
-        let unfit = |(text, _): &(String, usize)| text.len() > MOST_NAME || text.contains('/');
-        if let Some((text, line)) = of(place).filter(unfit) {
-            note(line, place, format!("{text} is longer than {MOST_NAME}, or has a /: no scope can name it"));
+        if let Some((text, line)) = of(place).filter(|(text, _)| !is_name(text)) {
+            note(
+                line,
+                place,
+                format!("no scope can name {text:?}: it is longer than {MOST_NAME}, or has a / in it"),
+            );
         }
     }
     found
--- a/crates/fernroute-config/tests/files.rs
+++ b/crates/fernroute-config/tests/files.rs
@@ -168,7 +168,7 @@
         ("service = \"shop\"", "fleet.cluster: is missing"),
         (&format!("{both}\nfolder = \"/var\""), "fleet.folder: is for a balancer that goes by"),
         (&format!("{both}\nwait_ms = 100"), "fleet.wait_ms: is for a balancer that goes by"),
-        (&format!("{both}\nservice = \"a/b\""), "fleet.service: a/b is longer than 64, or has a /"),
+        (&format!("{both}\nservice = \"a/b\""), "fleet.service: no scope can name \"a/b\""),
         (
             &format!("{both}\nservice = \"a\"\nwait_ms = 9000"),
             "fleet.wait_ms: 9000 is not between 0 and 5000",
--- a/crates/fernroute-server/src/program/fleet.rs
+++ b/crates/fernroute-server/src/program/fleet.rs
@@ -1,19 +1,20 @@
 //! The balancer's part in a fleet: a task beside the RPCs that says what is asked, and hears what is granted. No RPC waits
 //! for it, and it waits for none. Where no fleet is named nothing of this runs.
 
+use super::configuration::Followed;
+use super::stewards::Stewards;
+use crate::protocol::ops::Control;
 use crate::routing::clock::{duration, tenths, Clock};
 use crate::routing::switchboard::Switchboard;
-use awc::Client;
 use fernroute::{Terms, Time, FURTHER, TRIALS};
 use fernroute_config::Fleet;
 use fernroute_fleet::demand::Meter;
 use fernroute_fleet::member::{Handed, Heard, Member};
-use fernroute_fleet::message::{Answer, Beat, Envelope, Unanswered, BEAT, VERSION};
+use fernroute_fleet::message::{Answer, Beat, Unanswered, BEAT};
 use fernroute_fleet::Shares;
 use std::cell::{Cell, RefCell};
 use std::fs::{File, TryLockError};
 use std::io::{Read as _, Seek as _, Write as _};
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -35,28 +36,26 @@
     fleet: &Fleet,
     terms: &Terms,
     handed: Option<(Handed, Instant)>,
+    followed: Option<Rc<Followed>>,
 ) -> Rc<Part> {
     let now = board.clock.now();
-    let count = terms.get("tenants.count").and_then(|n| n.parse().ok()).unwrap_or(0);
-    let names = (0..count).filter_map(|i: usize| terms.get(&format!("tenants.{i}.name")).cloned());
-    board.asked.replace(Some(names.map(|name| (name, Meter::new(now))).collect()));
+    board.control.replace(Some(Control::default()));
     let member = handed.map(|(handed, asked)| {
         let asked = now.saturating_sub(tenths(asked.elapsed()));
         Member::take_over(name, asked, first(), &handed)
     });
     let part = Rc::new(Part {
+        stewards: Stewards::new(fleet, Rc::clone(&board)),
         board,
-        cluster: fleet.cluster.clone(),
-        stewards: fleet.stewards.clone(),
+        followed,
         beat: duration(fleet.beat),
-        client: Client::builder().disable_redirects().finish(),
         name: name.to_owned(),
         member: RefCell::new(member),
         handed: Cell::new(false),
         divides: fleet.divides.clone(),
         further: RefCell::new((Meter::new(now), 0)),
     });
-    part.grant();
+    part.divide_by(terms);
     actix_rt::spawn(Rc::clone(&part).follow(place));
     part
 }
@@ -68,10 +67,10 @@
 
 pub struct Part {
     board: Rc<Switchboard>,
-    cluster: String,
-    stewards: Vec<SocketAddr>,
+    stewards: Stewards,
+    /// The fleet's configuration, where it goes by it.
+    followed: Option<Rc<Followed>>,
     beat: Duration,
-    client: Client,
     name: String,
     /// None until it is known who this balancer is in the ledger.
     member: RefCell<Option<Member>>,
@@ -84,6 +83,21 @@
 }
 
 impl Part {
+    /// What is asked of each tenant of these terms is counted from now on. Guards against a tenant that is new and has an even
+    /// part beside what is granted, and against one that is gone and has all grants refused with it.
+    pub fn divide_by(&self, terms: &Terms) {
+        let now = self.board.clock.now();
+        let count = terms.get("tenants.count").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let names = (0..count).filter_map(|i: usize| terms.get(&format!("tenants.{i}.name")).cloned());
+        let mut before = self.board.asked.take().unwrap_or_default();
+        let meter = |name: String| {
+            let meter = before.remove(&name).unwrap_or_else(|| Meter::new(now));
+            (name, meter)
+        };
+        self.board.asked.replace(Some(names.map(meter).collect()));
+        self.grant();
+    }
+
     /// A successor asks for what this process holds: half of it goes over.
     pub fn hand_over(&self) -> Option<Handed> {
         let now = self.board.clock.now();
@@ -127,11 +141,15 @@
             let quiet = self.handed.get();
             let beat =
                 self.member.borrow_mut().as_mut().filter(|_| !quiet).map(|member| member.beat(now, wants));
-            let Some(beat) = beat else {
+            let Some(mut beat) = beat else {
                 actix_rt::time::sleep(self.beat).await;
                 continue;
             };
+            beat.configuration = self.followed.as_ref().map(|followed| followed.report());
             let said = self.say(&beat, &mut to).await;
+            if let (Some(followed), Ok(answer)) = (&self.followed, &said) {
+                followed.hear(answer.configuration);
+            }
             let now = self.board.clock.now();
             let hear =
                 |answer| self.member.borrow_mut().as_mut().map_or(Heard::Stale, |m| m.hear(now, answer));
@@ -142,13 +160,13 @@
                         if answer.shares_for < 3 * tenths(self.beat) {
                             "shares end before three beats: lengthen them, or beat more often".to_owned()
                         } else {
-                            format!("of the fleet {}", self.cluster)
+                            format!("of the fleet {}", self.stewards.cluster)
                         }
                     }
                     // It was long on its way; the next one may not be.
                     Heard::Stale | Heard::Older => told.clone(),
                 },
-                Err(why) => format!("nothing is granted by the fleet {}: {why}", self.cluster),
+                Err(why) => format!("nothing is granted by the fleet {}: {why}", self.stewards.cluster),
             };
             if news != told {
                 tracing::info!("{news}");
@@ -214,15 +232,17 @@
     /// To the steward that answered last, or that was said to lead; then to the others. `to` is its place.
     async fn say(&self, beat: &Beat, to: &mut usize) -> Result<Answer, String> {
         let mut why = String::new();
-        for _ in 0..=self.stewards.len() {
-            let at = self.stewards[*to % self.stewards.len()];
-            match self.ask(at, beat).await {
+        let all = &self.stewards.addresses;
+        for _ in 0..=all.len() {
+            let at = all[*to % all.len()];
+            self.board.note(|control| control.beats += 1);
+            match self.stewards.ask(at, BEAT, beat, self.beat, MOST_ANSWER).await {
                 Ok(Ok(answer)) => return Ok(answer),
                 Ok(Err(Unanswered::Refused(refusal))) => return Err(format!("{at}: {refusal:?}")),
                 Ok(Err(Unanswered::Elsewhere(leader))) => {
                     why = format!("{at}: another one leads, or none");
                     let leader = leader.and_then(|leader| leader.parse().ok());
-                    let known = self.stewards.iter().position(|at| Some(*at) == leader);
+                    let known = all.iter().position(|at| Some(*at) == leader);
                     *to = known.unwrap_or(*to + 1);
                 }
                 Err(failed) => {
@@ -233,17 +253,6 @@
         }
         Err(why)
     }
-
-    async fn ask(&self, at: SocketAddr, beat: &Beat) -> Result<Result<Answer, Unanswered>, String> {
-        let envelope = Envelope { cluster: self.cluster.clone(), version: VERSION, to: 0, message: beat };
-        let call = self.client.post(format!("http://{at}{BEAT}")).timeout(self.beat);
-        let mut answer = call.send_json(&envelope).await.map_err(|e| e.to_string())?;
-        let body = answer.body().limit(MOST_ANSWER).await.map_err(|e| e.to_string())?;
-        if !answer.status().is_success() {
-            return Err(format!("{}: {}", answer.status(), String::from_utf8_lossy(&body)));
-        }
-        serde_json::from_slice(&body).map_err(|e| e.to_string())
-    }
 }
 
 fn draw() -> u64 {
--- a/crates/fernroute-server/src/program/reload.rs
+++ b/crates/fernroute-server/src/program/reload.rs
@@ -1,10 +1,12 @@
-//! A new configuration while the program runs: the file is read again on SIGHUP. A file that will not do, half written
-//! say, changes nothing. Of signals that come together the last file counts. Once told to stop nothing is read again;
-//! in a drain and beside a successor it is as ever.
+//! New terms while the program runs, whoever brings them: the balancer's own file is read again on SIGHUP, and a fleet's
+//! stewards hand out parts that are laid over it. Both come by one path, whole or not at all: what will not do, a file
+//! half written say, changes nothing. Of signals that come together the last file counts. Once told to stop nothing is
+//! read again; in a drain and beside a successor it is as ever.
 
-use super::serve::Running;
+use super::running::Running;
 use super::station::Station;
-use std::path::Path;
+use std::cell::RefCell;
+use std::path::{Path, PathBuf};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// From here on SIGHUP no longer ends the program.
@@ -12,28 +14,89 @@
     signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))
 }
 
-/// Reads the file again at each SIGHUP, for as long as the program runs.
-pub async fn follow(mut signals: Signal, path: &Path, running: &Running, mut station: Station) {
+/// Reads the file again at each SIGHUP, for as long as the program runs; `taken` hears of each that is in force.
+pub async fn follow(mut signals: Signal, running: &Running, in_force: &InForce, taken: impl Fn()) {
     while signals.recv().await.is_some() {
-        let taken = Station::read(path).and_then(|new| running.new_terms(&new.terms).map(|()| new));
-        match taken {
-            Ok(new) => {
-                for what in station.differs(&new) {
-                    tracing::warn!("{what} has changed: that needs a restart");
-                }
-                if new.terms != station.terms {
-                    tracing::info!("new settings from now on");
-                }
-                station.terms = new.terms;
-                if new.discovery == station.discovery {
-                    tracing::info!("read again, discovery is still at {}", new.discovery);
-                } else {
-                    tracing::info!("read again, discovery is at {} from now on", new.discovery);
-                    running.turn_to(new.discovery);
-                }
-                station.discovery = new.discovery;
-            }
+        match in_force.read_again(running) {
+            Ok(()) => taken(),
             Err(why) => tracing::error!("not taken over, all stays as it was: {why}"),
         }
     }
 }
+
+/// What the balancer goes by: its own file as it was read last, the fleet's parts over it, and what came of the two.
+pub struct InForce {
+    path: PathBuf,
+    own: RefCell<String>,
+    parts: RefCell<Vec<String>>,
+    station: RefCell<Station>,
+}
+
+impl InForce {
+    /// At a start: the station was read from this file.
+    pub fn new(path: &Path, station: Station) -> Result<Self, String> {
+        // It is read twice at a start; who changes it in between sends SIGHUP anyway.
+        let own = if station.fleet.is_some() { Station::text(path)? } else { String::new() };
+        let (path, station) = (path.to_owned(), RefCell::new(station));
+        Ok(InForce { path, own: RefCell::new(own), parts: RefCell::default(), station })
+    }
+
+    pub fn station(&self) -> Station {
+        self.station.borrow().clone()
+    }
+
+    /// At a start, before anything runs: these parts count from the begin, where the outcome will do.
+    pub fn begin_with(&self, parts: Vec<String>) -> Result<(), String> {
+        let new = self.outcome(&self.own.borrow(), &parts)?;
+        new.check()?;
+        self.station.replace(new);
+        self.parts.replace(parts);
+        Ok(())
+    }
+
+    /// The file as it is now, with the parts that are in force.
+    fn read_again(&self, running: &Running) -> Result<(), String> {
+        let own = Station::text(&self.path)?;
+        let discovery = self.station.borrow().discovery;
+        let parts = self.parts.borrow().clone();
+        self.take_over(running, own, parts)?;
+        let now = self.station.borrow().discovery;
+        if now == discovery {
+            tracing::info!("read again, discovery is still at {now}");
+        } else {
+            tracing::info!("read again, discovery is at {now} from now on");
+        }
+        Ok(())
+    }
+
+    /// Other parts over the file as it was read last.
+    pub fn lay_over(&self, running: &Running, parts: Vec<String>) -> Result<(), String> {
+        let own = self.own.borrow().clone();
+        self.take_over(running, own, parts)
+    }
+
+    /// The one path by which new terms reach a running balancer.
+    fn take_over(&self, running: &Running, own: String, parts: Vec<String>) -> Result<(), String> {
+        let new = self.outcome(&own, &parts)?;
+        running.new_terms(&new.terms)?;
+        let mut station = self.station.borrow_mut();
+        for what in station.differs(&new) {
+            tracing::warn!("{what} has changed: that needs a restart");
+        }
+        if new.terms != station.terms {
+            tracing::info!("new settings from now on");
+        }
+        if new.discovery != station.discovery {
+            running.turn_to(new.discovery);
+        }
+        (station.terms, station.discovery) = (new.terms, new.discovery);
+        self.own.replace(own);
+        self.parts.replace(parts);
+        Ok(())
+    }
+
+    fn outcome(&self, own: &str, parts: &[String]) -> Result<Station, String> {
+        let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
+        Station::of(&self.path, own, &parts)
+    }
+}
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -67,9 +67,18 @@
 
 impl Station {
     pub fn read(path: &Path) -> Result<Self, String> {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Station::of(path, &Station::text(path)?, &[])
+    }
+
+    /// What stands in the file.
+    pub fn text(path: &Path) -> Result<String, String> {
+        std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    /// The file with this text, and what a fleet's stewards hand out laid over it.
+    pub fn of(path: &Path, text: &str, parts: &[&str]) -> Result<Self, String> {
         let own = path.extension().is_some_and(|e| e == "toml");
-        let station = if own { Station::decode_own(&text) } else { Station::decode(&text) };
+        let station = if own { Station::decode_under(text, parts) } else { Station::decode(text) };
         let station = station.map_err(|e| format!("{}: {e}", path.display()))?;
         station.with_door(std::env::var("NODE_OPS").ok().as_deref())
     }
@@ -87,8 +96,17 @@
 
     /// A file of an installation of its own; all that is wrong with it, in one line.
     pub fn decode_own(text: &str) -> Result<Self, String> {
-        let plan = fernroute_config::decode(text)
-            .map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))?;
+        Station::decode_under(text, &[])
+    }
+
+    /// The same, under parts that a fleet's stewards hand out, the first the widest.
+    pub fn decode_under(text: &str, parts: &[&str]) -> Result<Self, String> {
+        let plan = match parts {
+            [] => fernroute_config::decode(text),
+            parts => fernroute_config::layers::load(text, parts),
+        };
+        let plan =
+            plan.map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))?;
         let entry = |u: fernroute_config::Upstream| Entry {
             id: u.id,
             state: State::Ready,
--- a/crates/fernroute-server/src/program/upgrade.rs
+++ b/crates/fernroute-server/src/program/upgrade.rs
@@ -5,11 +5,13 @@
 //! next answer, tells what it leaves, and ends. Whatever goes wrong, both go on: the new process listens for itself, the
 //! old one takes back what it gave.
 
-use super::serve::Running;
+use super::configuration::Followed;
+use super::running::Running;
 use crate::protocol::handover::{FromNew, FromOld, Known};
 use crate::transport::handover::{self as transport, Link, Meeting};
 use fernroute_fleet::member::Handed;
-use futures_util::future::{select, Either};
+use futures_util::future::{join, select, Either};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -102,14 +104,30 @@
 
 /// Takes over from the process before this one, if there is one, then waits for a successor for as long as the program
 /// runs; ends once a successor has all.
-pub async fn follow(running: Rc<Running>) -> Result<(), String> {
-    let before = running.before.replace(Before::Nobody);
+pub async fn follow(
+    running: Rc<Running>,
+    before: Before,
+    followed: Option<Rc<Followed>>,
+) -> Result<(), String> {
+    // The stewards' word of what to go by is waited for beside all else, and no longer than is stated.
+    let told = async {
+        if let Some(followed) = &followed {
+            followed.settle().await;
+        }
+    };
     // What is in the way of handing over has been told then.
     let usual = matches!(before, Before::Unknown);
     match before {
-        Before::Nobody => {}
-        Before::Unknown => begin_alone(&running).await?,
-        Before::Serving(other) => take_over(&running, other.link).await?,
+        Before::Nobody if followed.is_none() => {}
+        Before::Nobody => {
+            told.await;
+            begin(&running).await?;
+        }
+        Before::Unknown => {
+            join(told, trust(&running)).await;
+            begin(&running).await?;
+        }
+        Before::Serving(other) => take_over(&running, other.link, told).await?,
     }
     loop {
         let meeting = match running.meeting() {
@@ -144,23 +162,27 @@
     running.begin()
 }
 
-/// Serves once discovery has told the list: what the file says may be old, and another process may have been told of
-/// upstreams that leave.
-async fn begin_alone(running: &Running) -> Result<(), String> {
+/// Until discovery has told the list: what the file says may be old, and another process may have been told of upstreams
+/// that leave.
+async fn trust(running: &Running) {
     let from = Instant::now();
     while !running.board.heard.get() && from.elapsed() < TRUST {
         actix_rt::time::sleep(LOOK).await;
     }
-    begin(running).await
 }
 
-async fn take_over(running: &Rc<Running>, mut link: Link) -> Result<(), String> {
+async fn take_over(
+    running: &Rc<Running>,
+    mut link: Link,
+    told: impl Future<Output = ()>,
+) -> Result<(), String> {
     tracing::info!(
         "taking over from the process that serves, {} descriptors for a start",
         running.share().part
     );
     {
         let listed = pin!(async {
+            told.await;
             while running.board.lines.borrow().is_empty() {
                 actix_rt::time::sleep(LOOK).await;
             }
--- a/crates/fernroute-server/src/protocol/ops.rs
+++ b/crates/fernroute-server/src/protocol/ops.rs
@@ -79,6 +79,34 @@
     pub listed: usize,
     #[serde(rename = "ejected")]
     pub avoided: usize,
+    /// Where it is of a fleet.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<Control>,
+}
+
+/// What a balancer and its fleet's stewards told each other.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Control {
+    /// Messages that left, answered or not.
+    pub beats: u64,
+    pub fetches: u64,
+    /// Of the messages and the answers, without their heads.
+    pub sent_bytes: u64,
+    pub received_bytes: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub configuration: Option<Followed>,
+}
+
+/// The fleet's configuration, as a balancer goes by it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Followed {
+    /// Versions; 0 for its own file alone, and where it was told of none.
+    pub in_force: u64,
+    pub told: u64,
+    /// The one that it can't go by, and why.
+    pub refused: Option<(u64, String)>,
+    /// Whether the disk has what is in force.
+    pub kept: bool,
 }
 
 /// An answer to an operator, the last on its connection.
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -8,7 +8,7 @@
 use crate::protocol::answer::{Final, MOST_ANSWER};
 use crate::protocol::list::{Entry, List, State};
 use crate::protocol::load::Gauges;
-use crate::protocol::ops::Figures;
+use crate::protocol::ops::{Control, Figures};
 use crate::protocol::request::{Request, Shape};
 use crate::transport::client::{Client, Line};
 use crate::transport::inbound::Visit;
@@ -108,6 +108,8 @@
     pub windows: Rc<Windows>,
     /// What is asked of each tenant's share, where a fleet divides them: one for each tenant of the terms.
     pub asked: RefCell<Option<BTreeMap<String, Meter>>>,
+    /// What is told to and by a fleet's stewards, where it is of one.
+    pub control: RefCell<Option<Control>>,
 }
 
 impl Switchboard {
@@ -146,6 +148,7 @@
             phase: Cell::new(Phase::new(longest(terms))),
             windows: Windows::new(memory),
             asked: RefCell::default(),
+            control: RefCell::default(),
         });
         board.act();
         Ok(board)
@@ -206,6 +209,14 @@
             transmissions: self.tally.written.get(),
             listed,
             avoided,
+            fleet: self.control.borrow().clone(),
+        }
+    }
+
+    /// Counts what is told to and by a fleet's stewards.
+    pub fn note(&self, change: impl FnOnce(&mut Control)) {
+        if let Some(control) = &mut *self.control.borrow_mut() {
+            change(control);
         }
     }
 
