The stewards' configuration under kills, cuts, full disks and two operators, with real processes

A series of 60 kB entries was not kept by a majority in time: the library gives a message between stewards 50 ms, and sends the same entries again as long as they were. Change: what goes in one message is 64 kB or one entry.

--- a/crates/fernroute-steward/src/keep.rs
+++ b/crates/fernroute-steward/src/keep.rs
@@ -29,12 +29,8 @@
 /// Entries between snapshots: some seconds of a large fleet's changes.
 const SNAPSHOT_AFTER: u64 = 2_000;
 
-/// Guards against a message that is longer than is taken (`MOST_BYTES`), and so against a steward that never catches up:
-/// an entry of configuration is some 400 kB at the most as JSON, every character of it escaped.
-const ENTRIES_AT_ONCE: u64 = 32;
-
 /// A snapshot goes in pieces of so many bytes, each some four times as long on its way, and has this long for each, ms.
-const CHUNK: u64 = 512 << 10;
+const CHUNK: u64 = 128 << 10;
 const CHUNK_WITHIN: u64 = 2_000;
 
 /// How long a question to another steward may take while a ledger is founded.
@@ -128,7 +124,6 @@
             election_timeout_min: ELECTION.0,
             election_timeout_max: ELECTION.1,
             snapshot_policy: SnapshotPolicy::LogsSinceLast(SNAPSHOT_AFTER),
-            max_payload_entries: ENTRIES_AT_ONCE,
             snapshot_max_chunk_size: CHUNK,
             install_snapshot_timeout: CHUNK_WITHIN,
             ..Config::default()
--- a/crates/fernroute-steward/src/store.rs
+++ b/crates/fernroute-steward/src/store.rs
@@ -27,6 +27,10 @@
 const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
 const NOTES: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("notes");
 
+/// What goes to another steward in one message, one long entry at the least. Guards against a steward that never catches
+/// up: the library gives each message no longer than the pause between heartbeats, and sends it again as long as it was.
+const AT_ONCE: usize = 64 << 10;
+
 /// Who this steward is: drawn when its folder was made, and never had by another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Own {
@@ -144,16 +148,27 @@
     }
 
     fn log(&self, range: impl RangeBounds<u64>) -> Result<Vec<Entry<Kinds>>, Bad> {
+        self.some_log(range, usize::MAX)
+    }
+
+    /// The first of these, until they are more than so many bytes together.
+    fn some_log(&self, range: impl RangeBounds<u64>, most: usize) -> Result<Vec<Entry<Kinds>>, Bad> {
         let read = self.file.begin_read().map_err(unread)?;
         let table = match read.open_table(LOG) {
             Ok(table) => table,
             Err(redb::TableError::TableDoesNotExist(_)) => return Ok(Vec::new()),
             Err(why) => return Err(unread(why)),
         };
-        let entries = table.range::<u64>(range).map_err(unread)?;
-        entries
-            .map(|entry| serde_json::from_slice(entry.map_err(unread)?.1.value()).map_err(unread))
-            .collect()
+        let (mut entries, mut bytes) = (Vec::new(), 0);
+        for entry in table.range::<u64>(range).map_err(unread)? {
+            let entry = entry.map_err(unread)?.1;
+            bytes += entry.value().len();
+            entries.push(serde_json::from_slice(entry.value()).map_err(unread)?);
+            if bytes > most {
+                break;
+            }
+        }
+        Ok(entries)
     }
 
     fn last(&self) -> Result<Option<LogId<u64>>, Bad> {
@@ -192,6 +207,10 @@
     ) -> Result<Vec<Entry<Kinds>>, Bad> {
         self.log((range.start_bound().cloned(), range.end_bound().cloned()))
     }
+
+    async fn limited_get_log_entries(&mut self, start: u64, end: u64) -> Result<Vec<Entry<Kinds>>, Bad> {
+        self.some_log(start..end, AT_ONCE)
+    }
 }
 
 impl RaftLogStorage<Kinds> for Disk {
--- a/crates/fernroute-steward/tests/common/mod.rs
+++ b/crates/fernroute-steward/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod balancer;
+pub mod operator;
 
 use fernroute_fleet::configuration::{Report, Version};
 use fernroute_fleet::member::Member;
--- /dev/null
+++ b/crates/fernroute-steward/tests/common/operator.rs
@@ -0,0 +1,81 @@
+//! What an operator does, and what is seen of it.
+
+use super::balancer::Balancer;
+use super::{until, Stewards, WITHIN};
+use fernroute_fleet::configuration::register::Line;
+use fernroute_fleet::configuration::{hash, Fetch, Fetched, Place, Scope, Version, FETCH};
+use fernroute_steward::configuration::{NotDone, Wish, HISTORY, PUT};
+use std::path::PathBuf;
+
+/// A content that loads, told from others by its number.
+pub fn content(n: u64) -> String {
+    format!("[limits]\nretry_after_s = {n}\n")
+}
+
+pub fn write(stewards: &Stewards, name: &str, content: &str) -> String {
+    let path: PathBuf = stewards.folder.join(name);
+    std::fs::write(&path, content).expect("a file");
+    path.display().to_string()
+}
+
+/// Puts it and takes it for entered; its version.
+pub async fn put(stewards: &Stewards, scope: &str, content: &str, more: &[&str]) -> Version {
+    let file = write(stewards, "part.toml", content);
+    let words = [&["configuration", "put", &file, "--scope", scope], more].concat();
+    let (code, said, why) = stewards.command(&words).await;
+    assert_eq!(code, 0, "{said}{why}");
+    let version = said.lines().next().and_then(|line| line.strip_prefix("version "));
+    version.and_then(|version| version.parse().ok()).unwrap_or_else(|| panic!("no version: {said}"))
+}
+
+/// What one steward hands out.
+pub async fn fetch(stewards: &Stewards, n: usize, want: Version) -> Result<Fetched, String> {
+    let place = Place { name: "n9".to_owned(), service: "web".to_owned(), zone: "a".to_owned() };
+    let fetch = Fetch { place, have: 0, want };
+    stewards.peers.say(&stewards.places[n].address.to_string(), FETCH, 0, &fetch, WITHIN).await
+}
+
+/// The same without a process of its own, at this steward.
+pub async fn say(
+    stewards: &Stewards,
+    n: usize,
+    scope: &Scope,
+    base: Version,
+    content: &str,
+) -> Result<Result<Version, NotDone>, String> {
+    let (content, who) = (content.to_owned(), "bob".to_owned());
+    let wish = Wish { scope: scope.clone(), base, hash: hash(&content), content, who };
+    stewards.peers.say(&stewards.places[n].address.to_string(), PUT, 0, &wish, WITHIN * 10).await
+}
+
+/// All that was entered, by the leader's word.
+pub async fn history(stewards: &Stewards) -> Vec<Line> {
+    let leader = stewards.leader(None).await;
+    let at = stewards.places[leader].address.to_string();
+    let all: Option<Scope> = None;
+    let said: Result<Result<Vec<Line>, NotDone>, String> =
+        stewards.peers.say(&at, HISTORY, 0, &all, WITHIN * 10).await;
+    said.expect("it answers").expect("it leads")
+}
+
+/// The content and all that was said of it.
+pub async fn get(stewards: &Stewards, scope: &str) -> (i32, String, String) {
+    stewards.command(&["configuration", "get", "--scope", scope]).await
+}
+
+/// This steward hands out these for the service web in the zone a.
+pub async fn until_hands_out(stewards: &Stewards, n: usize, want: Version, contents: &[String]) {
+    until(|| async {
+        let Ok(Fetched::Parts { version, parts, .. }) = fetch(stewards, n, want).await else { return false };
+        version == want && parts.iter().map(|part| &part.content).eq(contents)
+    })
+    .await;
+}
+
+pub async fn until_beats(balancers: &[Balancer]) {
+    until(|| async { balancers.iter().all(|b| b.view.beats.get() > 0) }).await;
+}
+
+pub async fn until_in_force(balancers: &[Balancer], version: Version) {
+    until(|| async { balancers.iter().all(|b| b.in_force() == version) }).await;
+}
--- a/crates/fernroute-steward/tests/configuration.rs
+++ b/crates/fernroute-steward/tests/configuration.rs
@@ -1,39 +1,16 @@
-//! Real stewards on loopback that hand out what balancers go by, and balancers played by the parts that decide in real ones.
+//! Real stewards on loopback that hand out what balancers go by, and balancers played by the parts that decide in real
+//! ones: what happens as stewards are killed, cut off, full and started again.
 
 mod common;
 
 use common::balancer::Balancer;
-use common::{run, until, Stewards, WITHIN};
-use fernroute_fleet::configuration::{Fetch, Fetched, Place, Version, FETCH};
-use std::path::PathBuf;
-
-/// A content that loads, told from others by its number.
-fn content(n: u64) -> String {
-    format!("[limits]\nretry_after_s = {n}\n")
-}
-
-fn write(stewards: &Stewards, name: &str, content: &str) -> String {
-    let path: PathBuf = stewards.folder.join(name);
-    std::fs::write(&path, content).expect("a file");
-    path.display().to_string()
-}
-
-/// Puts it and takes it for entered; its version.
-async fn put(stewards: &Stewards, scope: &str, content: &str, more: &[&str]) -> Version {
-    let file = write(stewards, "part.toml", content);
-    let words = [&["configuration", "put", &file, "--scope", scope], more].concat();
-    let (code, said, why) = stewards.command(&words).await;
-    assert_eq!(code, 0, "{said}{why}");
-    let version = said.lines().next().and_then(|line| line.strip_prefix("version "));
-    version.and_then(|version| version.parse().ok()).unwrap_or_else(|| panic!("no version: {said}"))
-}
-
-/// What one steward hands out.
-async fn fetch(stewards: &Stewards, n: usize, want: Version) -> Result<Fetched, String> {
-    let place = Place { name: "n9".to_owned(), service: "web".to_owned(), zone: "a".to_owned() };
-    let fetch = Fetch { place, have: 0, want };
-    stewards.peers.say(&stewards.places[n].address.to_string(), FETCH, 0, &fetch, WITHIN).await
-}
+use common::operator::{
+    content, fetch, get, history, put, say, until_beats, until_hands_out, until_in_force, write,
+};
+use common::{run, until, Stewards};
+use fernroute_fleet::configuration::{Fetched, Scope};
+use fernroute_rig::link::Link;
+use std::time::Duration;
 
 /// Guards against a change that goes to whom it does not concern, or not to whom it does; against a leader that is the only
 /// one to hand it out; and against a member of an older version that is told of what it does not know.
@@ -57,14 +34,7 @@
         assert_eq!(web[0].says(), [content(1), content(2)]);
         assert_eq!(api[0].says(), [content(1), content(3)]);
         for n in 0..3 {
-            until(|| async {
-                let Ok(Fetched::Parts { version, parts, .. }) = fetch(&stewards, n, 2).await else {
-                    return false;
-                };
-                let said: Vec<String> = parts.into_iter().map(|part| part.content).collect();
-                version == 2 && said == [content(1), content(2)]
-            })
-            .await;
+            until_hands_out(&stewards, n, 2, &[content(1), content(2)]).await;
             assert_eq!(fetch(&stewards, n, 4).await, Ok(Fetched::Behind));
         }
         // It is told of nothing, and has its grants.
@@ -77,3 +47,202 @@
         );
     });
 }
+
+/// Guards against a change that is lost with the leader that entered it, or that nobody is told of any more.
+#[test]
+fn a_leader_killed_between_entry_and_notice_loses_nothing() {
+    run(async {
+        let mut stewards = Stewards::new("notice", "shop", 3);
+        stewards.start();
+        stewards.leader(None).await;
+        let balancers = [
+            Balancer::new(&stewards, 1, "n0", "web", "a", 0),
+            Balancer::new(&stewards, 2, "n1", "web", "b", 1),
+        ];
+        until_beats(&balancers).await;
+        balancers.iter().for_each(|b| b.view.pauses.set(true));
+        let version = put(&stewards, "service/web", &content(7), &[]).await;
+        let leader = stewards.leader(None).await;
+        stewards.places[leader].process().kill();
+        stewards.leader(Some(leader)).await;
+        assert!(balancers.iter().all(|b| b.in_force() == 0));
+        balancers.iter().for_each(|b| b.view.pauses.set(false));
+        until_in_force(&balancers, version).await;
+        assert_eq!(balancers[0].says(), [content(7)]);
+        let (code, said, told) = get(&stewards, "service/web").await;
+        assert!(code == 0 && said == content(7) && told.contains("version 1, by ann"), "{said}{told}");
+        assert_eq!(history(&stewards).await.len(), 1);
+        stewards.places[leader].start();
+        until_hands_out(&stewards, leader, 1, &[content(7)]).await;
+    });
+}
+
+/// Guards against a word that is entered twice, or taken for lost, because a leader went while it was entered.
+#[test]
+fn words_under_which_leaders_are_killed_are_entered_once_each_and_in_order() {
+    run(async {
+        let mut stewards = Stewards::new("once", "shop", 3);
+        stewards.start();
+        let balancers = [Balancer::new(&stewards, 1, "n0", "web", "a", 0)];
+        until_beats(&balancers).await;
+        for n in 1..=6 {
+            let leader = stewards.leader(None).await;
+            let part = content(n);
+            if n % 2 == 0 {
+                let kill = async {
+                    // Somewhere in it: the verdict is the same wherever.
+                    actix_rt::time::sleep(Duration::from_millis(10 * n)).await;
+                    stewards.places[leader].process().kill();
+                };
+                let (version, ()) = futures_util::join!(put(&stewards, "all", &part, &[]), kill);
+                assert_eq!(version, n);
+                stewards.places[leader].start();
+            } else {
+                assert_eq!(put(&stewards, "all", &part, &[]).await, n);
+            }
+        }
+        until_in_force(&balancers, 6).await;
+        assert!(balancers[0].is_in_order() && balancers[0].says() == [content(6)]);
+        let lines = history(&stewards).await;
+        assert!(
+            lines.iter().map(|line| (line.version, line.base)).eq((1..=6).map(|n| (n, n - 1))),
+            "{lines:?}"
+        );
+    });
+}
+
+/// Guards against a change that lands after the one that undid it.
+#[test]
+fn a_change_that_undoes_one_on_its_way_is_the_last_word_everywhere() {
+    run(async {
+        let mut stewards = Stewards::new("undo", "shop", 3);
+        stewards.start();
+        stewards.leader(None).await;
+        let balancers = [
+            Balancer::new(&stewards, 1, "n0", "web", "a", 0),
+            Balancer::new(&stewards, 2, "n1", "web", "b", 1),
+        ];
+        put(&stewards, "service/web", &content(1), &[]).await;
+        until_in_force(&balancers, 1).await;
+        balancers[1].view.pauses.set(true);
+        put(&stewards, "service/web", &content(2), &[]).await;
+        until_in_force(&balancers[..1], 2).await;
+        put(&stewards, "service/web", &content(1), &[]).await;
+        balancers[1].view.pauses.set(false);
+        until_in_force(&balancers, 3).await;
+        assert_eq!(*balancers[0].view.applied.borrow(), [1, 2, 3]);
+        assert_eq!(*balancers[1].view.applied.borrow(), [1, 3]);
+        assert!(balancers.iter().all(|b| b.says() == [content(1)]));
+        // A scope that says nothing any more.
+        put(&stewards, "service/web", "", &["--wait", "30"]).await;
+        assert!(balancers.iter().all(|b| b.in_force() == 4 && b.says().is_empty()));
+    });
+}
+
+/// Guards against changes that overtake each other, and against a fleet that falls behind for good.
+#[test]
+fn a_change_every_tenth_of_a_second_for_ten_seconds_lands_in_order_and_the_history_is_whole() {
+    run(async {
+        const MANY: u64 = 100;
+        let mut stewards = Stewards::new("many", "shop", 3);
+        stewards.start();
+        let leader = stewards.leader(None).await;
+        let balancers = [
+            Balancer::new(&stewards, 1, "n0", "web", "a", 0),
+            Balancer::new(&stewards, 2, "n1", "web", "b", 1),
+            Balancer::new(&stewards, 3, "n2", "web", "b", 2),
+        ];
+        until_beats(&balancers).await;
+        let mut tick = actix_rt::time::interval(Duration::from_millis(100));
+        for n in 1..=MANY {
+            tick.tick().await;
+            assert_eq!(say(&stewards, leader, &Scope::All, n - 1, &content(n)).await, Ok(Ok(n)));
+        }
+        until_in_force(&balancers, MANY).await;
+        for balancer in &balancers {
+            assert!(balancer.is_in_order() && balancer.says() == [content(MANY)]);
+        }
+        let lines = history(&stewards).await;
+        assert!(lines.iter().map(|line| (line.version, line.base)).eq((1..=MANY).map(|n| (n, n - 1))));
+    });
+}
+
+/// Guards against a steward that hands out an older version for the latest, and a balancer that stays with such a one.
+#[test]
+fn a_steward_that_lags_says_so_and_another_one_serves() {
+    run(async {
+        let mut stewards = Stewards::new("lag", "shop", 3);
+        // The others reach the third one by a link.
+        let link = Link::to(stewards.places[2].address).await.expect("a link");
+        let mut addresses = stewards.addresses();
+        addresses[2] = link.address;
+        stewards.places[..2].iter().for_each(|place| place.name("shop", &addresses));
+        stewards.start();
+        if stewards.leader(None).await == 2 {
+            stewards.places[2].process().kill();
+            stewards.leader(Some(2)).await;
+            stewards.places[2].start();
+        }
+        assert_eq!(put(&stewards, "all", &content(1), &[]).await, 1);
+        until_hands_out(&stewards, 2, 1, &[content(1)]).await;
+        link.refuse();
+        assert_eq!(put(&stewards, "all", &content(2), &[]).await, 2);
+        assert_eq!(fetch(&stewards, 2, 2).await, Ok(Fetched::Behind));
+        let balancers = [Balancer::new(&stewards, 1, "n0", "web", "a", 2)];
+        until_in_force(&balancers, 2).await;
+        assert!(balancers[0].view.behind.get() > 0 && *balancers[0].view.applied.borrow() == [2]);
+        assert_eq!(fetch(&stewards, 2, 2).await, Ok(Fetched::Behind));
+        link.mend();
+        until_hands_out(&stewards, 2, 2, &[content(2)]).await;
+    });
+}
+
+/// Guards against half of a change, and against one that is said to be entered and is not, where a disk can't be written.
+#[test]
+fn a_put_at_a_leader_that_cannot_write_is_entered_by_another_or_by_none() {
+    run(async {
+        let mut stewards = Stewards::new("full", "shop", 3);
+        stewards.start();
+        let full = stewards.leader(None).await;
+        let balancers = [Balancer::new(&stewards, 1, "n0", "web", "a", full)];
+        put(&stewards, "all", &content(1), &["--wait", "30"]).await;
+        stewards.places[full].process().fill_disk().expect("it has a limit");
+        let version = put(&stewards, "all", &content(2), &["--wait", "30"]).await;
+        assert_eq!((version, balancers[0].says()), (2, vec![content(2)]));
+        assert_eq!(history(&stewards).await.len(), 2);
+        stewards.until_state(full, "stopped").await;
+        let why = fetch(&stewards, full, 1).await.expect_err("its disk is in trouble");
+        assert!(why.contains("503") && why.contains("takes no part"), "{why}");
+        stewards.places[full].process().kill();
+        stewards.places[full].start();
+        until_hands_out(&stewards, full, 2, &[content(2)]).await;
+    });
+}
+
+/// The same with nobody else to enter it.
+#[test]
+fn a_put_at_the_only_steward_whose_disk_is_full_is_refused_or_not_known_and_never_half() {
+    run(async {
+        let mut stewards = Stewards::new("alone", "shop", 1);
+        stewards.start();
+        stewards.leader(None).await;
+        put(&stewards, "all", &content(1), &[]).await;
+        stewards.places[0].process().fill_disk().expect("it has a limit");
+        let file = write(&stewards, "part.toml", &content(2));
+        let (code, said, why) =
+            stewards.command(&["configuration", "put", &file, "--scope", "all", "--from", "1"]).await;
+        assert!(said.is_empty() && why.lines().count() == 1, "{said}{why}");
+        stewards.places[0].process().kill();
+        stewards.places[0].start();
+        let lines = history(&stewards).await;
+        // Its library may have met the full disk before the word came, by a write of its own: then it was refused.
+        match code {
+            1 => assert!(why.contains("not known whether it is entered"), "{why}"),
+            2 => assert!(why.contains("takes no part") && lines.len() == 1, "{why}"),
+            _ => panic!("{code}: {why}"),
+        }
+        let (_, said, _) = get(&stewards, "all").await;
+        assert_eq!(said, content(lines.len() as u64));
+        assert_eq!(put(&stewards, "all", &content(3), &[]).await, lines.len() as u64 + 1);
+    });
+}
