--- a/crates/fernroute-fleet/src/configuration/follower.rs
+++ b/crates/fernroute-fleet/src/configuration/follower.rs
@@ -149,7 +149,8 @@
     /// The steward did not answer, or not with anything that could be taken. `chance` is a draw between 0 and 1.
     pub fn failed(&mut self, now: Time, chance: f64) {
         self.asked = None;
-        let pause = self.pause as f64 * (0.5 + chance.clamp(0.0, 1.0) / 2.0);
+        let chance = if (0.0..=1.0).contains(&chance) { chance } else { 1.0 };
+        let pause = self.pause as f64 * (0.5 + chance / 2.0);
         self.next = now.saturating_add(pause as Time);
         self.pause = (2 * self.pause).min(LONGEST_PAUSE);
     }
--- a/crates/fernroute-fleet/tests/configuration_world/mod.rs
+++ b/crates/fernroute-fleet/tests/configuration_world/mod.rs
@@ -5,6 +5,8 @@
 // Each file of tests uses a part of this.
 #![allow(dead_code)]
 
+pub mod parts;
+
 use fernroute::Time;
 use fernroute_fleet::configuration::follower::{Follower, Snapshot};
 use fernroute_fleet::configuration::register::{NotEntered, Put, Register};
