Nothing on the way to ready is waited for without an end: a process that ends, one that knows nobody

Need: a process is ready within 10 s of its start, also without discovery, at once in a tenth of a fleet, on a machine with all cores busy.

Cause of what did not hold: (1) started while the process before it had closed its listener and still answered, a process was refused and ended with code 2; (2) after a process that knew no upstream and had been told nothing, that empty list came before the upstreams that the file names, and the new process was not ready before discovery spoke.

Change: a refusal says whether it is of a process that is ending; such a one is looked at again until it has gone, 5 s at the most. A list that was never told does not come before the file's.

--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -104,8 +104,10 @@
         // All there is, at once: a call for what is newer waits until there is something.
         station.since = None;
     }
-    if let Before::Serving(other) = &before {
-        // What the other process was told last is newer than what this one's file says.
+    // What the other process was told last is newer than what this one's file says. One that knows nobody and was told
+    // nothing has nothing newer to say.
+    let told_nothing = |list: &Known| list.since.is_none() && list.upstreams.is_empty();
+    if let Some(other) = before.serving().filter(|other| !told_nothing(&other.list)) {
         station.since = other.list.since.filter(|_| other.list.discovery == station.discovery);
         station.known = Some(other.list.list());
     }
--- a/crates/fernroute-server/src/program/upgrade.rs
+++ b/crates/fernroute-server/src/program/upgrade.rs
@@ -27,6 +27,9 @@
 /// A new process that gets no list from the old one waits for discovery's for this long before it serves by its file's.
 const TRUST: Duration = Duration::from_secs(3);
 
+/// A process that is ending is waited for so long: told to stop, it is gone by then, and with it its door's address.
+const ENDS: Duration = Duration::from_secs(5);
+
 /// How often the state of things is looked at, and told to the other process.
 const LOOK: Duration = Duration::from_millis(20);
 const TELL: Duration = Duration::from_millis(100);
@@ -39,6 +42,15 @@
     Unknown,
 }
 
+impl Before {
+    pub fn serving(&self) -> Option<&Serving> {
+        match self {
+            Before::Serving(other) => Some(other),
+            _ => None,
+        }
+    }
+}
+
 /// An old process that hands over.
 pub struct Serving {
     link: Link,
@@ -49,8 +61,24 @@
     pub member: Option<(Handed, Instant)>,
 }
 
-/// Asks the process that serves at this address, if there is one, to hand over. An error is its word that it won't.
+/// Asks the process that serves at this address, if there is one, to hand over. An error is its word that it won't. Guards
+/// against a restart that comes to nothing since the process before it is still answering its last callers.
 pub async fn look(name: &str, listen: SocketAddr) -> Result<Before, String> {
+    let from = Instant::now();
+    loop {
+        if let Some(before) = look_once(name, listen).await? {
+            return Ok(before);
+        }
+        if from.elapsed() >= ENDS {
+            tracing::warn!("the process before is still ending, starting all the same");
+            return Ok(Before::Nobody);
+        }
+        actix_rt::time::sleep(TELL).await;
+    }
+}
+
+/// None where the process that is there is ending.
+async fn look_once(name: &str, listen: SocketAddr) -> Result<Option<Before>, String> {
     let asked = async {
         let path = transport::path(name, listen)?;
         let link = match Link::connect(&path).await {
@@ -69,27 +97,28 @@
         }
     };
     match asked.await {
-        Ok(None) => Ok(Before::Nobody),
-        Ok(Some(Ok(serving))) => Ok(Before::Serving(Box::new(serving))),
-        Ok(Some(Err(refused))) => {
+        Ok(None) => Ok(Some(Before::Nobody)),
+        Ok(Some(Ok(serving))) => Ok(Some(Before::Serving(Box::new(serving)))),
+        Ok(Some(Err((_, true)))) => Ok(None),
+        Ok(Some(Err((refused, false)))) => {
             Err(format!("the process that serves on {listen} hands nothing over: {refused}"))
         }
         Err(why) => {
             tracing::warn!("no process hands over, starting as if alone: {why}");
-            Ok(Before::Unknown)
+            Ok(Some(Before::Unknown))
         }
     }
 }
 
-/// The inner error is a refusal.
-async fn take(mut link: Link, listen: SocketAddr) -> Result<Result<Serving, String>, String> {
+/// The inner error is a refusal, and whether it is of a process that is ending.
+async fn take(mut link: Link, listen: SocketAddr) -> Result<Result<Serving, (String, bool)>, String> {
     let asked = Instant::now();
     link.say(&FromNew::take()).await.map_err(|e| e.to_string())?;
     let (list, descriptors, member, socket) = match link.hear().await.map_err(|e| e.to_string())? {
         Some((FromOld::Given { list, descriptors, member, .. }, Some(socket))) => {
             (list, descriptors, member.map(|member| (member, asked)), socket)
         }
-        Some((FromOld::Refused { why }, _)) => return Ok(Err(why)),
+        Some((FromOld::Refused { why, ending }, _)) => return Ok(Err((why, ending))),
         Some((other, _)) => return Err(format!("{other:?} without the socket")),
         None => return Err("it ended".to_owned()),
     };
@@ -270,15 +299,15 @@
             Ok(link) => {
                 // An end with a word unread would cut off the answer.
                 let _ = timeout(ANSWER, link.hear::<FromNew>()).await;
-                refuse(link, "another process takes over already").await;
+                refuse(link, "another process takes over already", false).await;
             }
             Err(_) => actix_rt::time::sleep(TELL).await,
         }
     }
 }
 
-async fn refuse(mut link: Link, why: &str) {
-    let _ = timeout(ANSWER, link.say(&FromOld::Refused { why: why.to_owned() })).await;
+async fn refuse(mut link: Link, why: &str, ending: bool) {
+    let _ = timeout(ANSWER, link.say(&FromOld::Refused { why: why.to_owned(), ending })).await;
 }
 
 /// Hands over to a successor; its end of the link once it can serve, none if it never will.
@@ -290,8 +319,12 @@
             return None;
         }
     };
-    let Some(socket) = running.server.listener().filter(|_| known) else {
-        refuse(link, "this process can't hand over to one of that version, or is ending").await;
+    if !known {
+        refuse(link, "this process can't hand over to one of that version", false).await;
+        return None;
+    }
+    let Some(socket) = running.server.listener() else {
+        refuse(link, "this process is ending", true).await;
         return None;
     };
     running.set_share(|share| share.keep(running.connections()));
--- a/crates/fernroute-server/src/protocol/handover.rs
+++ b/crates/fernroute-server/src/protocol/handover.rs
@@ -33,7 +33,12 @@
         member: Option<Handed>,
     },
     /// Another successor is here already, or this one can't be served.
-    Refused { why: String },
+    Refused {
+        why: String,
+        /// Nobody will be served here any more: the address is free once this process has ended. An earlier version says no.
+        #[serde(default)]
+        ending: bool,
+    },
     /// More descriptors, as connections end.
     Left { descriptors: usize },
     /// The successor accepts alone from now on, and is whom the next one comes to.
--- a/crates/fernroute-server/tests/common/process.rs
+++ b/crates/fernroute-server/tests/common/process.rs
@@ -38,8 +38,8 @@
     /// Returns once it answers operators; callers it may serve later. `meets` is its `$TMPDIR`, if it has one.
     pub async fn launch(folder: &Path, page: &str, meets: Option<&Path>) -> Self {
         static FILES: AtomicUsize = AtomicUsize::new(0);
-        let kind = if page.starts_with('{') { "json" } else { "toml" };
-        let path = folder.join(format!("{}.{kind}", FILES.fetch_add(1, Ordering::Relaxed)));
+        let format = if page.starts_with('{') { "json" } else { "toml" };
+        let path = folder.join(format!("{}.{format}", FILES.fetch_add(1, Ordering::Relaxed)));
         std::fs::write(&path, page).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_fernroute"));
         command.args(["serve", "--config"]).arg(&path).env_remove("NODE_OPS");
