Idle callers keep nobody out: half heads make room, fewer granted descriptors are believed, room is made when wanted

Seen with the program at 64 descriptors and 250 callers that rest while discovery is down: with half a head each they kept newcomers out for good; where the machine grants fewer descriptors than the file says, callers took all of them; a newcomer who came while all were busy waited until one left by itself, though they rested by then; fewer places sent the same idle one away again and again; and with the places full the last one to come was sent away for a newcomer who was not there.

Change: who has come is accepted first, and room is made for it then, looked for each 20 ms. Idle ones go first, then those that pause for 50 ms in half a message, then those that have just come; none on which an RPC lies. What the machine grants is asked at the start, and where accept says that none are left callers get eight fewer from then on. Accept's troubles are said once of a row.

--- a/crates/fernroute-rig/src/process.rs
+++ b/crates/fernroute-rig/src/process.rs
@@ -111,6 +111,18 @@
         line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
     }
 
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.child.borrow().id())).map_or(0, |all| all.count())
+    }
+
+    /// From here on it may hold no more than so many, whatever it holds now.
+    pub fn limit_descriptors(&self, most: u64) -> io::Result<()> {
+        let id = Pid::from_raw(self.child.borrow_mut().id() as i32);
+        let limit = Rlimit { current: Some(most), maximum: Some(most) };
+        prlimit(id, Resource::Nofile, limit).map(|_| ()).map_err(io::Error::from)
+    }
+
     /// From here on none of its writes to files succeeds, as on a disk that is full or read-only; it has to ignore the signal
     /// that tells of it, as [`ignoring_limits`] has it.
     pub fn fill_disk(&self) -> io::Result<()> {
@@ -139,13 +151,28 @@
         .args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""])
         .arg(command.get_program())
         .args(command.get_args());
-    for (name, value) in command.get_envs() {
+    with_environment(other, command)
+}
+
+fn with_environment(mut command: Command, of: &Command) -> Command {
+    for (name, value) in of.get_envs() {
         match value {
-            Some(value) => other.env(name, value),
-            None => other.env_remove(name),
+            Some(value) => command.env(name, value),
+            None => command.env_remove(name),
         };
     }
+    command
+}
+
+/// The same program, which may hold no more descriptors than so many.
+pub fn with_descriptors(command: &Command, most: usize) -> Command {
+    let mut other = Command::new("sh");
     other
+        .args(["-c", "ulimit -n \"$0\"; exec \"$@\""])
+        .arg(most.to_string())
+        .arg(command.get_program())
+        .args(command.get_args());
+    with_environment(other, command)
 }
 
 /// A run that fails leaves nothing behind that runs.
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -12,6 +12,7 @@
 use crate::routing::take_in;
 use crate::transport::server::Server;
 use futures_util::future::{select, Either};
+use rustix::process::{getrlimit, Resource};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -77,6 +78,16 @@
     Ok(socket)
 }
 
+/// How many descriptors this process may hold. Guards against callers, who get a part of what the file says, that take all
+/// that the machine grants.
+fn granted(said: usize) -> usize {
+    let most = getrlimit(Resource::Nofile).current.map_or(usize::MAX, |most| most as usize);
+    if most < said {
+        tracing::warn!("limits.sockets says {said}, the machine grants {most}");
+    }
+    said.min(most)
+}
+
 /// Starts a balancer on the running thread, the only process of it.
 pub async fn start(station: Station) -> Result<Running, String> {
     start_after(station, Before::Nobody, None).await.map(|(running, _)| running)
@@ -89,9 +100,9 @@
     mut before: Before,
     followed: Option<Rc<Followed>>,
 ) -> Result<(Running, Before), String> {
-    let mut share = Share::new(station.descriptors, station.ops.is_some());
+    let mut share = Share::new(granted(station.descriptors), station.ops.is_some());
     if let Before::Serving(other) = &before {
-        share.part = other.descriptors;
+        share.part = other.descriptors.min(share.whole);
     }
     let (callers, upstreams) = share.connections();
     let board = Switchboard::new(&station.terms, station.seed, upstreams, share.memory(station.memory))
--- a/crates/fernroute-server/src/transport/door.rs
+++ b/crates/fernroute-server/src/transport/door.rs
@@ -27,9 +27,11 @@
 pub async fn run(listener: TcpListener, answer: impl Fn(Call) -> Reply + 'static) {
     let answer = Rc::new(answer);
     let mut places: VecDeque<JoinHandle<()>> = VecDeque::new();
+    let mut failing = false;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                failing = false;
                 places.retain(|place| !place.is_finished());
                 if places.len() >= PLACES {
                     places.pop_front().into_iter().for_each(|first| first.abort());
@@ -40,7 +42,9 @@
                 }));
             }
             Err(why) => {
-                tracing::warn!("operators' door: {why}");
+                if !std::mem::replace(&mut failing, true) {
+                    tracing::warn!("operators' door: {why}");
+                }
                 actix_rt::time::sleep(Duration::from_millis(10)).await;
             }
         }
--- a/crates/fernroute-server/src/transport/inbound.rs
+++ b/crates/fernroute-server/src/transport/inbound.rs
@@ -38,6 +38,8 @@
     asked: Cell<bool>,
     /// Since when it has been idle, or an RPC has been coming.
     since: Cell<Instant>,
+    /// When something came last.
+    heard_at: Cell<Instant>,
     /// Bytes that were read in this turn of the library.
     turn: Cell<usize>,
     /// The library has read all that was there when it last wanted to.
@@ -67,6 +69,7 @@
             unsent: Cell::new(false),
             asked: Cell::new(false),
             since: Cell::new(Instant::now()),
+            heard_at: Cell::new(Instant::now()),
             turn: Cell::new(0),
             drained: Cell::new(false),
             seen_at: Cell::new(None),
@@ -109,6 +112,16 @@
         self.ending.get() && self.is_idle()
     }
 
+    /// Half a message has come, and nothing more of it for so long.
+    pub fn has_paused(&self, time: Duration) -> bool {
+        self.is_partial() && self.heard_at.get().elapsed() >= time
+    }
+
+    /// Its room is wanted already, or it is about to be closed anyway.
+    pub fn is_going(&self) -> bool {
+        self.wanted.get() || self.done.get()
+    }
+
     pub fn has_asked(&self) -> bool {
         self.asked.get()
     }
@@ -136,10 +149,15 @@
         self.wake.notify_one();
     }
 
-    /// The same at once, and without waiting for the caller to read the last answer: its room is wanted.
+    /// The same at once, and without waiting for the caller to read the last answer: its room is wanted. Of half a message
+    /// the rest is not waited for.
     pub fn make_room(&self) {
         self.wanted.set(true);
-        self.end();
+        if self.is_partial() {
+            self.expire();
+        } else {
+            self.end();
+        }
         self.hurry.notify_one();
     }
 
@@ -223,7 +241,7 @@
     }
 
     /// Whether there is more to read. Guards against the end of an idle connection on which the next RPC has come.
-    fn has_more(&self) -> bool {
+    pub(super) fn has_more(&self) -> bool {
         self.peek().is_ok_and(|bytes| bytes > 0)
     }
 
@@ -283,6 +301,7 @@
                 if visit.is_idle() {
                     visit.since.set(Instant::now());
                 }
+                visit.heard_at.set(Instant::now());
                 visit.partial.set(true);
             }
             // Its event is still to come, and with it the next turn.
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -6,6 +6,7 @@
 use actix_http::{HttpService, KeepAlive, Request, Response};
 use actix_service::{fn_service, Service, ServiceFactory};
 use futures_util::future::{select, Either};
+use rustix::io::Errno;
 use rustix::net::SocketFlags;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -32,6 +33,16 @@
 /// hold connections with half an RPC, which are never between RPCs and so would never make room.
 const COMING: Duration = Duration::from_millis(2500);
 
+/// Where room is wanted and nobody is idle, half a message goes of which nothing more has come for so long. Whoever writes
+/// slowly pauses as long, and there is nobody better to send away; a crowd with half a message each would keep others out.
+const PAUSED: Duration = Duration::from_millis(50);
+
+/// So often somebody is looked for whose room may be had, while there is none.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// So many descriptors are left to others where this process gets no more: the watch, operators, connections to upstreams.
+const SPARE: usize = 8;
+
 /// Who takes nothing of an answer for this long is not there any more. A caller on a poor line takes a little each second.
 const STUCK: Duration = Duration::from_secs(10);
 
@@ -105,8 +116,8 @@
             return self.close();
         };
         let service = Rc::new(service);
+        let mut failing = false;
         loop {
-            self.make_room().await;
             if self.closed.get() {
                 for stream in self.last_of_queue() {
                     self.take_in(&service, stream);
@@ -128,11 +139,16 @@
             match accepted {
                 None => {}
                 Some(Ok((stream, _))) => {
+                    failing = false;
+                    self.make_room().await;
                     self.take_in(&service, stream);
                 }
                 Some(Err(why)) => {
-                    tracing::warn!("accept: {why}");
-                    self.end_idlest();
+                    // Said once of a row: it may be tried a hundred times a second.
+                    if !std::mem::replace(&mut failing, true) {
+                        tracing::warn!("accept: {why}");
+                    }
+                    self.give_up_some(&why);
                     actix_rt::time::sleep(Duration::from_millis(10)).await;
                 }
             }
@@ -216,11 +232,24 @@
         visit
     }
 
-    /// Waits while the connections are at their most; the longest idle one goes.
+    /// For one that has come: waits while the connections are at their most. The longest idle one goes, also where it becomes
+    /// idle meanwhile. At the end there is room for who is there.
     async fn make_room(&self) {
-        while self.visits.borrow().len() >= self.most.get() {
-            self.end_idlest();
-            self.left.notified().await;
+        while self.visits.borrow().len() >= self.most.get() && !self.closed.get() {
+            self.end_idlest(1);
+            let _ = timeout(LOOK, self.left.notified()).await;
+        }
+    }
+
+    /// The machine grants no connection more. Where this process has as many descriptors as it may, it was told of more than
+    /// that: callers get fewer from now on. Guards against callers that leave none to the watch and to upstreams.
+    fn give_up_some(&self, why: &std::io::Error) {
+        if why.raw_os_error() == Some(Errno::MFILE.raw_os_error()) {
+            let most = self.connections().saturating_sub(SPARE).max(1);
+            tracing::warn!("no descriptors are left, callers get {most} at the most");
+            self.set_most(most);
+        } else {
+            self.end_idlest(1);
         }
     }
 
@@ -231,9 +260,7 @@
     /// From now on there are this many at the most; idle ones beyond that go now.
     pub fn set_most(&self, most: usize) {
         self.most.set(most);
-        for _ in most..self.connections() {
-            self.end_idlest();
-        }
+        self.end_idlest(self.connections().saturating_sub(most));
         self.left.notify_waiters();
     }
 
@@ -256,13 +283,22 @@
         self.listener.borrow().as_ref().and_then(|listener| listener.as_fd().try_clone_to_owned().ok())
     }
 
-    /// One that is about to be closed goes first.
-    fn end_idlest(&self) {
+    /// So many go. Those that are about to be closed go first, and are none the less counted; then those that have been idle
+    /// longest; then those that pause in half a message; then those that have just come and say nothing yet.
+    fn end_idlest(&self, count: usize) {
         let visits = self.visits.borrow();
-        let idle = visits.iter().filter(|v| v.is_done() || v.is_idle());
-        if let Some(visit) = idle.min_by_key(|v| (!v.is_done(), v.since())) {
-            visit.make_room();
-        }
+        let may_go = |v: &&Rc<Visit>| v.is_done() || v.is_idle() || v.has_paused(PAUSED);
+        let mut those: Vec<&Rc<Visit>> = visits.iter().filter(may_go).collect();
+        let place = |v: &Rc<Visit>| match () {
+            () if v.is_going() => 0,
+            () if v.is_partial() => 2,
+            () if v.since().elapsed() >= PAUSED => 1,
+            () => 3,
+        };
+        those.sort_by_cached_key(|v| (place(v), v.since()));
+        // An RPC may have come on one that was accepted in this turn.
+        let those = those.iter().filter(|v| v.is_done() || !v.has_more());
+        those.take(count).for_each(|visit| visit.make_room());
     }
 
     /// `ending`: connections that are idle go, and those that become idle, until it is said otherwise.
--- a/crates/fernroute-server/tests/common/process.rs
+++ b/crates/fernroute-server/tests/common/process.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use fernroute_rig::process::Process;
+use fernroute_rig::process::{with_descriptors, Process};
 use std::net::SocketAddr;
 use std::ops::Deref;
 use std::path::{Path, PathBuf};
@@ -37,6 +37,16 @@
 
     /// Returns once it answers operators; callers it may serve later. `meets` is its `$TMPDIR`, if it has one.
     pub async fn launch(folder: &Path, page: &str, meets: Option<&Path>) -> Self {
+        Program::run(folder, page, meets, |command| command).await
+    }
+
+    /// Serves already; its machine grants it so many descriptors, whatever its file says.
+    pub async fn start_with(folder: &Path, page: &str, descriptors: usize) -> Self {
+        let limited = |command| with_descriptors(&command, descriptors);
+        Program::run(folder, page, Some(folder), limited).await.serving().await
+    }
+
+    async fn run(folder: &Path, page: &str, meets: Option<&Path>, how: impl Fn(Command) -> Command) -> Self {
         static FILES: AtomicUsize = AtomicUsize::new(0);
         let format = if page.starts_with('{') { "json" } else { "toml" };
         let path = folder.join(format!("{}.{format}", FILES.fetch_add(1, Ordering::Relaxed)));
@@ -47,7 +57,7 @@
             Some(folder) => command.env("TMPDIR", folder),
             None => command.env_remove("TMPDIR"),
         };
-        let process = Process::launch(command).expect("it starts");
+        let process = Process::launch(how(command)).expect("it starts");
         let door = process.address_after("operators are answered on ", START).await.expect("its door");
         Program { process, path, address: door, door }
     }
