--- a/crates/fernroute-config/src/layers.rs
+++ b/crates/fernroute-config/src/layers.rs
@@ -11,9 +11,10 @@
 /// These are taken when a connection is first made: a running balancer can't go by others.
 const AT_A_START: [(&str, &str); 2] = [("limits", "connect_ms"), ("limits", "keep_alive_s")];
 
-/// A file that any part can be laid over, to see whether it will do.
+/// A file that any part can be laid over, to see whether it will do. It has what another key of a table needs beside it: a
+/// balancer's own file may have it, too.
 const PLAIN: &str = "name = \"b\"\nlisten = \"127.0.0.1:1\"\ndiscovery = \"127.0.0.1:2\"\n\
-    [rules]\ncold_from = 0.3\nwarm_within_s = 10\ncold_multiple = 3\ncold_window_s = 2\n\
+    [list]\nask_within_s = 1\n[rules]\ncold_from = 0.3\nwarm_within_s = 10\ncold_multiple = 3\ncold_window_s = 2\n\
     [[method]]\nname = \"m\"\neffect = \"retriable\"\nhard_ms = 1000\n";
 
 /// All that is wrong with a part, whichever balancer's file it is laid over; lines are the part's own.
--- /dev/null
+++ b/crates/fernroute-lab/src/processes/configuration.rs
@@ -0,0 +1,156 @@
+//! What operators do to the configuration of a fleet of real processes, and how far its balancers are with it.
+
+use super::{launch, Fleet, START};
+use fernroute_fleet::configuration::standing::MemberStanding;
+use fernroute_fleet::configuration::{hash, Scope, Version};
+use fernroute_fleet::message::{Envelope, VERSION};
+use fernroute_rig::caller::rpc;
+use fernroute_rig::http::read;
+use fernroute_rig::process::{ignoring_limits, Process};
+use fernroute_steward::configuration::{Latest, NotDone, Standings, Wish, GET, PUT, STATUS};
+use rustix::process::Signal;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A steward's answer to an operator, if there is one.
+async fn say<A: DeserializeOwned>(at: SocketAddr, path: &str, message: impl Serialize) -> Option<A> {
+    let envelope = Envelope { cluster: "c".to_owned(), version: VERSION, to: 0, message };
+    let body = serde_json::to_string(&envelope).ok()?;
+    let length = body.len();
+    let head =
+        format!("POST {path} HTTP/1.1\r\nHost: s\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n");
+    let mut stream = TcpStream::connect(at).await.ok()?;
+    stream.write_all((head + &body).as_bytes()).await.ok()?;
+    let answer = timeout(START, read(&mut stream)).await.ok()??;
+    serde_json::from_slice(&answer.body).ok()
+}
+
+impl Fleet {
+    /// To whichever steward leads, as often as it takes until one does. Whether a word is entered whose answer was lost the scope's
+    /// latest entry tells.
+    async fn say<A: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: impl Serialize + Copy,
+    ) -> Result<A, NotDone> {
+        loop {
+            for (steward, at) in self.stewards.iter().zip(&self.steward_addresses) {
+                if !steward.is_running() {
+                    continue;
+                }
+                match say::<Result<A, NotDone>>(*at, path, message).await {
+                    Some(Err(NotDone::Elsewhere(_))) | None => {}
+                    Some(done) => return done,
+                }
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Enters a part of balancers' files over what is the scope's latest; its version.
+    pub async fn put(&self, scope: &str, content: &str) -> Version {
+        let scope: Scope = scope.parse().expect("a scope");
+        loop {
+            let latest: Latest = self.say(GET, &scope).await.expect("the latest");
+            let base = latest.part.as_ref().map_or(0, |part| part.version);
+            if latest.part.is_some_and(|part| part.content == content) {
+                return base;
+            }
+            let (content, hash, who) = (content.to_owned(), hash(content), "op".to_owned());
+            let wish = Wish { scope: scope.clone(), base, hash, content, who };
+            match self.say(PUT, &wish).await {
+                Ok(version) => return version,
+                // The answer to an earlier try was lost, or may come yet.
+                Err(NotDone::OutOfDate(_) | NotDone::Unknown(_)) => {}
+                Err(other) => panic!("{other:?}"),
+            }
+        }
+    }
+
+    pub async fn standings(&self) -> Standings {
+        self.say(STATUS, ()).await.expect("its word")
+    }
+
+    /// How far this balancer is by its leader's word, once it is so.
+    pub async fn until_stands(&self, n: usize, so: impl Fn(&MemberStanding) -> bool) -> MemberStanding {
+        let name = format!("b{n}");
+        loop {
+            let members = self.standings().await.members;
+            if let Some(member) = members.into_iter().find(|member| member.name == name && so(member)) {
+                return member;
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Until these balancers say that they go by this version.
+    pub async fn until_in_force(&self, version: Version, balancers: &[usize]) {
+        for n in balancers {
+            self.until_stands(*n, |member| member.in_force == version).await;
+        }
+    }
+
+    /// The answer to an RPC of this method; none where its balancer gives none.
+    pub async fn answers(&self, n: usize, method: &str) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.addresses[n]).await.ok()?;
+        let asked = rpc("GET", &format!("/{method}"), "Connection: close\r\n");
+        stream.write_all(asked.as_bytes()).await.ok()?;
+        Some(timeout(START, read(&mut stream)).await.ok()??.status())
+    }
+
+    /// The versions that this balancer's process says went into force, in the order in which they did.
+    pub fn applied(&self, n: usize) -> Vec<Version> {
+        let version =
+            |line: String| line.split_once("configuration ")?.1.strip_suffix(" is in force")?.parse().ok();
+        self.balancers[n].log().into_iter().filter_map(version).collect()
+    }
+
+    /// This balancer's own file from now on, for its next start and its next SIGHUP.
+    pub fn edit(&mut self, n: usize, old: &str, new: &str) {
+        assert!(self.pages[n].contains(old), "{old}");
+        self.pages[n] = self.pages[n].replace(old, new);
+        let page = self.folder.join(format!("b{n}.toml"));
+        std::fs::write(page.with_extension("new"), &self.pages[n]).expect("a file");
+        std::fs::rename(page.with_extension("new"), page).expect("a file");
+    }
+
+    pub fn reload(&self, n: usize) {
+        self.balancers[n].signal(Signal::HUP);
+    }
+
+    /// Where this balancer keeps what it goes by.
+    pub fn copy(&self, n: usize) -> PathBuf {
+        self.folder.join(format!("fernroute-b{n}-127.0.0.1_0.configuration"))
+    }
+
+    /// Starts one again that is told of a full disk by errors alone.
+    pub async fn start_tolerant(&mut self, n: usize) -> Result<(), String> {
+        self.balancers[n].kill();
+        let mut command = Command::new(&self.program);
+        let page = self.folder.join(format!("b{n}.toml"));
+        command.args(["balancer", "--config"]).arg(page).env("TMPDIR", &self.folder);
+        command.env_remove("FERNROUTE_LOG").env_remove("NODE_OPS");
+        let process = Process::launch(ignoring_limits(&command)).map_err(|e| e.to_string())?;
+        self.addresses[n] = process.address_after("serving on ", START).await?;
+        self.balancers[n] = process;
+        Ok(())
+    }
+
+    /// Starts one again, with what is left on its disk, and asks nothing of it.
+    pub async fn start_again(&mut self, n: usize) -> Result<(), String> {
+        self.balancers[n].kill();
+        let process = launch(&self.program, "balancer", &self.folder, &format!("b{n}"), &self.pages[n])?;
+        self.addresses[n] = process.address_after("serving on ", START).await?;
+        self.balancers[n] = process;
+        Ok(())
+    }
+}
