--- a/crates/fernroute-steward/src/store.rs
+++ b/crates/fernroute-steward/src/store.rs
@@ -130,20 +130,27 @@
     }
 
     fn note<T: DeserializeOwned>(&self, name: &str) -> Result<Option<T>, Bad> {
+        let found = self.note_bytes(name)?;
+        found.map(|bytes| serde_json::from_slice(&bytes).map_err(unread)).transpose()
+    }
+
+    fn note_bytes(&self, name: &str) -> Result<Option<Vec<u8>>, Bad> {
         let read = self.file.begin_read().map_err(unread)?;
         let table = match read.open_table(NOTES) {
             Ok(table) => table,
             Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
             Err(why) => return Err(unread(why)),
         };
-        let found = table.get(name).map_err(unread)?;
-        found.map(|bytes| serde_json::from_slice(bytes.value()).map_err(unread)).transpose()
+        Ok(table.get(name).map_err(unread)?.map(|bytes| bytes.value().to_vec()))
     }
 
     fn set_note<T: Serialize>(&self, name: &str, value: &T) -> Result<(), Bad> {
-        let bytes = serde_json::to_vec(value).map_err(unwritten)?;
+        self.set_note_bytes(name, &serde_json::to_vec(value).map_err(unwritten)?)
+    }
+
+    fn set_note_bytes(&self, name: &str, bytes: &[u8]) -> Result<(), Bad> {
         let write = self.file.begin_write().map_err(unwritten)?;
-        write.open_table(NOTES).map_err(unwritten)?.insert(name, bytes.as_slice()).map_err(unwritten)?;
+        write.open_table(NOTES).map_err(unwritten)?.insert(name, bytes).map_err(unwritten)?;
         write.commit().map_err(unwritten)
     }
 
@@ -306,21 +313,31 @@
         let kept: Option<Kept> = disk.note("snapshot").map_err(|e| e.to_string())?;
         Ok(Book { disk, kept: Rc::new(RefCell::new(kept.unwrap_or_default())) })
     }
+}
 
-    fn snapshot(&self, kept: &Kept) -> Result<Snapshot<Kinds>, Bad> {
-        let bytes = serde_json::to_vec(kept).map_err(unwritten)?;
-        let at = kept.applied.map_or(String::new(), |applied| applied.to_string());
-        let (last_log_id, last_membership) = (kept.applied, kept.membership.clone());
-        let meta = SnapshotMeta { last_log_id, last_membership, snapshot_id: at };
-        Ok(Snapshot { meta, snapshot: Box::new(Cursor::new(bytes)) })
-    }
+/// What a snapshot says of itself. Guards against a leader that reads and writes all of a long one again for each steward
+/// that needs it, and is taken for dead meanwhile.
+#[derive(Deserialize)]
+struct Head {
+    applied: Option<LogId<u64>>,
+    membership: StoredMembership<u64, BasicNode>,
+}
+
+fn snapshot(head: Head, bytes: Vec<u8>) -> Snapshot<Kinds> {
+    let snapshot_id = head.applied.map_or(String::new(), |applied| applied.to_string());
+    let meta = SnapshotMeta { last_log_id: head.applied, last_membership: head.membership, snapshot_id };
+    Snapshot { meta, snapshot: Box::new(Cursor::new(bytes)) }
 }
 
 impl RaftSnapshotBuilder<Kinds> for Book {
     async fn build_snapshot(&mut self) -> Result<Snapshot<Kinds>, Bad> {
-        let kept = self.kept.borrow().clone();
-        self.disk.set_note("snapshot", &kept)?;
-        self.snapshot(&kept)
+        let (head, bytes) = {
+            let kept = self.kept.borrow();
+            let head = Head { applied: kept.applied, membership: kept.membership.clone() };
+            (head, serde_json::to_vec(&*kept).map_err(unwritten)?)
+        };
+        self.disk.set_note_bytes("snapshot", &bytes)?;
+        Ok(snapshot(head, bytes))
     }
 }
 
@@ -373,13 +390,14 @@
         snapshot: Box<Cursor<Vec<u8>>>,
     ) -> Result<(), Bad> {
         let kept: Kept = serde_json::from_slice(snapshot.get_ref()).map_err(unread)?;
-        self.disk.set_note("snapshot", &kept)?;
+        self.disk.set_note_bytes("snapshot", snapshot.get_ref())?;
         self.kept.replace(kept);
         Ok(())
     }
 
     async fn get_current_snapshot(&mut self) -> Result<Option<Snapshot<Kinds>>, Bad> {
-        let kept: Option<Kept> = self.disk.note("snapshot")?;
-        kept.map(|kept| self.snapshot(&kept)).transpose()
+        let bytes = self.disk.note_bytes("snapshot")?;
+        let read = |bytes: Vec<u8>| Ok(snapshot(serde_json::from_slice(&bytes).map_err(unread)?, bytes));
+        bytes.map(read).transpose()
     }
 }
