Scale runs: hollow and real balancers, stewards, load, faults and one object of JSON

What control costs at the size of a whole installation was known of single processes only. `fernroute-lab scale FILE [--factor F] [--json OUT]` starts hollow balancers (`serve::start` many times on one thread: the same code and the same sockets, asked for no RPC), real ones under open-loop load, stewards, and stand-ins for discovery and upstreams. Bytes and messages are counted where connections end: the rig's links count what comes into them, and so does its discovery.

Changes of configuration are null until there are some.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What developers do, by name.
-.PHONY: build test lint run fleet
+.PHONY: build test lint run fleet scale
 
 build:
 	cargo build --release --locked
@@ -18,3 +18,7 @@
 # Three stewards, four balancers, stand-ins and a load on loopback; the ledger's status until Ctrl-C.
 fleet: build
 	target/release/fernroute-lab fleet
+
+# The whole installation at a quarter of its size: hollow balancers, real ones under load, stewards, faults. Some minutes.
+scale: build
+	target/release/fernroute-lab scale lab/scale/whole.toml --factor 0.25 --json scale.json
--- a/crates/fernroute-lab/src/lib.rs
+++ b/crates/fernroute-lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod processes;
 pub mod referee;
 pub mod run;
+pub mod scale;
 pub mod scenario;
 pub mod trace;
 mod upstream;
--- a/crates/fernroute-lab/src/main.rs
+++ b/crates/fernroute-lab/src/main.rs
@@ -9,6 +9,7 @@
 use fernroute_lab::player::Variant;
 use fernroute_lab::referee::Breach;
 use fernroute_lab::run;
+use fernroute_lab::scale;
 use fernroute_lab::scenario::Scenario;
 use fernroute_server::program::commands;
 use std::path::PathBuf;
@@ -36,6 +37,10 @@
     StewardStatus(AskSteward),
     Fleet(RunFleet),
     MeasureFleet(MeasureFleet),
+    Scale(RunScale),
+    Hollow(Hollow),
+    ScaleStand(ScaleStand),
+    StewardChange(ChangeStewards),
 }
 
 /// Read scenarios and say whether they will do.
@@ -148,6 +153,49 @@
 #[argh(subcommand, name = "fleet-measure")]
 struct MeasureFleet {}
 
+/// Run hollow balancers, real ones and stewards at the size that a file says, and measure what they cost. Ends with 1 where
+/// something was lost or beyond the whole, with 2 for a file that will not do, with 3 where the load was not kept.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct RunScale {
+    /// file of the run
+    #[argh(positional)]
+    file: PathBuf,
+    /// how large, in parts of what the file says (default: 1)
+    #[argh(option, default = "1.0")]
+    factor: f64,
+    /// write what was measured to this file, one object of JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+}
+
+/// Serve as several balancers that nobody asks: part of `scale`.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hollow")]
+struct Hollow {
+    /// folder of the balancers' files
+    #[argh(option)]
+    folder: PathBuf,
+}
+
+/// Stand in for discovery or for upstreams: part of `scale`.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale-stand")]
+struct ScaleStand {
+    /// file that says what to be
+    #[argh(option)]
+    config: PathBuf,
+}
+
+/// Change which stewards there are, as `fernroute-steward change` does.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "steward-change")]
+struct ChangeStewards {
+    /// a steward's file
+    #[argh(option)]
+    config: String,
+}
+
 fn own_program() -> Result<PathBuf, String> {
     std::env::current_exe().map_err(|e| format!("this program does not know its place: {e}"))
 }
@@ -201,6 +249,16 @@
         }
         Command::Fleet(RunFleet {}) => own_program().and_then(|program| beside::fleet(&program)),
         Command::MeasureFleet(MeasureFleet {}) => own_program().and_then(|program| measure::run(&program)),
+        Command::Scale(one) => match play_scale(&one) {
+            Ok(code) => return ExitCode::from(code),
+            Err(why) => Err(why),
+        },
+        Command::Hollow(one) => scale::hollow::run(&one.folder),
+        Command::ScaleStand(one) => scale::stand::run(&one.config),
+        Command::StewardChange(change) => {
+            let words = ["fernroute-steward", "change", "--config", &change.config];
+            return fernroute_steward::commands::run(&words.map(str::to_owned));
+        }
         Command::Balancer(one) => {
             let words = ["fernroute", "serve", "--config", &one.config];
             return commands::run(words.map(str::to_owned).to_vec());
@@ -294,3 +352,27 @@
         None => u8::from(!report.breaches.is_empty()),
     })
 }
+
+/// The exit code.
+fn play_scale(one: &RunScale) -> Result<u8, String> {
+    let layout = scale::prepare(&one.file, one.factor)?;
+    // Short: sockets' paths are made of it.
+    let folder = std::env::temp_dir().join(format!("fernroute-scale-{}", std::process::id()));
+    experiment::claim(&folder)?;
+    let report = scale::run(layout, one.factor, &own_program()?, &folder);
+    // What is left of it does no harm.
+    let _ = std::fs::remove_dir_all(&folder);
+    let report = match report {
+        Ok(report) => report,
+        Err(why) => {
+            eprintln!("{NAME}: it could not be run: {why}");
+            return Ok(3);
+        }
+    };
+    report.print();
+    if let Some(path) = &one.json {
+        let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
+        std::fs::write(path, text + "\n").map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    Ok(report.code())
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/scale/layout.rs
@@ -0,0 +1,180 @@
+//! Who is there: services, their balancers and upstreams, where each stands, and the files that they are told by.
+
+use super::file::Plan;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+/// How many processes a run may have, all told.
+pub const MOST_PROCESSES: usize = 300;
+
+/// What a run may take of the machine's memory, at the most.
+pub const MOST_MEMORY: f64 = 0.5;
+
+/// What is reckoned for each before the start, in kB: more than was ever measured.
+const PROCESS_KB: u64 = 24_000;
+const HOLLOW_KB: u64 = 2_000;
+const STEWARD_KB: u64 = 200_000;
+
+pub const TENANT: &str = "t";
+
+#[derive(Clone, Debug)]
+pub struct Service {
+    pub name: String,
+    pub size: usize,
+    /// Places of those whose upstreams its balancers choose among.
+    pub calls: Vec<usize>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub name: String,
+    pub service: usize,
+    /// Its number in the service.
+    pub number: usize,
+    pub zone: String,
+    pub real: bool,
+}
+
+/// A plan worked out.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    pub plan: Plan,
+    pub zones: Vec<String>,
+    pub services: Vec<Service>,
+    pub members: Vec<Member>,
+    /// Members of each hollow process, by their places: of one zone each, so that a zone can be lost.
+    pub hollow: Vec<Vec<usize>>,
+}
+
+/// Which of the two, where both are counted apart.
+pub fn kind(real: bool) -> &'static str {
+    if real {
+        "real"
+    } else {
+        "hollow"
+    }
+}
+
+impl Layout {
+    pub fn new(plan: Plan) -> Self {
+        let zones: Vec<String> = plan.region.iter().flat_map(|region| region.zones.clone()).collect();
+        let mut first = BTreeMap::new();
+        let mut names = Vec::new();
+        for group in &plan.service {
+            first.insert(group.name.as_str(), (names.len(), group.count));
+            for n in 0..group.count {
+                let name = if n == 0 { group.name.clone() } else { format!("{}-{n}", group.name) };
+                names.push((name, group, n));
+            }
+        }
+        let services: Vec<Service> = names
+            .iter()
+            .map(|(name, group, n)| {
+                let of = |called: &String| first.get(called.as_str()).map(|(at, count)| at + n % count);
+                let calls = group.calls.iter().filter_map(of).collect();
+                Service { name: name.clone(), size: group.size, calls }
+            })
+            .collect();
+        let all: usize = services.iter().map(|s| s.size).sum();
+        let mut members = Vec::new();
+        for (service, s) in services.iter().enumerate() {
+            for number in 0..s.size {
+                let at = members.len();
+                let zone = zones[at % zones.len()].clone();
+                // Spread over all: one more wherever another whole one is due.
+                let real = (at + 1) * plan.real / all > at * plan.real / all;
+                members.push(Member { name: format!("{}.{number}", s.name), service, number, zone, real });
+            }
+        }
+        let mut hollow = Vec::new();
+        for zone in &zones {
+            let of_zone = |(_, m): &(usize, &Member)| !m.real && m.zone == *zone;
+            let places: Vec<usize> =
+                members.iter().enumerate().filter(of_zone).map(|(place, _)| place).collect();
+            hollow.extend(places.chunks(plan.per_process).map(<[usize]>::to_vec));
+        }
+        Layout { plan, zones, services, members, hollow }
+    }
+
+    pub fn real(&self) -> usize {
+        self.members.iter().filter(|m| m.real).count()
+    }
+
+    /// Stewards, balancers, and stand-ins for discovery and upstreams.
+    pub fn processes(&self) -> usize {
+        self.hollow.len() + self.real() + self.plan.stewards.len() + 2
+    }
+
+    /// What all of it may take, reckoned high.
+    pub fn memory_kb(&self) -> u64 {
+        let hollow = self.members.len() - self.real();
+        self.processes() as u64 * PROCESS_KB
+            + hollow as u64 * HOLLOW_KB
+            + self.plan.stewards.len() as u64 * STEWARD_KB
+    }
+
+    /// Why this machine is not to run it, if it is not: said before anything is started.
+    pub fn refusal(&self, memory_kb: u64) -> Option<String> {
+        let processes = self.processes();
+        if processes > MOST_PROCESSES {
+            return Some(format!(
+                "per_process: {processes} processes would run, {MOST_PROCESSES} at the most may"
+            ));
+        }
+        let (needs, may) = (self.memory_kb() / 1000, (memory_kb as f64 * MOST_MEMORY) as u64 / 1000);
+        (needs > may)
+            .then(|| format!("some {needs} MB would be used, half of this machine's memory is {may} MB"))
+    }
+
+    /// Whose upstreams the balancers of this service choose among, as `(id, zone)`.
+    pub fn listed(&self, service: usize) -> Vec<(String, &str)> {
+        let called = &self.services[service].calls;
+        let members = self.members.iter().filter(|m| called.contains(&m.service));
+        members.map(|m| (format!("u-{}", m.name), m.zone.as_str())).collect()
+    }
+
+    /// A balancer's file. `discovery` and `stewards` are where it is to go.
+    pub fn balancer_page(&self, at: usize, discovery: SocketAddr, stewards: &[SocketAddr]) -> String {
+        let (m, s) = (&self.members[at], &self.services[self.members[at].service]);
+        let stewards: Vec<String> = stewards.iter().map(|at| format!("\"{at}\"")).collect();
+        // Operators' port is the machine's choice, too; a file that names one address twice is refused.
+        let mut text = format!(
+            "name = \"{}\"\nlisten = \"127.0.0.1:0\"\nops = \"127.0.0.2:0\"\ndiscovery = \"{discovery}\"\n\
+             [place]\ninstances = {}\nnumber = {}\nzone = \"{}\"\n[load]\nrefuse_over_share = true\n\
+             [fleet]\ncluster = \"scale\"\nstewards = [{}]\nbeat_ms = {}\n\
+             [rules]\ncold_from = 0.3\nwarm_within_s = 10\ncold_multiple = 3\ncold_window_s = 2\n\
+             [limits]\ntransmissions = 3\n\
+             [[method]]\nname = \"look\"\neffect = \"retriable\"\nsoft_ms = 1000\nhard_ms = 3000\n",
+            m.name,
+            s.size,
+            m.number,
+            m.zone,
+            stewards.join(", "),
+            self.plan.beat_ms,
+        );
+        for n in 0..self.plan.budgets {
+            let _ = write!(text, "[[tenant]]\nname = \"{TENANT}{n}\"\nrate = {}\n", self.plan.whole);
+        }
+        text
+    }
+
+    /// A steward's file; `list` is where it reaches each.
+    pub fn steward_page(&self, at: usize, folder: &str, list: &[SocketAddr]) -> String {
+        // As many as there are, and room for those that come again before their time is over.
+        let mut text = format!(
+            "cluster = \"scale\"\nname = \"s{at}\"\nfolder = \"{folder}\"\nmembers = {}\nshares_ms = {}\nfloors_s = 15\nbeat_ms = {}\n",
+            self.members.len() + self.members.len() / 8 + 1,
+            (8 * self.plan.beat_ms).max(2000),
+            self.plan.beat_ms,
+        );
+        for (n, at) in list.iter().enumerate() {
+            let _ = write!(text, "[[steward]]\nname = \"s{n}\"\naddress = \"{at}\"\n");
+        }
+        for n in 0..self.plan.budgets {
+            let (whole, floors) = (self.plan.whole, self.plan.floors);
+            let _ = write!(text, "[[budget]]\nname = \"{TENANT}{n}\"\nwhole = {whole}\nfloors = {floors}\n");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/scale/load.rs
@@ -0,0 +1,314 @@
+//! Open-loop load: each RPC has a time at which it is due, and is timed from there, however late it leaves or is answered. One
+//! thread says when, another does it.
+
+use super::layout::TENANT;
+use fernroute_rig::http::Peer;
+use hdrhistogram::Histogram;
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::timeout;
+
+/// What is asked meanwhile: each RPC is noted under what was on as it was due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Nothing is noted.
+    Idle,
+    Mean,
+    Times,
+    List,
+    Division,
+    Change,
+}
+
+const PHASES: [Phase; 6] =
+    [Phase::Idle, Phase::Mean, Phase::Times, Phase::List, Phase::Division, Phase::Change];
+
+impl Phase {
+    pub fn name(self) -> &'static str {
+        match self {
+            Phase::Idle => "idle",
+            Phase::Mean => "mean",
+            Phase::Times => "times",
+            Phase::List => "list",
+            Phase::Division => "division",
+            Phase::Change => "change",
+        }
+    }
+}
+
+/// Sent so long after it was due, an RPC was sent late; one in a hundred may be.
+const LATE: Duration = Duration::from_millis(10);
+const MOST_LATE: f64 = 0.01;
+
+/// Longer than any deadline of these RPCs.
+const ANSWER: Duration = Duration::from_secs(6);
+
+/// Where a balancer serves, while it does, and how often it has begun to.
+#[derive(Clone, Copy, Debug, Default)]
+struct Place {
+    at: Option<SocketAddr>,
+    begun: u64,
+}
+
+/// Times in microseconds.
+pub type Times = Histogram<u64>;
+
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// By phase, through a balancer and directly.
+    pub times: BTreeMap<(Phase, bool), Times>,
+    pub sent: u64,
+    pub late: u64,
+    pub latest: Duration,
+    pub refused: u64,
+    /// Kept connections that ended as an RPC was written to them: it was sent once more, on a new one.
+    pub crossed: u64,
+    /// What got no whole answer from a balancer that ran all the while.
+    pub lost: u64,
+    pub why: Vec<String>,
+}
+
+impl Seen {
+    /// Why the machine did not keep the load, if it did not.
+    pub fn not_kept(&self) -> Option<String> {
+        let share = self.late as f64 / (self.sent as f64).max(1.0);
+        (share > MOST_LATE).then(|| {
+            let (late, sent, latest) = (self.late, self.sent, self.latest.as_millis());
+            format!("the load was not kept: {late} of {sent} RPCs were sent late, by up to {latest} ms")
+        })
+    }
+}
+
+struct Shared {
+    phase: AtomicUsize,
+    /// Which balancer the tenants' RPCs go to.
+    busy: AtomicUsize,
+    stop: AtomicBool,
+    places: Mutex<Vec<Place>>,
+    seen: Mutex<Seen>,
+}
+
+fn held<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What is asked all the while.
+#[derive(Clone, Debug)]
+struct Stream {
+    /// None is an upstream, directly.
+    balancer: Option<usize>,
+    tenant: Option<usize>,
+    rate: f64,
+    /// In the phase of it.
+    times: f64,
+}
+
+pub struct Load {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// How much is asked: RPCs a second at each balancer and directly, how many times that the first balancer and the direct way
+/// get in the phase of it, and what each tenant asks for in all.
+#[derive(Clone, Copy, Debug)]
+pub struct Rates {
+    pub each: f64,
+    pub times: f64,
+    pub tenants: usize,
+    pub of_tenant: f64,
+}
+
+impl Load {
+    pub fn start(direct: SocketAddr, balancers: &[SocketAddr], rates: Rates) -> Result<Self, String> {
+        let place = |at: &SocketAddr| Place { at: Some(*at), begun: 1 };
+        let shared = Arc::new(Shared {
+            phase: AtomicUsize::new(0),
+            busy: AtomicUsize::new(0),
+            stop: AtomicBool::new(false),
+            places: Mutex::new(balancers.iter().map(place).collect()),
+            seen: Mutex::default(),
+        });
+        let mut streams = Vec::new();
+        for n in 0..balancers.len() {
+            let times = if n == 0 { rates.times } else { 1.0 };
+            streams.push(Stream { balancer: Some(n), tenant: None, rate: rates.each, times });
+        }
+        if !balancers.is_empty() {
+            streams.push(Stream { balancer: None, tenant: None, rate: rates.each, times: rates.times });
+            for tenant in 0..rates.tenants {
+                let (rate, tenant) = (rates.of_tenant, Some(tenant));
+                streams.push(Stream { balancer: Some(0), tenant, rate, times: 1.0 });
+            }
+        }
+        streams.retain(|stream| stream.rate > 0.0);
+        let (tell, mut told) = unbounded_channel::<(usize, Instant, Phase)>();
+        let (paced, all) = (Arc::clone(&shared), streams.clone());
+        let pacer = std::thread::spawn(move || pace(&paced, &all, &tell));
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+        let asked = Arc::clone(&shared);
+        let asker = std::thread::spawn(move || {
+            LocalSet::new().block_on(&runtime, async move {
+                let caller = Rc::new(Caller { shared: asked, direct, streams, kept: RefCell::default() });
+                let mut number = 0u64;
+                while let Some((stream, due, phase)) = told.recv().await {
+                    number += 1;
+                    spawn_local(Rc::clone(&caller).call(stream, due, phase, number));
+                }
+            });
+        });
+        Ok(Load { shared, threads: vec![pacer, asker] })
+    }
+
+    pub fn phase(&self, phase: Phase) {
+        self.shared.phase.store(phase as usize, Ordering::Relaxed);
+    }
+
+    /// The tenants' RPCs go to the next balancer.
+    pub fn move_on(&self) {
+        self.shared.busy.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Nothing is asked of it from here on, and what is open there may be lost with it.
+    pub fn ends(&self, balancer: usize) {
+        held(&self.shared.places)[balancer].at = None;
+    }
+
+    /// It serves, anew or again.
+    pub fn begins(&self, balancer: usize, at: SocketAddr) {
+        let place = &mut held(&self.shared.places)[balancer];
+        *place = Place { at: Some(at), begun: place.begun + 1 };
+    }
+
+    pub fn look<T>(&self, look: impl FnOnce(&Seen) -> T) -> T {
+        look(&held(&self.shared.seen))
+    }
+}
+
+impl Drop for Load {
+    fn drop(&mut self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Says when each RPC is due; the times between two are drawn, as those of many callers are.
+fn pace(shared: &Shared, streams: &[Stream], tell: &UnboundedSender<(usize, Instant, Phase)>) {
+    use rand::{RngExt as _, SeedableRng as _};
+    let mut chance = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+    let mut wait = |stream: &Stream, phase: Phase| {
+        let rate = stream.rate * if phase == Phase::Times { stream.times } else { 1.0 };
+        let part: f64 = chance.random();
+        Duration::from_secs_f64(-(1.0 - part).ln() / rate)
+    };
+    let now = Instant::now();
+    let first = streams.iter().enumerate().map(|(n, s)| Reverse((now + wait(s, Phase::Idle), n)));
+    let mut due: BinaryHeap<Reverse<(Instant, usize)>> = first.collect();
+    while let Some(Reverse((at, stream))) = due.pop() {
+        let left = at.saturating_duration_since(Instant::now());
+        if !left.is_zero() {
+            std::thread::sleep(left);
+        }
+        let phase = PHASES[shared.phase.load(Ordering::Relaxed)];
+        if shared.stop.load(Ordering::Relaxed) || tell.send((stream, at, phase)).is_err() {
+            return;
+        }
+        due.push(Reverse((at + wait(&streams[stream], phase), stream)));
+    }
+}
+
+struct Caller {
+    shared: Arc<Shared>,
+    direct: SocketAddr,
+    streams: Vec<Stream>,
+    /// Connections that stand idle, by where they go. Emptied as they end.
+    kept: RefCell<BTreeMap<SocketAddr, Vec<Peer>>>,
+}
+
+impl Caller {
+    async fn call(self: Rc<Self>, stream: usize, due: Instant, phase: Phase, number: u64) {
+        let (stream, late) = (&self.streams[stream], due.elapsed());
+        let place = stream.balancer.map(|balancer| {
+            let places = held(&self.shared.places);
+            let busy = stream.tenant.map(|n| self.shared.busy.load(Ordering::Relaxed) + n);
+            let balancer = busy.map_or(balancer, |busy| busy % places.len());
+            (balancer, places[balancer])
+        });
+        let at = match place {
+            Some((_, Place { at: Some(at), .. })) => at,
+            // It is not there now: its callers have gone elsewhere.
+            Some(_) => return,
+            None => self.direct,
+        };
+        {
+            let mut seen = held(&self.shared.seen);
+            seen.sent += 1;
+            seen.late += u64::from(late > LATE);
+            seen.latest = seen.latest.max(late);
+        }
+        let owner = stream.tenant.map(|n| (format!("{TENANT}{n}."), format!("Req-Owner: {TENANT}{n}\r\n")));
+        let (id, owner) = owner.unwrap_or(("r".to_owned(), String::new()));
+        let asked = format!(
+            "GET /look HTTP/1.1\r\nHost: app.svc\r\nReq-Id: {id}{number}\r\nReq-Kind: look\r\nReq-Deadline-Ms: 3000\r\n{owner}\r\n"
+        );
+        let answered = timeout(ANSWER, self.ask(at, asked.as_bytes())).await;
+        let took = due.elapsed();
+        let mut seen = held(&self.shared.seen);
+        match answered {
+            Ok(Ok(200)) => {
+                if phase != Phase::Idle && stream.tenant.is_none() {
+                    let new = || Histogram::new(3).unwrap_or_else(|_| unreachable!("three digits will do"));
+                    let times = seen.times.entry((phase, place.is_some())).or_insert_with(new);
+                    // Grows by itself.
+                    let _ = times.record(took.as_micros() as u64);
+                }
+            }
+            Ok(Ok(503)) => seen.refused += 1,
+            other => {
+                let Some((balancer, before)) = place else { return };
+                let now = held(&self.shared.places)[balancer];
+                if now.begun == before.begun && now.at.is_some() {
+                    seen.lost += 1;
+                    if seen.why.len() < 5 {
+                        let after = took.as_millis();
+                        seen.why.push(format!("balancer {balancer}: {other:?} after {after} ms"));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The status of an answer. A kept connection that ends as it is written to is no loss: it is sent on a new one.
+    async fn ask(&self, at: SocketAddr, asked: &[u8]) -> std::io::Result<u16> {
+        let kept = self.kept.borrow_mut().get_mut(&at).and_then(Vec::pop);
+        if let Some(peer) = kept {
+            if let Ok(status) = self.exchange(at, peer, asked).await {
+                return Ok(status);
+            }
+            held(&self.shared.seen).crossed += 1;
+        }
+        let peer = Peer::new(TcpStream::connect(at).await?);
+        self.exchange(at, peer, asked).await
+    }
+
+    async fn exchange(&self, at: SocketAddr, mut peer: Peer, asked: &[u8]) -> std::io::Result<u16> {
+        peer.write(asked).await?;
+        let answer = peer.read().await?.ok_or(std::io::ErrorKind::UnexpectedEof)?;
+        if !answer.closes() {
+            self.kept.borrow_mut().entry(at).or_default().push(peer);
+        }
+        Ok(answer.status())
+    }
+}
--- /dev/null
+++ b/crates/fernroute-lab/tests/scale.rs
@@ -0,0 +1,188 @@
+//! Scale runs: what a file must say, what is refused before it starts, and a small run with real processes.
+
+mod common;
+
+use common::Folder;
+use fernroute_lab::scale::file::Plan;
+use fernroute_lab::scale::layout::{Layout, MOST_PROCESSES};
+use fernroute_lab::scale::whole::Whole;
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::Duration;
+
+const SMALL: &str = r#"name = "test"
+real = 1
+per_process = 4
+settle_s = 1
+measure_s = 3
+whole = 30
+stewards = ["n", "n", "s"]
+[load]
+rate = 10
+tenants = 2
+[[region]]
+name = "north"
+zones = ["n"]
+[[region]]
+name = "south"
+zones = ["s"]
+[[service]]
+name = "front"
+count = 2
+size = 4
+calls = ["front"]
+"#;
+
+fn shipped(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/scale").join(name)
+}
+
+fn scale(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fernroute-lab"));
+    command.arg("scale").args(arguments).output().expect("it runs")
+}
+
+fn why(text: &str) -> String {
+    Plan::decode(text).expect_err("it will not do")
+}
+
+/// Guards against a run of something else than was meant, and against a fault that nobody finds in the file.
+#[test]
+fn all_that_is_wrong_with_a_file_is_told_with_its_line() {
+    Plan::decode(SMALL).expect("it will do");
+    for (old, new, told) in [
+        ("whole = 30", "whole = \"much\"", "line 6"),
+        ("whole = 30", "hole = 30", "line 6: unknown field"),
+        ("whole = 30", "whole = 0", "line 6: whole: 0 is not between"),
+        ("real = 1", "real = 9", "line 2: real: 9 of 8 balancers"),
+        ("\"n\", \"n\", \"s\"", "\"n\", \"n\"", "line 7: stewards: 2, and not"),
+        ("\"n\", \"n\", \"s\"", "\"n\", \"n\", \"x\"", "line 7: stewards: no zone is called x"),
+        ("rate = 10", "rate = -1", "line 9: load.rate: -1"),
+        ("zones = [\"s\"]", "zones = [\"n\"]", "line 16: region[1].zones: n is there twice"),
+        ("size = 4", "size = 0", "line 20: service[0].size: 0"),
+        ("calls = [\"front\"]", "calls = [\"back\"]", "line 21: service[0].calls: no service is called back"),
+        ("calls = [\"front\"]\n", "calls = []\n", "line 21: service[0].calls: none"),
+        (
+            "calls = [\"front\"]\n",
+            "calls = [\"front\"]\n[[fault]]\nkind = \"zone_lost\"\n",
+            "line 22: fault[0]: a zone",
+        ),
+        (
+            "calls = [\"front\"]\n",
+            "calls = [\"front\"]\n[[fault]]\nkind = \"zone_lost\"\nzone = \"x\"\n",
+            "line 24: fault[0].zone: no such zone",
+        ),
+    ] {
+        let told_of = why(&SMALL.replacen(old, new, 1));
+        assert!(told_of.contains(told) && !told_of.contains('\n'), "{told}: {told_of}");
+    }
+    let both = why(&SMALL.replace("whole = 30", "whole = 0").replace("rate = 10", "rate = -1"));
+    assert!(both.contains("whole") && both.contains("load.rate"), "{both}");
+}
+
+/// Guards against a bad file that is taken for a run that failed.
+#[test]
+fn a_bad_file_and_a_run_too_large_are_one_line_and_code_2_before_anything_starts() {
+    let folder = Folder::new("scale-bad");
+    std::fs::create_dir_all(&folder.0).expect("a folder");
+    let file = folder.0.join("run.toml");
+    let path = file.display().to_string();
+    let refused = |text: &str, arguments: &[&str], what: &str| {
+        std::fs::write(&file, text).expect("a file");
+        let all = [&[path.as_str()], arguments].concat();
+        let out = scale(&all);
+        let told = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert_eq!((out.status.code(), told.lines().count()), (Some(2), 1), "{told}");
+        assert!(told.contains(what) && out.stdout.is_empty(), "{told}");
+    };
+    refused("name = 3\n", &[], "run.toml: line 1");
+    refused(&SMALL.replace("rate = 10", "rate = -1"), &[], "run.toml: line 9: load.rate");
+    refused(SMALL, &["--factor", "0"], "--factor");
+    let many = SMALL.replace("count = 2", "count = 2000").replace("per_process = 4", "per_process = 1");
+    refused(&many, &[], &format!("{MOST_PROCESSES} at the most"));
+    let out = scale(&["/nonexistent/run.toml"]);
+    assert_eq!(out.status.code(), Some(2));
+}
+
+/// Guards against a factor that changes what a run is of, and against a target that the shipped file misses.
+#[test]
+fn the_shipped_file_has_the_whole_installation_and_a_factor_makes_all_of_it_smaller() {
+    let layout =
+        |factor: f64| Layout::new(Plan::read(&shipped("whole.toml")).expect("it will do").times(factor));
+    let whole = layout(1.0);
+    assert_eq!((whole.services.len(), whole.members.len(), whole.zones.len()), (190, 1200, 7));
+    for zone in &whole.zones {
+        let there = whole.members.iter().filter(|m| m.zone == *zone).count();
+        assert!((171..=172).contains(&there), "{zone}: {there}");
+    }
+    assert_eq!(whole.refusal(24 << 20), None);
+    // More than half of a machine's memory.
+    let why = whole.refusal(8 << 20).expect("it is too much");
+    assert!(why.contains("half of this machine's memory is 4194 MB"), "{why}");
+    for (factor, all) in [(0.125, 150.0), (0.25, 300.0), (0.5, 600.0)] {
+        let part = layout(factor);
+        let there = part.members.len() as f64;
+        assert!((there / all - 1.0).abs() < 0.05, "{factor}: {there}");
+        assert!((part.plan.whole / (4000.0 * factor) - 1.0).abs() < 1e-9);
+        assert_eq!(part.zones, whole.zones);
+    }
+    // Hollow ones that share a process are of one zone, all are there once.
+    for layout in [whole, layout(0.125)] {
+        let mut all: Vec<usize> = layout.hollow.concat();
+        all.sort_unstable();
+        let hollow = |n: &usize| !layout.members[*n].real;
+        assert_eq!(all, (0..layout.members.len()).filter(hollow).collect::<Vec<usize>>());
+        for process in &layout.hollow {
+            assert!(process.iter().all(|m| layout.members[*m].zone == layout.members[process[0]].zone));
+        }
+    }
+}
+
+/// Guards against a whole that is exceeded unseen, and against one that is kept and said to be exceeded.
+#[test]
+fn what_runs_beyond_the_whole_is_seen_and_what_may_be_saved_up_is_not() {
+    let ran = |each_ms: u64, count: u64| {
+        let mut whole = Whole::new(10.0, 2);
+        (0..count).for_each(|n| whole.run("t0", Duration::from_millis(n * each_ms)));
+        whole.beyond()
+    };
+    assert_eq!(ran(100, 1000), 0);
+    // Thirty at once are two seconds saved up and one that runs.
+    assert_eq!((ran(0, 32), ran(0, 33)), (0, 1));
+    // A third more than the whole is within one second's bound, and beyond ten seconds'.
+    assert_eq!(ran(75, 100), 0);
+    assert!(ran(75, 1000) > 50);
+}
+
+/// Hollow and real balancers, stewards, a leader that is killed, and one object in the end. Verdicts on counts and states alone.
+#[test]
+fn a_small_run_loses_nothing_and_says_what_it_measured_and_what_not() {
+    let folder = Folder::new("scale-small");
+    std::fs::create_dir_all(&folder.0).expect("a folder");
+    let (file, json) = (folder.0.join("run.toml"), folder.0.join("out.json"));
+    let faults = "[[fault]]\nkind = \"leader_killed\"\n[[fault]]\nkind = \"tenth_restarted\"\n";
+    std::fs::write(&file, format!("{SMALL}{faults}")).expect("a file");
+    let out = scale(&[&file.display().to_string(), "--json", &json.display().to_string()]);
+    let said = String::from_utf8_lossy(&out.stdout) + String::from_utf8_lossy(&out.stderr);
+    // A machine that is busy with other things may not keep the load: told, and no failure of what was run.
+    assert!(matches!(out.status.code(), Some(0 | 3)), "{said}");
+    let text = std::fs::read_to_string(&json).unwrap_or_else(|e| panic!("{e}: {said}"));
+    let of: Value = serde_json::from_str(&text).expect("one object");
+    assert_eq!((&of["hollow"], &of["real"]), (&Value::from(7), &Value::from(1)));
+    assert_eq!((&of["lost"], &of["beyond_whole"]), (&Value::from(0), &Value::from(0)), "{said}");
+    for role in ["balancer", "steward_leader", "steward_follower"] {
+        for figure in
+            ["processor_percent", "memory_kb", "bytes_per_s", "messages_per_s", "worst_second_bytes"]
+        {
+            assert!(of[role][figure].as_f64().is_some_and(|is| is > 0.0), "{role} {figure}: {said}");
+        }
+    }
+    // Not measured is no nought.
+    assert_eq!(of["changes"]["made"], Value::Null);
+    let kinds: Vec<&Value> = of["faults"].as_array().expect("a list").iter().map(|f| &f["kind"]).collect();
+    assert_eq!(kinds, ["leader_killed", "tenth_restarted"]);
+    for fault in of["faults"].as_array().expect("a list") {
+        assert!(fault["settled_s"].is_number(), "{said}");
+    }
+}
--- a/crates/fernroute-rig/src/http.rs
+++ b/crates/fernroute-rig/src/http.rs
@@ -75,7 +75,8 @@
 }
 
 const MOST_HEADERS: usize = 32;
-const MOST_BYTES: usize = 1 << 20;
+/// As much as the longest message between stewards.
+const MOST_BYTES: usize = 16 << 20;
 
 fn bad(why: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, why.to_owned())
--- a/crates/fernroute-rig/src/lib.rs
+++ b/crates/fernroute-rig/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod process;
 pub mod stand_in;
 
+use std::ops::{Add, AddAssign, Sub};
 use std::time::Duration;
 
 /// Comes true, or never returns: the caller bounds the time of the whole.
@@ -18,3 +19,36 @@
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
 }
+
+/// Bytes and messages of HTTP that went over some connections, both ways together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counted {
+    pub bytes: u64,
+    pub messages: u64,
+}
+
+impl Add for Counted {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Counted { bytes: self.bytes + other.bytes, messages: self.messages + other.messages }
+    }
+}
+
+impl AddAssign for Counted {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+/// Since an earlier count.
+impl Sub for Counted {
+    type Output = Self;
+
+    fn sub(self, earlier: Self) -> Self {
+        Counted {
+            bytes: self.bytes.saturating_sub(earlier.bytes),
+            messages: self.messages.saturating_sub(earlier.messages),
+        }
+    }
+}
--- a/crates/fernroute-rig/src/link.rs
+++ b/crates/fernroute-rig/src/link.rs
@@ -4,6 +4,7 @@
 //! dropped on the way but by [`Link::refuse`] and [`Way::ResetsInside`], as on a network: what waits comes late.
 
 use crate::http::{take, Message, Peer};
+use crate::Counted;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
@@ -54,6 +55,7 @@
     catches: RefCell<Option<String>>,
     caught: RefCell<Option<Message>>,
     passed: RefCell<VecDeque<Message>>,
+    counted: Cell<Counted>,
 }
 
 impl Link {
@@ -70,6 +72,7 @@
             catches: RefCell::default(),
             caught: RefCell::default(),
             passed: RefCell::default(),
+            counted: Cell::default(),
         });
         let serving = Rc::clone(&link);
         spawn_local(async move {
@@ -87,6 +90,11 @@
         Ok(link)
     }
 
+    /// What came into the link since it was made, both ways together.
+    pub fn counted(&self) -> Counted {
+        self.counted.get()
+    }
+
     /// The other side has started again elsewhere.
     pub fn turn_to(&self, target: SocketAddr) {
         self.target.set(target);
@@ -166,6 +174,7 @@
         let mut heard = Vec::new();
         loop {
             while let Some((message, length)) = take(&heard)? {
+                self.counted.set(self.counted.get() + Counted { bytes: 0, messages: 1 });
                 let bytes: Vec<u8> = heard.drain(..length).collect();
                 if direction == Direction::There {
                     if self.is_to_be_caught(&message) {
@@ -181,7 +190,9 @@
                 }
                 self.pass(direction, &bytes, &mut to).await?;
             }
-            if from.read_buf(&mut heard).await? == 0 {
+            let came = from.read_buf(&mut heard).await?;
+            self.counted.set(self.counted.get() + Counted { bytes: came as u64, messages: 0 });
+            if came == 0 {
                 self.clear(direction).await;
                 to.write_all(&heard).await?;
                 return to.shutdown().await;
--- a/crates/fernroute-rig/src/process.rs
+++ b/crates/fernroute-rig/src/process.rs
@@ -32,6 +32,11 @@
         Ok(Process { child: RefCell::new(child), log })
     }
 
+    /// Its number, for as long as it has not been waited for.
+    pub fn id(&self) -> u32 {
+        self.child.borrow().id()
+    }
+
     pub fn log(&self) -> Vec<String> {
         self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
--- a/crates/fernroute-rig/src/stand_in.rs
+++ b/crates/fernroute-rig/src/stand_in.rs
@@ -1,6 +1,7 @@
 //! Stand-ins that follow a script.
 
 use crate::http::{answer, read, Message, Peer};
+use crate::Counted;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -102,6 +103,7 @@
     pub address: SocketAddr,
     list: RefCell<(u64, String)>,
     changed: Notify,
+    counted: Cell<Counted>,
 }
 
 impl Discovery {
@@ -109,7 +111,7 @@
     pub async fn start(at: SocketAddr, entries: String) -> io::Result<Rc<Self>> {
         let listener = TcpListener::bind(at).await?;
         let (address, list) = (listener.local_addr()?, RefCell::new((1, entries)));
-        let this = Rc::new(Discovery { address, list, changed: Notify::new() });
+        let this = Rc::new(Discovery { address, list, changed: Notify::new(), counted: Cell::default() });
         let serving = Rc::clone(&this);
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -119,6 +121,11 @@
         Ok(this)
     }
 
+    /// What was asked and answered since the start.
+    pub fn counted(&self) -> Counted {
+        self.counted.get()
+    }
+
     /// Tells all who wait.
     pub fn tell(&self, entries: String) {
         let version = self.list.borrow().0 + 1;
@@ -148,7 +155,10 @@
                 let entries = if news { entries } else { "" };
                 format!(r#"{{"version":{version},"full":{news},"servers":[{entries}]}}"#)
             };
-            if peer.write(&answer(200, "", &list)).await.is_err() {
+            let answer = answer(200, "", &list);
+            let bytes = (message.head.len() + message.body.len() + answer.len()) as u64;
+            self.counted.set(self.counted.get() + Counted { bytes, messages: 2 });
+            if peer.write(&answer).await.is_err() {
                 return;
             }
         }
