Scale runs: slopes and powers over four sizes, with intervals, in one table

Figures of one size say nothing of the next. `fernroute-lab scale-fit OUT.json... [--at N]` fits each figure that was measured at four sizes at least: a line and a power with their 95% intervals. A power above 1.1 is called out by name, and nothing is worked out for more than four times the balancers measured. Tests: intervals against ones worked out by hand, three sizes refused, a made-up square called out. The time until a new leader now counts from before the old one's death.

--- a/crates/fernroute-lab/src/main.rs
+++ b/crates/fernroute-lab/src/main.rs
@@ -38,6 +38,7 @@
     Fleet(RunFleet),
     MeasureFleet(MeasureFleet),
     Scale(RunScale),
+    ScaleFit(FitScale),
     Hollow(Hollow),
     ScaleStand(ScaleStand),
     StewardChange(ChangeStewards),
@@ -169,6 +170,18 @@
     json: Option<PathBuf>,
 }
 
+/// Fit how each figure of scale runs grows with the number of balancers; four sizes at least.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale-fit")]
+struct FitScale {
+    /// what runs wrote with --json
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+    /// work all out for so many balancers: four times those measured at the most
+    #[argh(option)]
+    at: Option<f64>,
+}
+
 /// Serve as several balancers that nobody asks: part of `scale`.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "hollow")]
@@ -253,6 +266,10 @@
             Ok(code) => return ExitCode::from(code),
             Err(why) => Err(why),
         },
+        Command::ScaleFit(fit) => scale::fit::read(&fit.files).and_then(|runs| {
+            print!("{}", scale::fit::table(&scale::fit::fits(&runs)?, fit.at)?);
+            Ok(())
+        }),
         Command::Hollow(one) => scale::hollow::run(&one.folder),
         Command::ScaleStand(one) => scale::stand::run(&one.config),
         Command::StewardChange(change) => {
--- a/crates/fernroute-lab/src/scale/faults.rs
+++ b/crates/fernroute-lab/src/scale/faults.rs
@@ -68,16 +68,18 @@
         let settled = |settled_s| Told { settled_s, ..Told::default() };
         match fault.kind {
             Kind::LeaderKilled => {
+                let from = Instant::now();
                 fleet.stewards.borrow()[leader].kill();
-                let told = settled(self.settled(all).await);
+                let told = settled(self.settled_from(from, all, &BTreeSet::new()).await);
                 self.start_steward(leader)?;
                 Ok(told)
             }
             Kind::StewardRestarted => {
                 // All come again at once.
+                let from = Instant::now();
                 fleet.stewards.borrow()[leader].kill();
                 self.start_steward(leader)?;
-                Ok(settled(self.settled(all).await))
+                Ok(settled(self.settled_from(from, all, &BTreeSet::new()).await))
             }
             Kind::StewardLost => {
                 let lost = (leader + 1) % fleet.steward_addresses.len();
--- /dev/null
+++ b/crates/fernroute-lab/src/scale/fit.rs
@@ -0,0 +1,188 @@
+//! How each figure grows with the number of balancers: a straight line and a power, each with its 95% interval, over four sizes at
+//! least.
+
+use serde_json::Value;
+use statrs::distribution::{ContinuousCDF as _, StudentsT};
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+use std::path::Path;
+
+/// So many sizes there must be.
+pub const LEAST_SIZES: usize = 4;
+
+/// A power above this is called out: such a figure grows faster than what it is of.
+pub const MOST_POWER: f64 = 1.1;
+
+/// Nothing is worked out for more balancers than so many times those that were measured.
+pub const MOST_BEYOND: f64 = 4.0;
+
+const ROLES: [&str; 5] = ["balancer", "balancer_real", "steward_leader", "steward_follower", "discovery"];
+const FIGURES: [&str; 5] =
+    ["processor_percent", "memory_kb", "bytes_per_s", "messages_per_s", "worst_second_bytes"];
+
+/// A value and half of its 95% interval; not a number where two points leave nothing to judge by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Within {
+    pub is: f64,
+    pub half: f64,
+}
+
+/// A least-squares line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Line {
+    pub slope: Within,
+    begin: f64,
+    /// What a prediction's interval is worked out from: points, their middle and spread, what is left over, and the quantile.
+    count: f64,
+    middle: f64,
+    spread: f64,
+    left: f64,
+    quantile: f64,
+}
+
+impl Line {
+    /// None where all points are at one place.
+    pub fn through(points: &[(f64, f64)]) -> Option<Line> {
+        let count = points.len() as f64;
+        let mean = |of: &dyn Fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / count;
+        let (middle, height) = (mean(&|p| p.0), mean(&|p| p.1));
+        let spread: f64 = points.iter().map(|p| (p.0 - middle).powi(2)).sum();
+        if spread <= 0.0 {
+            return None;
+        }
+        let slope = points.iter().map(|p| (p.0 - middle) * (p.1 - height)).sum::<f64>() / spread;
+        let begin = height - slope * middle;
+        let left: f64 = points.iter().map(|p| (p.1 - begin - slope * p.0).powi(2)).sum();
+        let left = left / (count - 2.0);
+        let quantile = StudentsT::new(0.0, 1.0, count - 2.0).map_or(f64::NAN, |t| t.inverse_cdf(0.975));
+        let half = quantile * (left / spread).sqrt();
+        Some(Line { slope: Within { is: slope, half }, begin, count, middle, spread, left, quantile })
+    }
+
+    /// What one more run at this place would show.
+    pub fn at(&self, x: f64) -> Within {
+        let of = 1.0 + 1.0 / self.count + (x - self.middle).powi(2) / self.spread;
+        Within { is: self.begin + self.slope.is * x, half: self.quantile * (self.left * of).sqrt() }
+    }
+}
+
+/// One figure over all sizes.
+#[derive(Clone, Debug)]
+pub struct Fit {
+    pub figure: String,
+    /// Balancers and what was measured.
+    pub points: Vec<(f64, f64)>,
+    pub line: Option<Line>,
+    /// Of the number of balancers; none where something was not above nought.
+    pub power: Option<Within>,
+}
+
+impl Fit {
+    pub fn new(figure: &str, points: Vec<(f64, f64)>) -> Self {
+        let logs: Vec<(f64, f64)> = points.iter().map(|(x, y)| (x.ln(), y.ln())).collect();
+        let positive = points.iter().all(|(x, y)| *x > 0.0 && *y > 0.0);
+        let power = Line::through(&logs).filter(|_| positive).map(|line| line.slope);
+        Fit { figure: figure.to_owned(), line: Line::through(&points), power, points }
+    }
+
+    pub fn grows_too_fast(&self) -> bool {
+        self.power.is_some_and(|power| power.is > MOST_POWER)
+    }
+}
+
+/// The files of runs, read.
+pub fn read(paths: &[impl AsRef<Path>]) -> Result<Vec<Value>, String> {
+    let one = |path: &Path| {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))
+    };
+    paths.iter().map(|path| one(path.as_ref())).collect()
+}
+
+fn size(run: &Value) -> Option<f64> {
+    Some(run.get("hollow")?.as_f64()? + run.get("real")?.as_f64()?)
+}
+
+/// Every figure that was measured at enough sizes.
+pub fn fits(runs: &[Value]) -> Result<Vec<Fit>, String> {
+    let sizes: Option<Vec<f64>> = runs.iter().map(size).collect();
+    let sizes = sizes.ok_or("a file says neither hollow nor real: it is of no scale run")?;
+    let different: BTreeSet<u64> = sizes.iter().map(|n| *n as u64).collect();
+    if different.len() < LEAST_SIZES {
+        return Err(format!("{} sizes, {LEAST_SIZES} are needed", different.len()));
+    }
+    let mut names: Vec<String> = Vec::new();
+    for role in ROLES {
+        names.extend(FIGURES.iter().map(|figure| format!("{role}.{figure}")));
+    }
+    names.extend(["added_ms.p50", "added_ms.p99", "changes.slowest_s"].map(str::to_owned));
+    let kinds = runs.iter().filter_map(|run| run.get("faults")?.as_array()).flatten();
+    let kinds: BTreeSet<&str> = kinds.filter_map(|fault| fault.get("kind")?.as_str()).collect();
+    for kind in kinds {
+        for of in ["settled_s", "worst_second_bytes", "worst_second_processor_percent"] {
+            names.push(format!("faults.{kind}.{of}"));
+        }
+    }
+    let mut all = Vec::new();
+    for name in names {
+        let of = |run: &Value| look(run, &name);
+        let points = runs.iter().zip(&sizes).filter_map(|(run, size)| Some((*size, of(run)?)));
+        let points: Vec<(f64, f64)> = points.collect();
+        let there: BTreeSet<u64> = points.iter().map(|p| p.0 as u64).collect();
+        if there.len() >= LEAST_SIZES {
+            all.push(Fit::new(&name, points));
+        }
+    }
+    Ok(all)
+}
+
+/// What stands there, by keys; of a list the entry of that kind.
+fn look(run: &Value, name: &str) -> Option<f64> {
+    let mut at = run;
+    for key in name.split('.') {
+        at = match at {
+            Value::Array(list) => list.iter().find(|one| one.get("kind").is_some_and(|kind| kind == key))?,
+            one => one.get(key)?,
+        };
+    }
+    at.as_f64()
+}
+
+/// A table in Markdown, and below it what grows too fast, by name. `at` is a number of balancers to work all out for.
+pub fn table(fits: &[Fit], at: Option<f64>) -> Result<String, String> {
+    let largest = fits.iter().flat_map(|fit| &fit.points).map(|p| p.0).fold(0.0, f64::max);
+    if let Some(at) = at.filter(|at| !(*at > 0.0 && *at <= largest * MOST_BEYOND)) {
+        return Err(format!("--at {at}: {largest} were measured, four times as many may be worked out"));
+    }
+    let ahead = |at: f64| format!(" at {at}, worked out |");
+    let mut out = format!(
+        "| figure | measured, by balancers | for each 100 more (95%) | power (95%) |{}\n| --- | --- | --- | --- |{}\n",
+        at.map_or(String::new(), ahead),
+        at.map_or("", |_| " --- |")
+    );
+    for fit in fits {
+        let points: Vec<String> = fit.points.iter().map(|(x, y)| format!("{x}: {}", short(*y))).collect();
+        let line = fit.line.map(|line| Within { is: line.slope.is * 100.0, half: line.slope.half * 100.0 });
+        let called = if fit.grows_too_fast() { " **above 1.1**" } else { "" };
+        let (line, power) = (told(line), told(fit.power));
+        let _ = write!(out, "| {} | {} | {line} | {power}{called} |", fit.figure, points.join(", "));
+        if let Some(at) = at {
+            let _ = write!(out, " {} |", told(fit.line.map(|line| line.at(at))));
+        }
+        out.push('\n');
+    }
+    for fit in fits.iter().filter(|fit| fit.grows_too_fast()) {
+        let _ = writeln!(out, "\n{} grows faster than the fleet: power {}.", fit.figure, told(fit.power));
+    }
+    Ok(out)
+}
+
+fn told(what: Option<Within>) -> String {
+    what.map_or("-".to_owned(), |w| format!("{} ± {}", short(w.is), short(w.half)))
+}
+
+/// Three digits that count, or all before the point.
+fn short(value: f64) -> String {
+    let digits = if value == 0.0 { 0 } else { (2 - value.abs().log10().floor() as i32).max(0) as usize };
+    format!("{value:.digits$}")
+}
--- a/crates/fernroute-lab/src/scale/mod.rs
+++ b/crates/fernroute-lab/src/scale/mod.rs
@@ -4,6 +4,7 @@
 mod faults;
 pub mod figures;
 pub mod file;
+pub mod fit;
 mod fleet;
 pub mod hollow;
 pub mod layout;
--- a/crates/fernroute-lab/tests/scale.rs
+++ b/crates/fernroute-lab/tests/scale.rs
@@ -4,6 +4,7 @@
 
 use common::Folder;
 use fernroute_lab::scale::file::Plan;
+use fernroute_lab::scale::fit::{fits, table, Fit, Line};
 use fernroute_lab::scale::layout::{Layout, MOST_PROCESSES};
 use fernroute_lab::scale::whole::Whole;
 use serde_json::Value;
@@ -155,6 +156,54 @@
     assert!(ran(75, 1000) > 50);
 }
 
+/// Guards against an interval that says more than the points do.
+#[test]
+fn a_line_and_a_power_are_found_with_their_intervals() {
+    let near = |is: f64, should: f64| (is - should).abs() < 1e-3;
+    // By hand: y = 1.4 + 0.6 x, residuals 0.4, -1.2, 1.2, -0.4; with two degrees of freedom t is 4.303.
+    let line = Line::through(&[(1.0, 2.4), (2.0, 1.4), (3.0, 4.4), (4.0, 3.4)]).expect("a line");
+    assert!(near(line.slope.is, 0.6) && near(line.slope.half, 4.302_65 * (1.6f64 / 5.0).sqrt()), "{line:?}");
+    let there = line.at(2.5);
+    assert!(near(there.is, 2.9) && near(there.half, 4.302_65 * (1.6f64 * 1.25).sqrt()), "{there:?}");
+    let of = |power: f64| {
+        let points = [150.0, 300.0, 600.0, 1200.0].map(|n: f64| (n, 0.01 * n.powf(power)));
+        Fit::new("made", points.to_vec())
+    };
+    for (power, too_fast) in [(0.0, false), (1.0, false), (1.09, false), (1.2, true), (2.0, true)] {
+        let fit = of(power);
+        let found = fit.power.expect("a power");
+        assert!(near(found.is, power) && found.half < 1e-3, "{found:?}");
+        assert_eq!(fit.grows_too_fast(), too_fast, "{power}");
+    }
+    // Of nought there is no power, and of one place no line.
+    assert_eq!(Fit::new("made", vec![(1.0, 0.0), (2.0, 1.0), (3.0, 2.0), (4.0, 3.0)]).power, None);
+    assert_eq!(Line::through(&[(1.0, 2.0), (1.0, 3.0), (1.0, 4.0)]), None);
+}
+
+/// Guards against a slope of two runs, and against figures for an installation far beyond what was measured.
+#[test]
+fn a_fit_needs_four_sizes_and_calls_out_by_name_what_grows_too_fast() {
+    let run = |n: f64| {
+        serde_json::json!({"hollow": n - 12.0, "real": 12, "steward_leader":
+            {"processor_percent": 1e-4 * n * n, "bytes_per_s": 2000.0 * n, "memory_kb": null},
+            "faults": [{"kind": "zone_lost", "settled_s": 2.0 + n / 1000.0}]})
+    };
+    let runs: Vec<Value> = [150.0, 300.0, 600.0, 1200.0].map(run).to_vec();
+    assert!(fits(&runs[1..]).is_err_and(|why| why.contains("3 sizes, 4 are needed")));
+    let twice = [&runs[1..], &runs[1..]].concat();
+    assert!(fits(&twice).is_err());
+    let all = fits(&runs).expect("four sizes");
+    let names: Vec<&str> = all.iter().map(|fit| fit.figure.as_str()).collect();
+    let measured =
+        ["steward_leader.processor_percent", "steward_leader.bytes_per_s", "faults.zone_lost.settled_s"];
+    assert_eq!(names, measured);
+    let text = table(&all, Some(4800.0)).expect("four times as many");
+    let called: Vec<&str> = text.lines().filter(|line| line.contains("grows faster")).collect();
+    assert!(matches!(called[..], [line] if line.starts_with("steward_leader.processor_percent")), "{text}");
+    assert!(text.contains("| steward_leader.bytes_per_s ") && text.contains("9600000 ± 0"), "{text}");
+    assert!(table(&all, Some(4801.0)).is_err_and(|why| why.contains("1200 were measured")));
+}
+
 /// Hollow and real balancers, stewards, a leader that is killed, and one object in the end. Verdicts on counts and states alone.
 #[test]
 fn a_small_run_loses_nothing_and_says_what_it_measured_and_what_not() {
