A member has parts of those budgets alone that it names

Each member had a floor and a share of every budget, so that grants, steps and the division grew with members times budgets, and floors lay with members that never spend of them. Now its beats' wants say which budgets it has a part in; one that it names no more it is offered none of. Of whom a new leader has not heard it is known what it has. The ledger refuses as before, and counts what is held in one pass over the grants.

--- a/crates/fernroute-fleet/src/leader.rs
+++ b/crates/fernroute-fleet/src/leader.rs
@@ -14,7 +14,7 @@
 use crate::message::{Answer, Beat, Grant, Refusal};
 use crate::{Identity, Shares, Units};
 use fernroute::Time;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A name longer than this is none that a person gave.
 const MOST_NAME: usize = 64;
@@ -216,24 +216,46 @@
 
     /// Offers to those whose share is to be another. Who is offered less frees it by accepting; what is free is offered
     /// to who is short, so it takes two rounds.
+    ///
+    /// A member has parts of those budgets alone that it names: what there is to divide, to say and to enter grows with
+    /// what members name, and not with all budgets for each member.
     fn divide(&self, now: Time, ledger: &Ledger) -> BTreeMap<Identity, (Shares, Shares)> {
         let mut offers: BTreeMap<Identity, (Shares, Shares)> = BTreeMap::new();
-        // A budget that is no more is not offered any more.
-        let gone = |grant: &Grant| {
-            let mut names = grant.floors.keys().chain(grant.shares.keys());
-            names.any(|name| !ledger.budgets().contains_key(name))
-        };
+        let mut sharers: BTreeMap<&str, Vec<Sharer>> = BTreeMap::new();
         for (identity, holder) in ledger.holders() {
-            if holder.offered.is_none() && gone(&holder.accepted) {
+            let known = self.known.get(identity).map(|(_, known)| known);
+            // Who is silent for longer than a share may be held gets none until it is heard of again.
+            let reached =
+                known.filter(|known| !known.leaves && now.saturating_sub(known.heard) <= self.shares.lapse());
+            // Of whom a new leader has not heard yet it is known only what it has.
+            let wants = known.and_then(|known| known.wants.as_ref());
+            let names = |name: &str| wants.is_none_or(|wants| wants.contains_key(name));
+            // A budget that is no more is not offered any more, and one that is not named is not to a member that hears.
+            let kept =
+                |name: &String| ledger.budgets().contains_key(name) && (reached.is_none() || names(name));
+            let had = |grant: &Grant| grant.floors.keys().chain(grant.shares.keys()).all(kept);
+            if holder.offered.is_none() && !had(&holder.accepted) {
                 let kept = |of: &Shares| {
-                    let kept = of.iter().filter(|(name, _)| ledger.budgets().contains_key(*name));
+                    let kept = of.iter().filter(|(name, _)| kept(name));
                     kept.map(|(name, amount)| (name.clone(), *amount)).collect()
                 };
                 offers.insert(*identity, (kept(&holder.accepted.floors), kept(&holder.accepted.shares)));
             }
+            let latest = holder.latest();
+            let of: BTreeSet<&String> = match wants {
+                Some(wants) => wants.keys().collect(),
+                None => latest.floors.keys().chain(latest.shares.keys()).collect(),
+            };
+            for name in of {
+                let sharer = Sharer { identity: *identity, holder, reached: reached.is_some(), wants };
+                sharers.entry(name).or_default().push(sharer);
+            }
         }
+        let held = ledger.held_of_each();
         for (name, budget) in ledger.budgets() {
-            for (identity, floor, share) in self.divide_one(now, ledger, name, budget) {
+            let Some(all) = sharers.get(name.as_str()) else { continue };
+            let held = held.get(name.as_str()).copied().unwrap_or(0);
+            for (identity, floor, share) in self.divide_one(now, all, name, budget, held) {
                 let offer = offers.entry(identity).or_insert_with(|| {
                     let latest = ledger.holders().get(&identity).map(|holder| holder.latest().clone());
                     let latest = latest.unwrap_or_default();
@@ -246,30 +268,23 @@
         offers
     }
 
-    /// Floors and shares of one budget that are to be others than they are.
+    /// Floors and shares of one budget that are to be others than they are; `all` have a part in it, and `held` is what
+    /// members hold of it together, those too that name it no more.
     fn divide_one(
         &self,
         now: Time,
-        ledger: &Ledger,
+        all: &[Sharer],
         name: &str,
         budget: &Budget,
+        held: Units,
     ) -> Vec<(Identity, Units, Units)> {
         let amount = |shares: &Shares| shares.get(name).copied().unwrap_or(0);
-        let all: Vec<(&Identity, &Holder)> = ledger.holders().iter().collect();
         let floors = budget.floor.saturating_mul(all.len() as Units).min(budget.whole);
         let floor = floors / (all.len().max(1) as Units);
-        // Who is silent for longer than a share may be held gets none until it is heard of again. Of whom a new leader
-        // has not heard yet it is known only what it has.
-        let reached = |identity: &Identity| {
-            let known = self.known.get(identity).map(|(_, known)| known);
-            known.filter(|known| !known.leaves && now.saturating_sub(known.heard) <= self.shares.lapse())
-        };
-        let shared: Vec<(&Identity, &Holder)> =
-            all.iter().copied().filter(|(identity, _)| reached(identity).is_some()).collect();
-        let has: Vec<Units> = shared.iter().map(|(_, holder)| amount(&holder.latest().shares)).collect();
-        let wants = shared.iter().zip(&has).map(|((identity, _), has)| {
-            let wants = reached(identity).and_then(|known| known.wants.as_ref());
-            wants.map_or(*has, |wants| amount(wants).min(budget.whole).saturating_sub(floor))
+        let shared: Vec<&Sharer> = all.iter().filter(|sharer| sharer.reached).collect();
+        let has: Vec<Units> = shared.iter().map(|sharer| amount(&sharer.holder.latest().shares)).collect();
+        let wants = shared.iter().zip(&has).map(|(sharer, has)| {
+            sharer.wants.map_or(*has, |wants| amount(wants).min(budget.whole).saturating_sub(floor))
         });
         let wants: Vec<Units> = wants.collect();
         let rest = budget.whole - floor * all.len() as Units;
@@ -277,11 +292,12 @@
         // get all, and would have to give it back.
         let knows = now.saturating_sub(self.begun) >= self.shares.length / 3;
         let next = if knows { divide(rest, &wants, &has) } else { has.clone() };
-        let mut free = budget.whole.saturating_sub(ledger.held(name));
+        let mut free = budget.whole.saturating_sub(held);
         /// Less than this part of what is missing waits until more is free.
         const FEW: Units = 8;
         let mut offers = Vec::new();
-        for (n, (identity, holder)) in shared.iter().enumerate() {
+        for (n, sharer) in shared.iter().enumerate() {
+            let holder = sharer.holder;
             let has_floor = amount(&holder.latest().floors);
             if holder.offered.is_some() || next[n] == has[n] && has_floor == floor {
                 continue;
@@ -298,13 +314,22 @@
                 (floor.saturating_sub(short.saturating_sub(share)), share.saturating_sub(short));
             free -= (floor + share).saturating_sub(holder.holds(name)).min(free);
             if (floor, share) != (has_floor, has[n]) {
-                offers.push((**identity, floor, share));
+                offers.push((sharer.identity, floor, share));
             }
         }
         offers
     }
 }
 
+/// Who has a part in a budget: it names it, or has one as far as a new leader knows.
+struct Sharer<'a> {
+    identity: Identity,
+    holder: &'a Holder,
+    reached: bool,
+    /// What its last beat asked for; none before there was one.
+    wants: Option<&'a Shares>,
+}
+
 fn place(name: &str, report: &Report) -> Place {
     Place { name: name.to_owned(), service: report.service.clone(), zone: report.zone.clone() }
 }
--- a/crates/fernroute-fleet/src/ledger.rs
+++ b/crates/fernroute-fleet/src/ledger.rs
@@ -131,6 +131,19 @@
         self.holders.values().map(|holder| holder.holds(budget)).sum()
     }
 
+    /// The same of each budget that anybody holds anything of. It takes as long as what is held is long.
+    pub fn held_of_each(&self) -> BTreeMap<&str, Units> {
+        let mut held = BTreeMap::new();
+        for holder in self.holders.values() {
+            let grants = [Some(&holder.accepted), holder.offered.as_ref()];
+            let names = grants.into_iter().flatten().flat_map(|g| g.floors.keys().chain(g.shares.keys()));
+            for name in names.collect::<BTreeSet<_>>() {
+                *held.entry(name.as_str()).or_insert(0) += holder.holds(name);
+            }
+        }
+        held
+    }
+
     /// Takes one entry, whole or not at all.
     pub fn apply(&mut self, entry: &Entry) -> Result<(), Refused> {
         let mut next = self.clone();
@@ -146,9 +159,11 @@
                 // What was held before may be beyond a whole that was made smaller; it may not grow.
                 let names =
                     step.offers.values().flat_map(|(floors, shares)| floors.keys().chain(shares.keys()));
+                let (before, after) = (self.held_of_each(), next.held_of_each());
+                let of = |held: &BTreeMap<&str, Units>, name: &str| held.get(name).copied().unwrap_or(0);
                 for name in names.collect::<BTreeSet<_>>() {
                     let whole = self.budgets.get(name).map_or(0, |budget| budget.whole);
-                    if next.held(name) > whole.max(self.held(name)) {
+                    if of(&after, name) > whole.max(of(&before, name)) {
                         return Err(Refused::Beyond(name.clone()));
                     }
                 }
--- a/crates/fernroute-fleet/tests/cases.rs
+++ b/crates/fernroute-fleet/tests/cases.rs
@@ -298,6 +298,70 @@
     }
 }
 
+/// Guards against floors that lie with members that never spend of them.
+#[test]
+fn who_does_not_name_a_budget_has_no_part_in_it_and_the_others_have_all_of_it() {
+    let mut world = fleet(&[400, 400, 400]);
+    world.process(0).names = false;
+    without(&mut world, &[], 2 * SECOND);
+    assert_eq!(world.holds(0), 0);
+    assert!(near_all(world.holds(1) + world.holds(2)), "{}", world.spent());
+    let holder = &world.ledger.holders()[&world.identity(0)];
+    assert!(holder.latest().floors.is_empty() && holder.latest().shares.is_empty(), "{holder:?}");
+    // One that is silent keeps its floor whatever it named last; a new leader knows of it by what it holds.
+    world.process(1).stopped = true;
+    without(&mut world, &[1], SHARES.lapse() + SECOND);
+    world.elect(0);
+    without(&mut world, &[1], SECOND);
+    assert_eq!((world.holds(0), world.holds(1)), (0, FLOOR));
+    assert!(near_all(world.spent()));
+    // It names it again.
+    world.process(1).stopped = false;
+    world.process(0).names = true;
+    without(&mut world, &[], 2 * SECOND);
+    assert!((0..3).all(|n| world.holds(n) > WHOLE / 4) && near_all(world.spent()), "{}", world.spent());
+}
+
+/// Fifty services' budgets, of which each member names one: grants and steps are as long as what is named.
+#[test]
+fn grants_hold_what_is_named_and_each_whole_is_in_use() {
+    use fernroute_fleet::configuration::register::Register;
+    use fernroute_fleet::leader::Leader;
+    use fernroute_fleet::ledger::{Budget, Entry, Ledger};
+    use fernroute_fleet::member::Member;
+    use fernroute_fleet::Shares;
+
+    const SERVICES: usize = 50;
+    const MEMBERS: usize = 200;
+    let names: Vec<String> = (0..SERVICES).map(|n| format!("service{n}")).collect();
+    let budget = Budget { whole: 1_000, floor: 5 };
+    let mut ledger = Ledger::default();
+    let budgets = names.iter().map(|name| (name.clone(), budget.clone())).collect();
+    ledger.apply(&Entry::Budgets(budgets)).expect("budgets are taken");
+    let mut leader = Leader::new(0, &ledger, SHARES, FLOORS, MEMBERS);
+    let mut members: Vec<Member> =
+        (0..MEMBERS).map(|n| Member::new(&format!("n{n}"), n as u64 + 1, 0)).collect();
+    for round in 0..8 {
+        let now = 10 + round * 2_500;
+        for (n, member) in members.iter_mut().enumerate() {
+            let beat = member.beat(now, Shares::from([(names[n % SERVICES].clone(), 900)]));
+            leader.hear(now, &beat, &ledger).expect("there is room");
+            if let Ok(answer) = leader.answer(&beat, &ledger, &Register::default()) {
+                member.hear(now, &answer);
+                assert!(answer.grant.floors.len() <= 1 && answer.grant.shares.len() <= 1);
+            }
+        }
+        while let Some(step) = leader.due(now, &ledger) {
+            ledger.apply(&Entry::Step(step)).expect("it is up to date");
+            leader.entered();
+        }
+    }
+    for name in &names {
+        let held: Units = members.iter().map(|member| member.holds(20_000, name)).sum();
+        assert!((950..=1_000).contains(&held) && ledger.held(name) <= 1_000, "{name}: {held}");
+    }
+}
+
 /// All at once, each with a name of its own: divided in a few steps, and all of it in use.
 #[test]
 fn a_thousand_members_at_once_are_divided_in_a_few_steps() {
--- a/crates/fernroute-fleet/tests/schedules.rs
+++ b/crates/fernroute-fleet/tests/schedules.rs
@@ -28,6 +28,8 @@
     Upgrade(usize),
     EndOld(usize),
     Wants(usize, Units),
+    /// Its beats name the budget from now on, or do not.
+    Names(usize, bool),
     Whole(Units),
     /// With the last leader, or with one before it.
     Round(usize, usize),
@@ -60,6 +62,7 @@
         1 => n().prop_map(Op::Upgrade),
         1 => n().prop_map(Op::EndOld),
         5 => (n(), any::<bool>()).prop_map(|(n, much)| Op::Wants(n, if much { 3_000 } else { 0 })),
+        2 => (n(), any::<bool>()).prop_map(|(n, names)| Op::Names(n, names)),
         1 => (400u64..1_600).prop_map(Op::Whole),
         24 => (n(), many()).prop_map(|(n, by)| Op::Round(n, by)),
         5 => (n(), many()).prop_map(|(n, by)| Op::Ask(n, by)),
@@ -127,6 +130,9 @@
         Op::Wants(n, wants) => {
             of(*n).and_then(|n| world.processes[n].as_mut()).into_iter().for_each(|p| p.wants = *wants)
         }
+        Op::Names(n, names) => {
+            of(*n).and_then(|n| world.processes[n].as_mut()).into_iter().for_each(|p| p.names = *names)
+        }
         Op::Whole(amount) => world.whole_is(*amount),
         Op::Round(n, by) => {
             let by = if by % 4 == 0 { led(*by) } else { leaders - 1 };
@@ -177,6 +183,7 @@
         if let Some(process) = &mut world.processes[n] {
             process.stopped = false;
             process.wants = 2 * WHOLE;
+            process.names = true;
         }
     }
     world.calm(FLOORS.lapse() + 2 * SHARES.lapse());
--- a/crates/fernroute-fleet/tests/world/mod.rs
+++ b/crates/fernroute-fleet/tests/world/mod.rs
@@ -60,6 +60,8 @@
     pub name: String,
     pub clock: Clock,
     pub wants: Units,
+    /// Whether its beats name the budget at all.
+    pub names: bool,
     /// Stopped processes hear and say nothing; what they hold they may spend once they go on.
     pub stopped: bool,
     /// Handed over to the process of this number: it sends no beat any more.
@@ -153,7 +155,7 @@
         let member = Member::new(name, identity.unwrap_or(self.identities), first);
         let clock = Clock::new(off, 5_000 * self.identities);
         let (name, stopped, successor) = (name.to_owned(), false, None);
-        self.processes.push(Some(Process { member, name, clock, wants, stopped, successor }));
+        self.processes.push(Some(Process { member, name, clock, wants, names: true, stopped, successor }));
         self.processes.len() - 1
     }
 
@@ -196,6 +198,7 @@
             name: old.name.clone(),
             clock: old.clock,
             wants: old.wants,
+            names: old.names,
             stopped: false,
             successor: None,
         };
@@ -217,7 +220,7 @@
         if process.stopped || process.successor.is_some() {
             return;
         }
-        let wants = Shares::from([(BUDGET.to_owned(), process.wants)]);
+        let wants = process.names.then(|| (BUDGET.to_owned(), process.wants)).into_iter().collect();
         let beat = process.member.beat(process.clock.read(self.now), wants);
         self.network.push(Packet::Beat(beat));
     }
