--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -7,6 +7,7 @@
 use super::station::{bad_setting, Station};
 use super::upgrade::{self, Before};
 use super::{configuration, fleet, ops, reload, shutdown};
+use crate::protocol::handover::Known;
 use crate::routing::phase::Closing;
 use crate::routing::switchboard::Switchboard;
 use crate::routing::take_in;
