The test of a successor that dies waits until each of its callers has heard of it

Read from the code, not traced: callers of the killed process may hear of its end after the old process does, and their lost RPCs were then noted after those that may be lost were cleared. Load::settled waits until what was out has ended at each caller; what ends after that is judged as before.

--- a/crates/fernroute-rig/src/caller.rs
+++ b/crates/fernroute-rig/src/caller.rs
@@ -62,17 +62,21 @@
     pub crossed: Cell<usize>,
     pub failed: RefCell<Vec<String>>,
     running: Cell<usize>,
+    /// How many RPCs of each caller have ended, however.
+    ended: RefCell<Vec<usize>>,
 }
 
 impl Load {
     pub fn start(callers: usize, at: SocketAddr) -> Rc<Self> {
-        let load = Rc::new(Load { running: Cell::new(callers), ..Load::default() });
-        for _ in 0..callers {
+        let ended = RefCell::new(vec![0; callers]);
+        let load = Rc::new(Load { running: Cell::new(callers), ended, ..Load::default() });
+        for caller in 0..callers {
             let load = Rc::clone(&load);
             spawn_local(async move {
                 let mut kept: Option<TcpStream> = None;
                 while !load.stop.get() {
                     kept = load.one(at, kept).await;
+                    load.ended.borrow_mut()[caller] += 1;
                     tokio::time::sleep(Duration::from_millis(3)).await;
                 }
                 load.running.set(load.running.get() - 1);
@@ -125,6 +129,12 @@
         until(|| self.answered.get() >= goal || !self.failed.borrow().is_empty()).await;
     }
 
+    /// Waits until what is out now has ended, at each caller: what ends after that was begun after this call.
+    pub async fn settled(&self) {
+        let before = self.ended.borrow().clone();
+        until(|| self.ended.borrow().iter().zip(&before).all(|(now, before)| now > before)).await;
+    }
+
     pub async fn end(&self) {
         self.stop.set(true);
         until(|| self.running.get() == 0).await;
--- a/crates/fernroute-server/tests/upgrade.rs
+++ b/crates/fernroute-server/tests/upgrade.rs
@@ -102,7 +102,9 @@
         new.kill();
         assert_eq!(new.ends().await, None);
         until(|| old.says("the successor has ended, serving again")).await;
-        // What the dead process had taken is lost; who comes now is served.
+        // What the dead process had taken is lost, and its callers may hear of that later than the old process of its end; who
+        // comes now is served.
+        load.settled().await;
         load.failed.borrow_mut().clear();
         load.more(50).await;
         load.end().await;
