Kept connections to a dead discovery: the test has both of them die

The test had one dead connection. Two are kept where a list trickled with a call beside it and both came whole; all that are there die now, and a call on each is counted.

--- a/crates/fernroute-server/tests/told.rs
+++ b/crates/fernroute-server/tests/told.rs
@@ -31,6 +31,8 @@
     /// Begins, and says nothing more.
     Stall(&'static str),
     Silence,
+    /// Nothing, nor on any connection that is there, for good.
+    Die,
     Refuse,
 }
 
@@ -38,24 +40,39 @@
 struct Agent {
     address: SocketAddr,
     calls: RefCell<Vec<(Instant, Message)>>,
+    connections: Cell<usize>,
+    /// So many of them, the first, are dead.
+    dead: Cell<usize>,
 }
 
 impl Agent {
     async fn start(script: impl Fn(usize, &Message) -> Does + 'static) -> Rc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let agent = Rc::new(Agent { address, calls: RefCell::default() });
+        let agent = Rc::new(Agent {
+            address,
+            calls: RefCell::default(),
+            connections: Cell::new(0),
+            dead: Cell::new(0),
+        });
         let (serving, script) = (Rc::clone(&agent), Rc::new(script));
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (agent, script) = (Rc::clone(&serving), Rc::clone(&script));
+                let number = agent.connections.replace(agent.connections.get() + 1);
                 spawn_local(async move {
                     let mut peer = Peer::new(stream);
                     while let Ok(Some(message)) = peer.read().await {
                         let n = agent.calls.borrow().len();
                         // Whoever has the change hears nothing more.
                         let has_all = message.target.contains("index=9&");
-                        let does = if has_all { Does::Silence } else { script(n, &message) };
+                        let does = match number < agent.dead.get() || has_all {
+                            true => Does::Silence,
+                            false => script(n, &message),
+                        };
+                        if matches!(does, Does::Die) {
+                            agent.dead.set(agent.connections.get());
+                        }
                         agent.calls.borrow_mut().push((Instant::now(), message));
                         if does.on(&mut peer).await.is_err() {
                             return;
@@ -98,7 +115,7 @@
                 }
             }
             Does::Stall(begin) => peer.write(begin.as_bytes()).await,
-            Does::Silence => Ok(()),
+            Does::Silence | Does::Die => Ok(()),
             Does::Refuse => peer.write(&answer(503, "", "")).await,
         }
     }
@@ -221,21 +238,20 @@
 #[test]
 fn connections_that_have_all_fallen_silent_cost_one_call() {
     run(async {
-        // A list that trickles has another call beside it: two connections are there when all fall silent.
-        let dead = Rc::new(Cell::new(false));
-        let is_dead = Rc::clone(&dead);
-        let agent = Agent::start(move |n, _| match n {
+        // A list that trickles has another call beside it, and both come whole: two connections are there.
+        let agent = Agent::start(|n, _| match n {
             0 => Does::Trickle(before(), Duration::from_millis(1600)),
-            1 | 2 => Does::Say(before()),
-            _ if !is_dead.replace(true) => Does::Silence,
+            1 => Does::Trickle(before(), Duration::from_millis(1100)),
+            2 => Does::Die,
             _ => Does::Say(change()),
         })
         .await;
         let b = balancer(agent.address, None).await;
-        let from = agent.until_called(4).await;
-        assert!(dead.get());
+        let from = agent.until_called(3).await;
+        assert_eq!(agent.dead.get(), 2);
         acts(from, TOLD, || is_taken(&b)).await;
-        assert!(agent.calls.borrow()[4].0 - from < Duration::from_millis(3500));
+        // The call behind the silent one, and perhaps the next watch.
+        assert!(agent.count() <= 5, "{}", agent.count());
     });
 }
 
