--- a/crates/fernroute-lab/src/main.rs
+++ b/crates/fernroute-lab/src/main.rs
@@ -381,9 +381,9 @@
     let _ = std::fs::remove_dir_all(&folder);
     let report = match report {
         Ok(report) => report,
-        Err(why) => {
-            eprintln!("{NAME}: it could not be run: {why}");
-            return Ok(3);
+        Err(broken) => {
+            eprintln!("{NAME}: it did not come to its end: {}", broken.why);
+            return Ok(broken.code);
         }
     };
     report.print();
--- a/crates/fernroute-lab/src/scale/file.rs
+++ b/crates/fernroute-lab/src/scale/file.rs
@@ -24,6 +24,9 @@
     pub per_process: usize,
     /// How many of all balancers are real, at full size; all others are hollow.
     pub real: usize,
+    /// How often operators ask each balancer for its figures.
+    #[serde(default = "ten_seconds")]
+    pub operators_s: f64,
     /// After the start, until anything is measured; and how long it is measured.
     #[serde(default = "ten_seconds")]
     pub settle_s: f64,
@@ -185,6 +188,7 @@
         within("whole", self.whole, 0.001, 1e9);
         within("floors", self.floors, 0.0, 1.0);
         within("per_process", self.per_process as f64, 1.0, 200.0);
+        within("operators_s", self.operators_s, 0.1, 3_600.0);
         within("settle_s", self.settle_s, 0.0, 3_600.0);
         within("measure_s", self.measure_s, 1.0, 3_600.0);
         within("load.rate", self.load.rate, 0.0, 100_000.0);
--- a/crates/fernroute-lab/src/scale/fleet.rs
+++ b/crates/fernroute-lab/src/scale/fleet.rs
@@ -11,7 +11,7 @@
 use fernroute_rig::Counted;
 use fernroute_steward::keep::Status;
 use serde::de::DeserializeOwned;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Far longer than a start takes, on a busy machine too.
 const START: Duration = Duration::from_secs(60);
@@ -28,6 +28,8 @@
 /// How often it is looked at what happens.
 const LOOK: Duration = Duration::from_millis(100);
 
+const SECOND: Duration = Duration::from_secs(1);
+
 /// Where the members of one zone and kind reach the stewards.
 type Ways = BTreeMap<(String, bool), Vec<Rc<Link>>>;
 
@@ -52,6 +54,8 @@
     pub real: RefCell<BTreeMap<usize, Process>>,
     /// Where operators are answered, by members' names.
     pub doors: RefCell<BTreeMap<String, SocketAddr>>,
+    /// What operators asked and were answered, by kind.
+    operators: Cell<[Counted; 2]>,
 }
 
 fn trouble(at: &Path) -> impl Fn(std::io::Error) -> String + '_ {
@@ -156,6 +160,7 @@
             hollow: RefCell::default(),
             real: RefCell::default(),
             doors: RefCell::default(),
+            operators: Cell::default(),
         };
         for n in 0..fleet.steward_addresses.len() {
             let process = fleet.launch_steward(n)?;
@@ -305,8 +310,7 @@
                 if !running {
                     continue;
                 }
-                let told =
-                    tokio::time::timeout(Duration::from_secs(2), status(self.steward_addresses[n])).await;
+                let told = timeout(2 * SECOND, status(self.steward_addresses[n])).await;
                 if let Some(status) = told.ok().flatten().filter(|status| status.state == "leader") {
                     return Ok((n, status));
                 }
@@ -339,7 +343,8 @@
 
     fn of_kind(&self, real: bool) -> Counted {
         let ways = self.ways.iter().filter(|((_, kind), _)| *kind == real);
-        ways.flat_map(|(_, links)| links).fold(Counted::default(), |sum, link| sum + link.counted())
+        let asked = self.operators.get()[usize::from(real)];
+        ways.flat_map(|(_, links)| links).fold(asked, |sum, link| sum + link.counted())
     }
 
     fn of_steward(&self, n: usize) -> Counted {
@@ -355,15 +360,36 @@
         (hollow, real, stewards, self.discovery.memory_kb())
     }
 
-    /// Processor time of the upstreams' stand-in so far.
-    pub fn upstreams_run(&self) -> bool {
+    /// Guards against figures of a run whose stand-ins have ended.
+    pub fn stand_ins_run(&self) -> bool {
         self.upstreams.is_running() && self.discovery.is_running()
     }
 }
 
+/// Asks each balancer for its figures in turn, as operators' tools do, for as long as it runs.
+pub async fn operate(fleet: Rc<Fleet>) {
+    let every = Duration::from_secs_f64(fleet.layout.plan.operators_s / fleet.layout.members.len() as f64);
+    for m in fleet.layout.members.iter().cycle() {
+        sleep(every).await;
+        let door = fleet.doors.borrow().get(&m.name).copied();
+        let Some(at) = door else { continue };
+        let asked = format!("GET /-/metrics HTTP/1.1\r\nHost: {}\r\n\r\n", m.name);
+        let said = async {
+            let mut peer = Peer::new(TcpStream::connect(at).await?);
+            peer.write(asked.as_bytes()).await?;
+            peer.read().await
+        };
+        // One that is killed or stands still answers none.
+        let Ok(Ok(Some(said))) = timeout(SECOND, said).await else { continue };
+        let mut all = fleet.operators.get();
+        let bytes = (asked.len() + said.head.len() + said.body.len()) as u64;
+        all[usize::from(m.real)] += Counted { bytes, messages: 2 };
+        fleet.operators.set(all);
+    }
+}
+
 /// Looks once a second for as long as it runs; each second goes to `seconds`.
 pub async fn watch(fleet: Rc<Fleet>, seconds: Rc<RefCell<Vec<Second>>>) {
-    const SECOND: Duration = Duration::from_secs(1);
     let mut processor = Processor::default();
     let mut before: Option<(Instant, Vec<Counted>)> = None;
     let mut next = Instant::now();
--- a/crates/fernroute-lab/src/scale/load.rs
+++ b/crates/fernroute-lab/src/scale/load.rs
@@ -268,7 +268,10 @@
         let mut seen = held(&self.shared.seen);
         match answered {
             Ok(Ok(200)) => {
-                if phase != Phase::Idle && stream.tenant.is_none() {
+                // Only the first one gets more in the one phase, and a new list in the other.
+                let of_first = matches!(phase, Phase::Times | Phase::List);
+                let counts = !of_first || stream.balancer.is_none_or(|n| n == 0);
+                if phase != Phase::Idle && stream.tenant.is_none() && counts {
                     let new = || Histogram::new(3).unwrap_or_else(|_| unreachable!("three digits will do"));
                     let times = seen.times.entry((phase, place.is_some())).or_insert_with(new);
                     // Grows by itself.
--- a/crates/fernroute-lab/src/scale/mod.rs
+++ b/crates/fernroute-lab/src/scale/mod.rs
@@ -43,13 +43,21 @@
     }
 }
 
+/// Why there is no report, and the code to end with: 3 where it did not even start, 1 where it broke off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    pub code: u8,
+    pub why: String,
+}
+
 /// Runs it; `program` has the roles of the laboratory's own, and `folder` holds nothing.
-pub fn run(layout: Layout, factor: f64, program: &Path, folder: &Path) -> Result<Report, String> {
+pub fn run(layout: Layout, factor: f64, program: &Path, folder: &Path) -> Result<Report, Broken> {
+    let broken = |code| move |why| Broken { code, why };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    let runtime = runtime.map_err(|e| broken(3)(format!("runtime: {e}")))?;
     LocalSet::new().block_on(&runtime, async {
-        let fleet = Fleet::start(layout, program, folder).await?;
-        measured(&fleet, factor).await
+        let fleet = Fleet::start(layout, program, folder).await.map_err(broken(3))?;
+        measured(&fleet, factor).await.map_err(broken(1))
     })
 }
 
@@ -70,6 +78,7 @@
     let load = Load::start(direct, &balancers, rates)?;
     let seconds = Seconds::default();
     let watching = spawn_local(fleet::watch(Rc::clone(fleet), Rc::clone(&seconds)));
+    let operating = spawn_local(fleet::operate(Rc::clone(fleet)));
     let part = |of: f64| Duration::from_secs_f64(of);
     sleep(part(plan.settle_s)).await;
 
@@ -124,7 +133,8 @@
     }
     let ran = fleet.ran().await?;
     watching.abort();
-    if !fleet.upstreams_run() {
+    operating.abort();
+    if !fleet.stand_ins_run() {
         return Err("a stand-in has ended".to_owned());
     }
 
--- a/crates/fernroute-lab/tests/scale.rs
+++ b/crates/fernroute-lab/tests/scale.rs
@@ -204,23 +204,22 @@
     assert!(table(&all, Some(4801.0)).is_err_and(|why| why.contains("1200 were measured")));
 }
 
-/// Hollow and real balancers, stewards, a leader that is killed, and one object in the end. Verdicts on counts and states alone.
+/// Forty hollow balancers beside four real ones, three stewards, every fault, and one object in the end. Verdicts on counts and
+/// states alone.
 #[test]
-fn a_small_run_loses_nothing_and_says_what_it_measured_and_what_not() {
+fn the_shipped_small_run_loses_nothing_settles_after_each_fault_and_says_what_it_measured() {
     let folder = Folder::new("scale-small");
-    std::fs::create_dir_all(&folder.0).expect("a folder");
-    let (file, json) = (folder.0.join("run.toml"), folder.0.join("out.json"));
-    let faults = "[[fault]]\nkind = \"leader_killed\"\n[[fault]]\nkind = \"tenth_restarted\"\n";
-    std::fs::write(&file, format!("{SMALL}{faults}")).expect("a file");
-    let out = scale(&[&file.display().to_string(), "--json", &json.display().to_string()]);
+    let (file, json) = (shipped("small.toml").display().to_string(), folder.0.join("out.json"));
+    let out = scale(&[&file, "--json", &json.display().to_string()]);
     let said = String::from_utf8_lossy(&out.stdout) + String::from_utf8_lossy(&out.stderr);
     // A machine that is busy with other things may not keep the load: told, and no failure of what was run.
     assert!(matches!(out.status.code(), Some(0 | 3)), "{said}");
     let text = std::fs::read_to_string(&json).unwrap_or_else(|e| panic!("{e}: {said}"));
     let of: Value = serde_json::from_str(&text).expect("one object");
-    assert_eq!((&of["hollow"], &of["real"]), (&Value::from(7), &Value::from(1)));
+    assert_eq!((&of["hollow"], &of["real"]), (&Value::from(40), &Value::from(4)));
     assert_eq!((&of["lost"], &of["beyond_whole"]), (&Value::from(0), &Value::from(0)), "{said}");
-    for role in ["balancer", "steward_leader", "steward_follower"] {
+    assert!(of["rpcs"].as_u64().is_some_and(|rpcs| rpcs > 500), "{said}");
+    for role in ["balancer", "balancer_real", "steward_leader", "steward_follower", "discovery"] {
         for figure in
             ["processor_percent", "memory_kb", "bytes_per_s", "messages_per_s", "worst_second_bytes"]
         {
@@ -228,10 +227,47 @@
         }
     }
     // Not measured is no nought.
-    assert_eq!(of["changes"]["made"], Value::Null);
-    let kinds: Vec<&Value> = of["faults"].as_array().expect("a list").iter().map(|f| &f["kind"]).collect();
-    assert_eq!(kinds, ["leader_killed", "tenth_restarted"]);
-    for fault in of["faults"].as_array().expect("a list") {
+    for figure in ["made", "in_force_everywhere", "slowest_s"] {
+        assert_eq!(of["changes"][figure], Value::Null);
+    }
+    let faults = of["faults"].as_array().expect("a list");
+    let kinds: Vec<&str> = faults.iter().filter_map(|fault| fault["kind"].as_str()).collect();
+    let all = [
+        "leader_killed",
+        "steward_lost",
+        "zone_lost",
+        "tenth_restarted",
+        "steward_restarted",
+        "regions_cut",
+        "balancer_silent",
+    ];
+    assert_eq!(kinds, all);
+    for fault in faults {
         assert!(fault["settled_s"].is_number(), "{said}");
     }
 }
+
+/// Hollow ones beside as many real ones that nobody asks: the same messages and bytes, counted where their connections end.
+#[test]
+fn a_hollow_balancer_says_and_hears_what_a_real_one_does() {
+    let folder = Folder::new("scale-alike");
+    // As shipped, in a tenth of the time.
+    let text = std::fs::read_to_string(shipped("alike.toml")).expect("it is there");
+    let file = folder.put("alike.toml", &text.replace("measure_s = 60", "measure_s = 10"));
+    let json = folder.0.join("out.json");
+    let out = scale(&[&file.display().to_string(), "--json", &json.display().to_string()]);
+    let said = String::from_utf8_lossy(&out.stdout) + String::from_utf8_lossy(&out.stderr);
+    assert_eq!(out.status.code(), Some(0), "{said}");
+    let text = std::fs::read_to_string(&json).unwrap_or_else(|e| panic!("{e}: {said}"));
+    let of: Value = serde_json::from_str(&text).expect("one object");
+    assert_eq!((&of["hollow"], &of["real"]), (&Value::from(12), &Value::from(12)));
+    for figure in ["bytes", "messages"] {
+        let part = of["alike"][figure].as_f64().expect("both were there");
+        assert!((0.9..=1.0 / 0.9).contains(&part), "{said}");
+    }
+    // Nobody was asked anything.
+    for figure in ["lost", "rpcs"] {
+        assert_eq!(of[figure], Value::Null);
+    }
+    assert_eq!(of["added_ms"]["p50"], Value::Null);
+}
