An answer that is older than what is in force is named so, whatever was asked for

What lags and what is older were told apart in the wrong order, so that the second was never said. The case asks for the fourth version while the second is in force, and is answered with the first and the third; it fails by the order before.

--- a/crates/fernroute-fleet/src/configuration/follower.rs
+++ b/crates/fernroute-fleet/src/configuration/follower.rs
@@ -160,12 +160,13 @@
     pub fn fetched(&mut self, fetched: Fetched) -> Result<Snapshot, NotTaken> {
         let Some(asked) = &self.asked else { return Err(NotTaken::Unasked) };
         let Fetched::Parts { version, whole, parts } = fetched else { return Err(NotTaken::Behind) };
-        if version < asked.want {
-            return Err(NotTaken::Behind);
-        }
         if version <= self.known() {
             return Err(NotTaken::Older);
         }
+        // Newer than what is in force, and older than what it was told of: whoever says so has not applied that far.
+        if version < asked.want {
+            return Err(NotTaken::Behind);
+        }
         let had = if asked.have == 0 { BTreeMap::new() } else { self.in_force.parts.clone() };
         let mut next = Snapshot { place: self.place.clone(), version, whole, parts: had };
         next.parts.extend(parts.into_iter().map(|part| (part.scope.clone(), part)));
--- a/crates/fernroute-fleet/tests/configuration_follower.rs
+++ b/crates/fernroute-fleet/tests/configuration_follower.rs
@@ -45,15 +45,16 @@
         follower.fetched(old.fetch(&Fetch { place: here(), have: 0, want: 1 })),
         Err(NotTaken::Unasked)
     );
-    // A question is out for the third, and a steward that lags answers, or what was asked before.
+    // A question is out for the fourth, and a steward that lags answers, or what was asked before.
     change(&mut register, of("all"), "c = 3");
-    follower.hear(3);
-    assert_eq!(follower.due(0).map(|asked| (asked.have, asked.want)), Some((2, 3)));
+    let between = register.clone();
+    change(&mut register, of("all"), "c = 4");
+    follower.hear(4);
+    assert_eq!(follower.due(0).map(|asked| (asked.have, asked.want)), Some((2, 4)));
     assert_eq!(follower.fetched(Fetched::Behind), Err(NotTaken::Behind));
-    assert_eq!(
-        follower.fetched(old.fetch(&Fetch { place: here(), have: 0, want: 1 })),
-        Err(NotTaken::Behind)
-    );
+    let all = Fetch { place: here(), have: 0, want: 1 };
+    assert_eq!(follower.fetched(old.fetch(&all)), Err(NotTaken::Older));
+    assert_eq!(follower.fetched(between.fetch(&all)), Err(NotTaken::Behind));
     follower.applied(follower.in_force().clone());
     // What is handed to it as applied, too.
     let mut behind = Follower::new(here(), None);
