--- a/crates/fernroute-steward/tests/configuration.rs
+++ b/crates/fernroute-steward/tests/configuration.rs
@@ -7,9 +7,17 @@
 use common::operator::{
     content, enter, fetch, get, history, put, until_beats, until_hands_out, until_in_force, write,
 };
-use common::{run, until, Stewards};
-use fernroute_fleet::configuration::{Fetched, Scope};
+use common::{run, until, Place, Stewards};
+use fernroute_fleet::configuration::register::Put;
+use fernroute_fleet::configuration::{hash, Fetched, Scope, Version};
+use fernroute_fleet::ledger::Entry;
 use fernroute_rig::link::Link;
+use fernroute_steward::store::{Book, Disk};
+use fernroute_steward::Kinds;
+use openraft::storage::{RaftLogStorage as _, RaftSnapshotBuilder as _, RaftStateMachine as _};
+use openraft::{BasicNode, CommittedLeaderId, EntryPayload, LogId, Membership, Vote};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
 use std::time::Duration;
 
 /// Guards against a change that goes to whom it does not concern, or not to whom it does; against a leader that is the only
@@ -280,7 +288,63 @@
     });
 }
 
+/// Guards against a register that a steward does not get with the snapshot, where the log of what was entered is gone, and
+/// against a snapshot that is longer than can be handed on: 1 MB of contents, and 2,000 lines of history.
+#[test]
+fn the_register_is_handed_as_a_snapshot_to_stewards_that_are_taken_in() {
+    run(async {
+        let mut stewards = Stewards::new("taken", "shop", 3);
+        let mut entries: Vec<Entry> =
+            (0..20).map(|n| entered(Scope::Service(format!("s{n}")), 0, long(n))).collect();
+        entries.extend((20..2000).map(|n| entered(Scope::All, if n == 20 { 0 } else { n }, content(n))));
+        before(&stewards.places[0].disk.folder, entries).await;
+        stewards.start();
+        stewards.leader(None).await;
+        stewards.until_state(1, "blank").await;
+        stewards.until_state(2, "blank").await;
+        assert_eq!(fetch(&stewards, 1, 1).await, Ok(Fetched::Behind));
+        let (code, said) = stewards.change(0);
+        assert_eq!(code, Some(0), "{said}");
+        // What is entered after the last change of who has a vote is at all: so is that change.
+        assert_eq!(put(&stewards, "all", &content(2), &[]).await, 2001);
+        for n in 0..3 {
+            until_hands_out(&stewards, n, 2001, &[content(2)]).await;
+        }
+        // They can do without the first one from here on, and start again with what they were handed.
+        stewards.places.iter().for_each(|place| place.process().kill());
+        stewards.places[1..].iter_mut().for_each(Place::start);
+        assert_eq!(history(&stewards).await.len(), 2001);
+        let (code, said, why) = get(&stewards, "service/s19").await;
+        assert!(code == 0 && said == long(19), "{why}");
+        assert_eq!(put(&stewards, "all", &content(1), &[]).await, 2002);
+    });
+}
+
 /// A content of some 60 kB.
 fn long(n: u64) -> String {
     format!("# {}\n{}", "x".repeat(60_000), content(n))
 }
+
+fn entered(scope: Scope, base: Version, content: String) -> Entry {
+    let (hash, who) = (hash(&content), "ann".to_owned());
+    Entry::Configuration(Put { scope, base, hash, content, who, when_ms: 1, above: 0 })
+}
+
+/// A disk of a steward that was alone, entered these, and keeps a snapshot and no log of them.
+async fn before(folder: &Path, entries: Vec<Entry>) {
+    let (mut disk, own) = Disk::open(folder, "shop").expect("it opens");
+    let mut book = Book::open(disk.clone()).expect("it is read");
+    let nodes = BTreeMap::from([(own.id, BasicNode::new("s0"))]);
+    let alone = Membership::new(vec![BTreeSet::from([own.id])], nodes);
+    let payloads =
+        [EntryPayload::Membership(alone)].into_iter().chain(entries.into_iter().map(EntryPayload::Normal));
+    let at = |index: usize| LogId::new(CommittedLeaderId::new(1, own.id), index as u64);
+    let log = payloads.enumerate().map(|(index, payload)| openraft::Entry { log_id: at(index), payload });
+    let log: Vec<openraft::Entry<Kinds>> = log.collect();
+    let last = at(log.len() - 1);
+    let told = book.apply(log).await.expect("it applies");
+    assert!(told.iter().all(Result::is_ok));
+    book.build_snapshot().await.expect("it is kept");
+    disk.purge(last).await.expect("it is kept");
+    disk.save_vote(&Vote::new_committed(1, own.id)).await.expect("it is kept");
+}
