--- a/crates/fernroute-steward/src/commands/configuration.rs
+++ b/crates/fernroute-steward/src/commands/configuration.rs
@@ -360,10 +360,11 @@
         if coming.is_empty() && refused.is_empty() {
             let silent =
                 if silent.is_empty() { String::new() } else { format!("; not heard of: {}", few(&silent)) };
-            println!("in force at {done} members{silent}");
+            println!("in force at {done} of {done}{silent}");
             return Ok(ExitCode::SUCCESS);
         }
         if coming.is_empty() || from.elapsed() >= wait {
+            let all = done + refused.len() + coming.len();
             let say = |what: &str, names: &[String]| {
                 if names.is_empty() {
                     String::new()
@@ -372,7 +373,7 @@
                 }
             };
             let (no, on) = (say("refused by", &refused), say("on its way to", &coming));
-            return Ok(end(1, &format!("version {version} is in force at {done} members{no}{on}")));
+            return Ok(end(1, &format!("version {version} is in force at {done} of {all}{no}{on}")));
         }
         actix_rt::time::sleep(AGAIN).await;
     }
--- a/crates/fernroute-steward/src/configuration.rs
+++ b/crates/fernroute-steward/src/configuration.rs
@@ -143,7 +143,8 @@
         let leading = self.leading.borrow();
         let Some((_, leader)) = leading.as_ref() else { return Err(NotDone::Elsewhere(None)) };
         let kept = self.book.kept.borrow();
-        let members = leader.standings(now(), &kept.ledger, &kept.register);
+        let mut members = leader.standings(now(), &kept.ledger, &kept.register);
+        members.sort_by(|a, b| a.name.cmp(&b.name));
         let scope = |part: &Part| ScopeLine {
             scope: part.scope.clone(),
             version: part.version,
