--- a/crates/fernroute-config/src/layers.rs
+++ b/crates/fernroute-config/src/layers.rs
@@ -44,34 +44,28 @@
     toml::to_string(&all).map_err(|e| vec![Fault { line: 1, place: String::new(), why: e.to_string() }])
 }
 
-/// What a balancer with this file goes by under these parts; or all that is wrong, each with where it is said: the
-/// narrowest part that has a say in it, else the balancer's own file.
-pub fn load(file: &str, parts: &[&str]) -> Result<Plan, Vec<Fault>> {
-    for (n, part) in parts.iter().enumerate() {
-        lay("", &[part]).map_err(|faults| told(faults, &format!("part {} of {}", n + 1, parts.len())))?;
+/// What a balancer with this file goes by under these parts, each with what it is called, the first the widest; or all that
+/// is wrong, each with where it is said: the narrowest part that has a say in it, else the balancer's own file.
+pub fn load(file: &str, parts: &[(&str, &str)]) -> Result<Plan, Vec<Fault>> {
+    const OWN: &str = "the balancer's own file";
+    let said = |fault: Fault, by: &str| Fault { why: format!("{} ({by})", fault.why), ..fault };
+    for (name, part) in parts {
+        lay("", &[part]).map_err(|faults| faults.into_iter().map(|f| said(f, name)).collect::<Vec<_>>())?;
     }
-    decode(&lay(file, parts)?).map_err(|faults| {
+    let texts: Vec<&str> = parts.iter().map(|(_, part)| *part).collect();
+    decode(&lay(file, &texts)?).map_err(|faults| {
         let told = |fault: Fault| {
-            let texts = parts.iter().enumerate().rev().map(|(n, part)| (Some(n), *part));
-            let said =
-                texts.chain([(None, file)]).filter_map(|(n, text)| Some((n, find(text, &fault.place)?)));
+            let all = parts.iter().rev().copied().chain([(OWN, file)]);
+            let found = all.filter_map(|(name, text)| Some((name, find(text, &fault.place)?)));
             // The one that says most of the place; of these the narrowest.
-            let best = said.reduce(|best, next| if next.1 .1 > best.1 .1 { next } else { best });
-            let (of, line) = match best {
-                Some((Some(n), (line, _))) => (format!("part {} of {}", n + 1, parts.len()), line),
-                Some((None, (line, _))) => ("the balancer's own file".to_owned(), line),
-                None => ("the balancer's own file".to_owned(), 1),
-            };
-            Fault { line, why: format!("{} ({of})", fault.why), ..fault }
+            let best = found.reduce(|best, next| if next.1 .1 > best.1 .1 { next } else { best });
+            let (name, (line, _)) = best.unwrap_or((OWN, (1, 0)));
+            said(Fault { line, ..fault }, name)
         };
         faults.into_iter().map(told).collect()
     })
 }
 
-fn told(faults: Vec<Fault>, of: &str) -> Vec<Fault> {
-    faults.into_iter().map(|fault| Fault { why: format!("{} ({of})", fault.why), ..fault }).collect()
-}
-
 /// What a part says and must not.
 fn foreign(part: &str, table: &Table) -> Vec<Fault> {
     let fault = |place: String, why: &str| {
--- a/crates/fernroute-server/src/program/configuration.rs
+++ b/crates/fernroute-server/src/program/configuration.rs
@@ -7,7 +7,7 @@
 //! reason to go by what its operators have replaced.
 
 use super::kept::Kept;
-use super::station::Station;
+use super::station::{Layer, Station};
 use super::stewards::Stewards;
 use crate::protocol::ops;
 use crate::routing::clock::duration;
@@ -56,7 +56,7 @@
 /// in the file there is nothing to follow. `lay` has parts go into force, whole or not at all.
 pub fn begin(
     station: &Station,
-    lay: impl FnOnce(Vec<String>) -> Result<(), String>,
+    lay: impl FnOnce(Vec<Layer>) -> Result<(), String>,
 ) -> Result<Option<Rc<Followed>>, String> {
     let of_service = station.fleet.as_ref().and_then(|fleet| Some((fleet, fleet.service.clone()?)));
     let Some((fleet, service)) = of_service else { return Ok(None) };
@@ -64,7 +64,7 @@
     let place = Place { name: station.name.clone(), service, zone };
     let copy = Kept::new(copy_path(station, fleet)?);
     let kept = copy.read(&place).and_then(|kept| match kept {
-        Some(kept) => lay(contents(&kept)).map(|()| Some(kept)),
+        Some(kept) => lay(layers(&kept)).map(|()| Some(kept)),
         None => Ok(None),
     });
     let kept = kept.unwrap_or_else(|why| {
@@ -100,8 +100,10 @@
     })
 }
 
-fn contents(snapshot: &Snapshot) -> Vec<String> {
-    snapshot.contents().map(str::to_owned).collect()
+fn layers(snapshot: &Snapshot) -> Vec<Layer> {
+    // One that is empty says nothing any more.
+    let said = snapshot.parts().filter(|part| !part.content.is_empty());
+    said.map(|part| (part.scope.to_string(), part.content.clone())).collect()
 }
 
 /// A draw between 0 and 1, other in each process: balancers that failed together do not come again together.
@@ -153,7 +155,7 @@
     pub async fn follow(
         self: Rc<Self>,
         board: Rc<Switchboard>,
-        lay: impl Fn(Vec<String>) -> Result<(), String>,
+        lay: impl Fn(Vec<Layer>) -> Result<(), String>,
     ) {
         let stewards = Stewards::new(&self.fleet, Rc::clone(&board));
         let mut failed = false;
@@ -202,9 +204,9 @@
     }
 
     /// Whole or not at all, on the path that SIGHUP takes.
-    async fn apply(&self, snapshot: Snapshot, lay: &impl Fn(Vec<String>) -> Result<(), String>) {
+    async fn apply(&self, snapshot: Snapshot, lay: &impl Fn(Vec<Layer>) -> Result<(), String>) {
         let version = snapshot.version;
-        if let Err(why) = lay(contents(&snapshot)) {
+        if let Err(why) = lay(layers(&snapshot)) {
             let why = one_line(&why);
             let before = self.report().in_force;
             tracing::warn!("configuration {version} is refused, {before} stays in force: {why}");
--- a/crates/fernroute-server/src/program/reload.rs
+++ b/crates/fernroute-server/src/program/reload.rs
@@ -4,7 +4,7 @@
 //! read again; in a drain and beside a successor it is as ever.
 
 use super::running::Running;
-use super::station::Station;
+use super::station::{Layer, Station};
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -28,7 +28,7 @@
 pub struct InForce {
     path: PathBuf,
     own: RefCell<String>,
-    parts: RefCell<Vec<String>>,
+    parts: RefCell<Vec<Layer>>,
     station: RefCell<Station>,
 }
 
@@ -46,7 +46,7 @@
     }
 
     /// At a start, before anything runs: these parts count from the begin, where the outcome will do.
-    pub fn begin_with(&self, parts: Vec<String>) -> Result<(), String> {
+    pub fn begin_with(&self, parts: Vec<Layer>) -> Result<(), String> {
         let new = self.outcome(&self.own.borrow(), &parts)?;
         new.check()?;
         self.station.replace(new);
@@ -70,13 +70,13 @@
     }
 
     /// Other parts over the file as it was read last.
-    pub fn lay_over(&self, running: &Running, parts: Vec<String>) -> Result<(), String> {
+    pub fn lay_over(&self, running: &Running, parts: Vec<Layer>) -> Result<(), String> {
         let own = self.own.borrow().clone();
         self.take_over(running, own, parts)
     }
 
     /// The one path by which new terms reach a running balancer.
-    fn take_over(&self, running: &Running, own: String, parts: Vec<String>) -> Result<(), String> {
+    fn take_over(&self, running: &Running, own: String, parts: Vec<Layer>) -> Result<(), String> {
         let new = self.outcome(&own, &parts)?;
         running.new_terms(&new.terms)?;
         let mut station = self.station.borrow_mut();
@@ -95,8 +95,7 @@
         Ok(())
     }
 
-    fn outcome(&self, own: &str, parts: &[String]) -> Result<Station, String> {
-        let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
-        Station::of(&self.path, own, &parts)
+    fn outcome(&self, own: &str, parts: &[Layer]) -> Result<Station, String> {
+        Station::of(&self.path, own, parts)
     }
 }
--- a/crates/fernroute-server/src/program/station.rs
+++ b/crates/fernroute-server/src/program/station.rs
@@ -11,6 +11,9 @@
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// A part that a fleet's stewards hand out: whose it is, and its text.
+pub type Layer = (String, String);
+
 #[derive(Clone, Debug)]
 pub struct Station {
     pub name: String,
@@ -76,7 +79,7 @@
     }
 
     /// The file with this text, and what a fleet's stewards hand out laid over it.
-    pub fn of(path: &Path, text: &str, parts: &[&str]) -> Result<Self, String> {
+    pub fn of(path: &Path, text: &str, parts: &[Layer]) -> Result<Self, String> {
         let own = path.extension().is_some_and(|e| e == "toml");
         let station = if own { Station::decode_under(text, parts) } else { Station::decode(text) };
         let station = station.map_err(|e| format!("{}: {e}", path.display()))?;
@@ -100,10 +103,13 @@
     }
 
     /// The same, under parts that a fleet's stewards hand out, the first the widest.
-    pub fn decode_under(text: &str, parts: &[&str]) -> Result<Self, String> {
+    pub fn decode_under(text: &str, parts: &[Layer]) -> Result<Self, String> {
         let plan = match parts {
             [] => fernroute_config::decode(text),
-            parts => fernroute_config::layers::load(text, parts),
+            parts => {
+                let parts: Vec<(&str, &str)> = parts.iter().map(|(of, text)| (&**of, &**text)).collect();
+                fernroute_config::layers::load(text, &parts)
+            }
         };
         let plan =
             plan.map_err(|faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))?;
