What upstreams turn away no longer widens the budget of cold ones

Cause: cold_gap takes a balancer's transmissions a second for what upstreams take of it; those that full or dead ones turned away counted, and each was sent again.

--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -215,8 +215,10 @@
     busy: Option<f64>,
     /// What they report to hold beside this balancer's own, likewise.
     crowd: Option<f64>,
-    /// Transmissions a second, when that was last brought up to date, and when the first one was.
+    /// Transmissions a second, and those turned away of them; when that was last brought up to date, and when
+    /// the first one was.
     rate: f64,
+    turned: f64,
     rate_at: Time,
     rate_from: Option<Time>,
 }
@@ -248,6 +250,7 @@
             busy: None,
             crowd: None,
             rate: 0.0,
+            turned: 0.0,
             rate_at: now,
             rate_from: None,
         };
@@ -456,6 +459,8 @@
         }
         // What a warm upstream gets of this balancer, over how busy that keeps it, is its part of the
         // capacity; the number of balancers cancels out, and so does how few each of them uses.
+        // Guards against the fall of cold upstreams among many that are full or dead: what these turn away is
+        // sent again elsewhere, and taken for what an upstream does it would show each one twice as large.
         // Guards against the fall of a cold upstream by keys: they lead to any of all upstreams, and one that
         // is cold has met none, which makes for two to three times the work.
         let (reach, met) =
@@ -463,13 +468,14 @@
         let busy = self.busy.unwrap_or(1.0);
         // A balancer that has sent nothing yet takes the budget for one send in a window by all balancers.
         let least = 1.0 / (self.agreed.cold.window / SECOND as f64 * self.agreed.instances);
-        let part = (self.rate / reach / busy.clamp(0.3, 1.0)).max(least);
+        let part = ((self.rate - self.turned).max(0.0) / reach / busy.clamp(0.3, 1.0)).max(least);
         Some(SECOND as f64 / (SAFETY * met * self.agreed.cold.multiple * warmth * part))
     }
 
     fn count_send(&mut self, id: &str) {
         self.rate_from = self.rate_from.or(Some(self.now));
-        self.rate = self.rate * fade(self.now - self.rate_at, RATE_MEMORY) + SECOND as f64 / RATE_MEMORY;
+        let kept = fade(self.now - self.rate_at, RATE_MEMORY);
+        (self.rate, self.turned) = (self.rate * kept + SECOND as f64 / RATE_MEMORY, self.turned * kept);
         self.rate_at = self.now;
         let started = self.upstreams.get(id).map_or(0, |u| u.started);
         if let Some(gap) = self.cold_gap(started) {
@@ -833,15 +839,7 @@
 
     // ----------------------------------------------------------------------------------------------- RPCs
 
-    pub fn rpc_arrived(
-        &mut self,
-        now: Time,
-        id: &str,
-        method: &str,
-        tenant: &str,
-        key: &str,
-        time_left: Time,
-    ) {
+    pub fn rpc_arrived(&mut self, now: Time, id: &str, method: &str, tenant: &str, key: &str, left: Time) {
         self.now = now;
         /// Further transmissions an RPC earns: all tiers together then stay under twice the work.
         const EARNED: f64 = 0.1;
@@ -851,7 +849,7 @@
             // A method that the terms do not name: nothing is known of it but that it was not sent.
             return self.host.exhaust(&id, 0);
         };
-        let (soft, hard) = (self.soft_deadline(&method, time_left), now + time_left);
+        let (soft, hard) = (self.soft_deadline(&method, left), now + left);
         let (gain, late_gain) = (method.promise.gain, method.promise.late_gain);
         let late = if soft as f64 <= now as f64 + method.times.get().mean { late_gain } else { 1.0 };
         let value = self.value(gain, tenant);
@@ -952,6 +950,7 @@
         let Some(tx) = rpc.txs.get_mut(n).filter(|t| t.end.is_none()) else { return };
         tx.end = Some(outcome);
         let tx = tx.clone();
+        self.turned += if outcome.never_ran() { SECOND as f64 / RATE_MEMORY } else { 0.0 };
         self.learn_times(&tx, &method, took, outcome == Outcome::Completed);
         self.take_report(&tx.upstream, tx.sent, loads);
         self.tx_left(&tx.upstream, tx.sent);
