--- a/crates/fernroute-lab/src/main.rs
+++ b/crates/fernroute-lab/src/main.rs
@@ -152,7 +152,11 @@
 /// Measure what a fleet costs and how long it takes to get over a loss: real processes on this machine, some minutes.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "fleet-measure")]
-struct MeasureFleet {}
+struct MeasureFleet {
+    /// only the leader's decisions, in virtual time: by members and budgets
+    #[argh(switch)]
+    leader: bool,
+}
 
 /// Run hollow balancers, real ones and stewards at the size that a file says, and measure what they cost. Ends with 1 where
 /// something was lost or beyond the whole, with 2 for a file that will not do, with 3 where the load was not kept.
@@ -261,7 +265,11 @@
             );
         }
         Command::Fleet(RunFleet {}) => own_program().and_then(|program| beside::fleet(&program)),
-        Command::MeasureFleet(MeasureFleet {}) => own_program().and_then(|program| measure::run(&program)),
+        Command::MeasureFleet(MeasureFleet { leader: true }) => {
+            measure::leader();
+            Ok(())
+        }
+        Command::MeasureFleet(_) => own_program().and_then(|program| measure::run(&program)),
         Command::Scale(one) => match play_scale(&one) {
             Ok(code) => return ExitCode::from(code),
             Err(why) => Err(why),
--- a/crates/fernroute-lab/src/measure.rs
+++ b/crates/fernroute-lab/src/measure.rs
@@ -1,5 +1,5 @@
-//! What a fleet costs, and how long it takes to get over a loss: real processes on this machine, and a ledger of a thousand
-//! members in virtual time. Printed, for `docs/fleet.md`; not part of any test.
+//! What a fleet costs, and how long it takes to get over a loss: real processes on this machine, and ledgers of many members
+//! and budgets in virtual time. Printed, for `docs/fleet.md`; not part of any test.
 
 use crate::processes::{Fleet, Shape};
 use fernroute::host::SECOND;
@@ -13,7 +13,6 @@
 use fernroute_rig::http::Peer;
 use fernroute_steward::keep::now;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -32,7 +31,7 @@
     LocalSet::new().block_on(&runtime, async {
         losses(program).await?;
         members(program, 300).await?;
-        thousand();
+        leader();
         Ok(())
     })
 }
@@ -159,25 +158,45 @@
     Ok(())
 }
 
-/// In virtual time, one process: the decisions of the leader alone, and what messages weigh.
-fn thousand() {
-    const MEMBERS: u64 = 1000;
-    const FOR: u64 = 60 * SECOND;
+/// In virtual time, one process: the decisions of the leader alone, and what messages weigh, for a fleet of the size that is
+/// coming: as many budgets as it has services, of which each member names one; and, where it names all, what that is apart from.
+pub fn leader() {
+    const MEMBERS: u64 = 1_200;
+    for budgets in [1, 10, 50, 190] {
+        decisions(MEMBERS, budgets, false, 60);
+    }
+    for members in [150, 300, 600] {
+        decisions(members, 190, false, 60);
+    }
+    // Longer ones would not end.
+    for (budgets, seconds) in [(10, 20), (50, 6)] {
+        decisions(MEMBERS, budgets, true, seconds);
+    }
+}
+
+/// Members beat every quarter of a second for so many seconds, and each names all of the budgets, or one of them.
+fn decisions(members: u64, budgets: u64, all_named: bool, seconds: u64) {
     const EVERY: u64 = SECOND / 4;
+    let names: Vec<String> = (0..budgets).map(|n| format!("service{n}")).collect();
     let mut ledger = Ledger::default();
-    let whole = Budget::new(10_000.0, 0.2, MEMBERS as usize);
-    if ledger.apply(&Entry::Budgets(BTreeMap::from([("acme".to_owned(), whole)]))).is_err() {
+    // Ten RPCs a second for each member that names it.
+    let naming = if all_named { members } else { members.div_ceil(budgets) };
+    let whole = Budget::new(10.0 * naming as f64, 0.2, naming as usize);
+    let all = names.iter().map(|name| (name.clone(), whole.clone())).collect();
+    if ledger.apply(&Entry::Budgets(all)).is_err() {
         return;
     }
     let lease = |length| Lease { length, drift: 1000 };
-    let mut leader = Leader::new(0, &ledger, lease(2 * SECOND), lease(60 * SECOND), MEMBERS as usize);
-    let mut all: Vec<Member> = (0..MEMBERS).map(|n| Member::new(&format!("n{n}"), n + 1, 0)).collect();
+    let mut leader = Leader::new(0, &ledger, lease(2 * SECOND), lease(60 * SECOND), members as usize);
+    let mut all: Vec<Member> = (0..members).map(|n| Member::new(&format!("n{n}"), n + 1, 0)).collect();
     let (mut bytes, mut beats, mut steps, mut late) = (0, 0u64, 0u64, 0u64);
     let mut spent = Duration::ZERO;
-    for now in 0..FOR {
-        for n in (0..MEMBERS).filter(|n| (now + n * EVERY / MEMBERS).is_multiple_of(EVERY)) {
-            let wants = 5_000 + 15_000 * ((now / (4 * SECOND) + n) % 30 / 29);
-            let beat = all[n as usize].beat(now, Shares::from([("acme".to_owned(), wants)]));
+    for now in 0..seconds * SECOND {
+        for n in (0..members).filter(|n| (now + n * EVERY / members).is_multiple_of(EVERY)) {
+            let want = 5_000 + 15_000 * ((now / (4 * SECOND) + n) % 30 / 29);
+            let named = names.iter().enumerate().filter(|(b, _)| all_named || *b as u64 == n % budgets);
+            let wants: Shares = named.map(|(_, name)| (name.clone(), want)).collect();
+            let beat = all[n as usize].beat(now, wants);
             let from = Instant::now();
             let heard = leader.hear(now, &beat, &ledger);
             let answer = leader.answer(&beat, &ledger, &Register::default());
@@ -202,14 +221,16 @@
             spent += from.elapsed();
         }
     }
-    let seconds = (FOR / SECOND) as f64;
+    let per = |of: f64| of / seconds as f64;
+    let held: u64 = names.iter().map(|name| ledger.held(name)).sum();
     println!(
-        "simulated, {MEMBERS} members: {:.0} beats a second, {:.0} bytes of JSON a second, {:.1} steps a second, {:.1}% of a \
-         processor for the leader's decisions; {late} of {beats} beats without a grant; held {:.3} of the whole at the end",
-        beats as f64 / seconds,
-        bytes as f64 / seconds,
-        steps as f64 / seconds,
-        spent.as_secs_f64() / seconds * 100.0,
-        ledger.held("acme") as f64 / 1e7,
+        "simulated, {members} members, {budgets} budgets, each member names {}: {:.1}% of a processor for the leader's decisions, \
+         {:.2} KB of JSON a second for each member, {:.1} steps a second; {late} of {beats} beats without a grant; held {:.3} of \
+         all wholes at the end",
+        if all_named { "all" } else { "one" },
+        per(spent.as_secs_f64()) * 100.0,
+        per(bytes as f64) / members as f64 / 1000.0,
+        per(steps as f64),
+        held as f64 / (whole.whole * budgets) as f64,
     );
 }
--- a/crates/fernroute/benches/decision.rs
+++ b/crates/fernroute/benches/decision.rs
@@ -49,7 +49,7 @@
 
 fn decision(c: &mut Criterion) {
     let mut group = c.benchmark_group("decision");
-    for count in [10, 100, 600] {
+    for count in [10, 100, 120, 600, 1200] {
         // A busy balancer draws among all of them, one of few calls among six.
         for (pace, gap) in [("busy", 10), ("quiet", SECOND / 2)] {
             let desk = Desk::default();
