--- a/crates/fernroute-server/tests/told.rs
+++ b/crates/fernroute-server/tests/told.rs
@@ -8,6 +8,7 @@
 use fernroute_rig::http::{answer, Message, Peer};
 use fernroute_rig::stand_in::{Deed, Held};
 use fernroute_server::program::serve::{self, Running};
+use futures_util::future::join_all;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -323,15 +324,57 @@
             old.until_called(2).await;
             all.push((b, new));
         }
-        let full = Held::new().await.expect("a queue that is full");
-        let third = balancer(old().await.address, None).await;
         let from = Instant::now();
         all.iter().for_each(|(b, new)| b.turn_to(new.address));
-        third.turn_to(full.address);
-        sleep(Duration::from_millis(100)).await;
-        let late = full.let_go(|_, _| Deed::Say(answer(200, "", &change())));
-        acts(from, TOLD_MOVED, || is_taken(&third)).await;
-        assert!(late.connections.get() > 0);
         acts(from, TOLD_MOVED, || all.iter().all(|(b, _)| !b.board.is_ready())).await;
     });
 }
+
+/// Guards against a connection that its machine tries again after a second only, and that is given up before.
+#[test]
+fn beside_a_connection_that_does_not_come_up_another_is_made() {
+    run(async {
+        let one = || async {
+            let (full, old) =
+                (Held::new().await.expect("a queue that is full"), Agent::start(|_, _| Does::Silence).await);
+            let b = balancer(old.address, None).await;
+            old.until_called(1).await;
+            let from = Instant::now();
+            b.turn_to(full.address);
+            sleep(Duration::from_millis(100)).await;
+            let there = full.let_go(|_, _| Deed::Say(answer(200, "", &change())));
+            until(|| is_taken(&b)).await;
+            assert!(there.connections.get() > 0);
+            from.elapsed()
+        };
+        let took = join_all((0..4).map(|_| one())).await;
+        // The shortest: a busy machine may stretch any one.
+        assert!(took.iter().min().is_some_and(|took| *took < Duration::from_millis(900)), "{took:?}");
+    });
+}
+
+/// Guards against a list that is doubted and then, since the call for the whole one fails, not had before the
+/// decisions ask again.
+#[test]
+fn the_answer_to_a_doubt_is_asked_for_once_more_at_once() {
+    run(async {
+        let one = || async {
+            let agent = Agent::start(|n, _| match n {
+                0 => Does::Say(before()),
+                1 => Does::Say(whole(9, "")),
+                _ => Does::Refuse,
+            })
+            .await;
+            // Pauses are of 0.6 s and more.
+            let _b = balancer(agent.address, Some(30)).await;
+            let refused = agent.until_called(3).await;
+            let again = agent.until_called(4).await;
+            // From then on the decisions ask.
+            let then = agent.until_called(5).await;
+            assert!(then - again > Duration::from_millis(500), "{:?}", then - again);
+            again - refused
+        };
+        let took = join_all((0..4).map(|_| one())).await;
+        assert!(took.iter().min().is_some_and(|took| *took < Duration::from_millis(500)), "{took:?}");
+    });
+}
