--- a/crates/fernroute-lab/src/books.rs
+++ b/crates/fernroute-lab/src/books.rs
@@ -57,7 +57,35 @@
     }
 }
 
+/// What went through one tier, by its balancers: callers' tries in the first, calls in those below.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ByTier {
+    pub rpcs: u64,
+    pub transmissions: u64,
+    pub completed: u64,
+    /// From arrival to the whole answer, summed over those.
+    pub spent: u128,
+    /// What RPCs had left of their callers' time when they came, summed; and the least.
+    pub left: u128,
+    pub least_left: Option<Time>,
+}
+
+impl ByTier {
+    pub fn came(&mut self, left: Time) {
+        self.rpcs += 1;
+        self.left += u128::from(left);
+        self.least_left = Some(self.least_left.map_or(left, |least| least.min(left)));
+    }
+
+    pub fn done(&mut self, spent: Time) {
+        self.completed += 1;
+        self.spent += u128::from(spent);
+    }
+}
+
 pub struct Books {
+    /// Each hop of an RPC's way, where tiers call on tiers.
+    pub tiers: Vec<ByTier>,
     pub tenants: Vec<ByTenant>,
     pub seconds: Vec<Second>,
     pub methods: Vec<ByMethod>,
@@ -82,6 +110,7 @@
             ByTenant { name: t.name.clone(), rate: t.rate, seconds }
         };
         Books {
+            tiers: vec![ByTier::default(); scenario.tier.len()],
             tenants: scenario.tenant.iter().map(tenant).collect(),
             seconds: vec![Second::default(); scenario.seconds.ceil() as usize],
             methods: scenario.method.iter().map(name).collect(),
--- a/crates/fernroute-lab/src/experiment.rs
+++ b/crates/fernroute-lab/src/experiment.rs
@@ -1,5 +1,8 @@
 //! Scenarios × variants × seeds. Variants are paired by seed: what chance draws for the callers is the same for all.
 
+pub mod cold;
+pub mod depth;
+
 use crate::player::Variant;
 use crate::referee::Rule;
 use crate::run::{self, Result as Run};
--- /dev/null
+++ b/crates/fernroute-lab/src/experiment/cold.rs
@@ -0,0 +1,146 @@
+//! How near cold upstreams come to their fall: fleets of several sizes, even traffic and uneven, many seeds. The load
+//! and what an upstream can do stay the same, so that more balancers means less for each.
+
+use crate::player::Variant;
+use crate::referee::cold::{bound, Worst};
+use crate::run;
+use crate::scenario::{Scenario, Tenant};
+use rayon::prelude::*;
+use serde::Deserialize;
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+
+/// A file as it is written; scenarios by their path from there.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Page {
+    #[serde(rename = "name")]
+    _name: String,
+    scenarios: Vec<PathBuf>,
+    fleets: Vec<(usize, f64)>,
+    seeds: u64,
+}
+
+pub struct Experiment {
+    pub scenarios: Vec<Scenario>,
+    /// How many balancers, and how many times the mean one of them gets.
+    pub fleets: Vec<(usize, f64)>,
+    pub seeds: u64,
+}
+
+/// What one scenario came to with one fleet, over all seeds.
+pub struct Row {
+    pub scenario: String,
+    pub balancers: usize,
+    pub busiest: f64,
+    pub seeds: u64,
+    /// Cold starts that were sent anything.
+    pub starts: usize,
+    /// Those that fell, and those of them that break the rule.
+    pub fell: usize,
+    pub broken: usize,
+    /// Those that fell with more RPCs than are allowed: the others met a heavy RPC or two, which nobody can foretell.
+    pub many: usize,
+    /// Other rules broken, over all runs.
+    pub others: usize,
+    /// Of the bound, what one in a hundred cold starts came to or more.
+    pub high: f64,
+    pub worst: Worst,
+    pub service: f64,
+}
+
+impl Experiment {
+    pub fn read(path: &Path) -> Result<Self, String> {
+        let place = |why: String| format!("{}: {}", path.display(), why.replace('\n', " "));
+        let text = std::fs::read_to_string(path).map_err(|e| place(e.to_string()))?;
+        let page: Page = toml::from_str(&text).map_err(|e| place(e.message().to_owned()))?;
+        let folder = path.parent().unwrap_or(Path::new(""));
+        let scenarios = page.scenarios.iter().map(|file| Scenario::read(&folder.join(file)));
+        let scenarios = scenarios.collect::<Result<Vec<Scenario>, String>>()?;
+        let fleets = page.fleets;
+        if scenarios.is_empty() || fleets.is_empty() || page.seeds == 0 {
+            return Err(place("scenarios, fleets and seeds: one of each at the least".to_owned()));
+        }
+        if let Some((n, times)) =
+            fleets.iter().find(|(n, times)| *n == 0 || !(0.0..=*n as f64).contains(times))
+        {
+            return Err(place(format!("{n} balancers, one at {times} times the mean: that can't be")));
+        }
+        Ok(Experiment { scenarios, fleets, seeds: page.seeds })
+    }
+
+    /// All runs, side by side; their order does not depend on which ends first.
+    pub fn play(&self) -> Vec<Row> {
+        let fleets =
+            |s: &Scenario| self.fleets.iter().map(|of| with_fleet(s, *of)).collect::<Vec<Scenario>>();
+        let scenarios: Vec<Scenario> = self.scenarios.iter().flat_map(fleets).collect();
+        scenarios.iter().map(|scenario| row(scenario, self.seeds)).collect()
+    }
+}
+
+/// The scenario with so many balancers, one of which gets so many times the mean.
+pub fn with_fleet(scenario: &Scenario, (balancers, busiest): (usize, f64)) -> Scenario {
+    /// A budget that nobody reaches.
+    const ENDLESS: f64 = 1e6;
+    let mut scenario = scenario.clone();
+    scenario.tier[0].balancers = balancers;
+    scenario.tenant = match busiest {
+        1.0 => Vec::new(),
+        _ => vec![Tenant { name: "all".to_owned(), rate: ENDLESS, share: 1.0, busiest }],
+    };
+    scenario
+}
+
+pub fn row(scenario: &Scenario, seeds: u64) -> Row {
+    let runs = (1..=seeds).into_par_iter().map(|seed| run::run(scenario, Variant::Fernroute, seed));
+    let runs: Vec<run::Result> = runs.collect();
+    let mut starts: Vec<Worst> = runs.iter().flat_map(|r| r.cold_starts.iter().copied()).collect();
+    starts.sort_by(|a, b| a.share().total_cmp(&b.share()));
+    let at = |q: f64| starts.get((starts.len() as f64 * q) as usize).copied().unwrap_or_default();
+    let broken = starts.iter().filter(|w| w.breaks()).count();
+    Row {
+        scenario: scenario.name.clone(),
+        balancers: scenario.tier[0].balancers,
+        busiest: scenario.tenant.first().map_or(1.0, |t| t.busiest),
+        seeds,
+        starts: starts.len(),
+        fell: starts.iter().filter(|w| w.fell()).count(),
+        broken,
+        many: starts.iter().filter(|w| w.fell() && w.rpcs as f64 > w.allowed).count(),
+        others: runs.iter().map(|r| r.breaches.len()).sum::<usize>() - broken,
+        high: at(0.99).share(),
+        worst: starts.last().copied().unwrap_or_default(),
+        service: runs.iter().map(|r| r.books.service()).sum::<f64>() / runs.len() as f64,
+    }
+}
+
+/// As a Markdown table.
+pub fn table(rows: &[Row]) -> String {
+    let mut out = String::from(
+        "| scenario | balancers | traffic | cold starts | fell | with more than N RPCs | rule broken | others broken | 99 in 100 stay under, of the \
+         bound | worst window | service |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for r in rows {
+        let traffic = if r.busiest == 1.0 { "even".to_owned() } else { format!("one at {}", r.busiest) };
+        let w = &r.worst;
+        // Writing to a text does not fail.
+        let _ = writeln!(
+            out,
+            "| {} | {} | {traffic} | {} | {} | {} | {} | {} | {:.2} | {:.1} of {:.1} (N {:.1}, {} RPCs) | {:.3} |",
+            r.scenario,
+            r.balancers,
+            r.starts,
+            r.fell,
+            r.many,
+            r.broken,
+            r.others,
+            r.high,
+            w.work,
+            bound(w.allowed),
+            w.allowed,
+            w.rpcs,
+            r.service
+        );
+    }
+    out
+}
--- /dev/null
+++ b/crates/fernroute-lab/src/experiment/depth.rs
@@ -0,0 +1,99 @@
+//! What many tiers one below another add to an RPC, where some of the last one's answers are errors.
+
+use super::Estimate;
+use crate::books::Books;
+use crate::player::Variant;
+use crate::run;
+use crate::scenario::{Kind, Scenario};
+use rayon::prelude::*;
+use std::fmt::Write as _;
+
+/// Of the last tier's answers, as shares.
+const ERRORS: [f64; 3] = [0.0, 0.01, 0.05];
+
+/// The scenario with such a share of errors at its last tier.
+pub fn with_errors(scenario: &Scenario, share: f64) -> Scenario {
+    let mut scenario = scenario.clone();
+    let last = scenario.tier.len() - 1;
+    let errors: Vec<usize> = (0..scenario.fault.len())
+        .filter(|i| {
+            scenario.fault[*i].kind == Kind::FastErrors && scenario.tier_of(&scenario.fault[*i]) == last
+        })
+        .collect();
+    errors.into_iter().for_each(|i| scenario.fault[i].size = share);
+    scenario
+}
+
+/// Milliseconds of a sum over so many.
+fn mean_ms(sum: u128, count: u64) -> f64 {
+    sum as f64 / (count as f64).max(1.0) / 10.0
+}
+
+/// Transmissions of one tier for each try of a caller.
+pub fn transmissions(books: &Books, tier: usize) -> f64 {
+    books.tiers[tier].transmissions as f64 / (books.tiers[0].rpcs as f64).max(1.0)
+}
+
+fn number(of: &[Books], value: impl Fn(&Books) -> f64) -> String {
+    let e = Estimate::of(&of.iter().map(value).collect::<Vec<f64>>());
+    if e.half.is_finite() {
+        format!("{:.3} ± {:.3}", e.mean, e.half)
+    } else {
+        format!("{:.3}", e.mean)
+    }
+}
+
+/// Two Markdown tables: of the whole, and of each tier with the most errors.
+pub fn table(scenario: &Scenario, seeds: u64) -> String {
+    let last = scenario.tier.len() - 1;
+    let work = |tier: usize| scenario.method[0].work_ms * scenario.tier[tier].work;
+    let all_work: f64 = (0..=last).map(work).sum();
+    let mut out = format!(
+        "{} tiers, {seeds} seeds, 95% intervals (Student's t); {all_work:.1} ms of work over all tiers.\n\n\
+         | errors at the last tier | transmissions there for each try of a caller | of the RPCs that come there, answered whole | \
+         service | answered after, ms | added to the work, ms | added by each hop, ms | of the deadline left there, ms | the least \
+         left, ms |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+        last + 1
+    );
+    let mut worst: Vec<Books> = Vec::new();
+    for share in ERRORS {
+        let of = with_errors(scenario, share);
+        let books = (1..=seeds).into_par_iter().map(|seed| run::run(&of, Variant::Fernroute, seed).books);
+        let books: Vec<Books> = books.collect();
+        let took = |b: &Books| mean_ms(b.tiers[0].spent, b.tiers[0].completed);
+        // Writing to a text does not fail.
+        let _ = writeln!(
+            out,
+            "| {:.0}% | {} | {} | {} | {} | {} | {} | {} | {} |",
+            share * 100.0,
+            number(&books, |b| transmissions(b, last)),
+            number(&books, |b| b.tiers[last].completed as f64 / (b.tiers[last].rpcs as f64).max(1.0)),
+            number(&books, Books::service),
+            number(&books, took),
+            number(&books, |b| took(b) - all_work),
+            number(&books, |b| (took(b) - all_work) / (last + 1) as f64),
+            number(&books, |b| mean_ms(b.tiers[last].left, b.tiers[last].rpcs)),
+            number(&books, |b| b.tiers[last].least_left.unwrap_or(0) as f64 / 10.0),
+        );
+        worst = books;
+    }
+    let most = ERRORS[ERRORS.len() - 1] * 100.0;
+    let _ = write!(
+        out,
+        "\nWith {most:.0}% of errors, tier by tier:\n\n| tier | transmissions for each try of a caller | for each RPC of its own | \
+         answered after, ms | of the deadline left, ms |\n| --- | --- | --- | --- | --- |\n"
+    );
+    for tier in 0..=last {
+        let of = |b: &Books| b.tiers[tier];
+        let _ = writeln!(
+            out,
+            "| {} | {} | {} | {} | {} |",
+            scenario.tier[tier].name,
+            number(&worst, |b| transmissions(b, tier)),
+            number(&worst, |b| of(b).transmissions as f64 / (of(b).rpcs as f64).max(1.0)),
+            number(&worst, |b| mean_ms(of(b).spent, of(b).completed)),
+            number(&worst, |b| mean_ms(of(b).left, of(b).rpcs)),
+        );
+    }
+    out
+}
--- a/crates/fernroute-lab/src/live/balancers.rs
+++ b/crates/fernroute-lab/src/live/balancers.rs
@@ -60,6 +60,9 @@
             model.tier == tier && model.state == State::Up
         };
         let known: Vec<usize> = (0..self.stands.borrow().len()).filter(up).collect();
+        known
+            .iter()
+            .for_each(|n| self.see(&Event::Heard { balancer: node, upstream: *n, told: Told::Ready }));
         let post = Post { tier, number, instances: self.scenario.instances(tier), zone };
         let seed = balancer_seed(self.seed, node);
         let name = format!("b{node}");
--- a/crates/fernroute-lab/src/live/discovery.rs
+++ b/crates/fernroute-lab/src/live/discovery.rs
@@ -83,6 +83,7 @@
                 let stands = self.stands.borrow();
                 for (n, stand) in stands.iter().enumerate() {
                     if stand.model.borrow().tier == node.tier && stand.model.borrow().state == State::Up {
+                        self.see(&Event::Heard { balancer: number, upstream: n, told: Told::Ready });
                         entries.insert(n, self.entry(n, Told::Ready));
                     }
                 }
--- a/crates/fernroute-lab/src/live/mod.rs
+++ b/crates/fernroute-lab/src/live/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::books::Books;
 use crate::demand::{stream, Arrivals, Want, CHANCE};
+use crate::referee::cold::Worst;
 use crate::referee::{Breach, Referee};
 use crate::scenario::{seconds, Kind, Scenario};
 use crate::trace::{Event, Witness as _};
@@ -32,6 +33,8 @@
 pub struct Report {
     pub books: Books,
     pub breaches: Vec<Breach>,
+    /// Of each cold start that was sent anything, the window that came nearest to its fall.
+    pub cold_starts: Vec<Worst>,
     pub requests: u64,
     /// Requests that were sent later than they should have been, and by how much the latest.
     pub sent_late: u64,
@@ -205,11 +208,11 @@
         let books = self.books.replace(Books::new(&self.scenario));
         let mut referee = self.referee.replace(Referee::new(&self.scenario));
         referee.end(self.now());
-        let mut breaches = referee.breaches;
+        let (mut breaches, cold_starts) = (referee.breaches, referee.cold_starts);
         // In the scenario's time, as everything else.
         breaches.iter_mut().for_each(|b| b.at = b.at.saturating_sub(from));
         let (sent_late, latest) = (self.sent_late.get(), self.latest.get());
-        Ok(Report { books, breaches, requests: number, sent_late, latest })
+        Ok(Report { books, breaches, cold_starts, requests: number, sent_late, latest })
     }
 
     fn now(&self) -> Time {
--- a/crates/fernroute-lab/src/live/upstreams.rs
+++ b/crates/fernroute-lab/src/live/upstreams.rs
@@ -157,7 +157,8 @@
         });
         let (balancer, tx) = place.unwrap_or((usize::MAX, 0));
         self.books.borrow_mut().transmissions += 1;
-        self.see(&Event::Sent { rpc: Rc::clone(&rpc), tx, balancer, upstream });
+        let means = self.scenario.in_means(work);
+        self.see(&Event::Sent { rpc: Rc::clone(&rpc), tx, balancer, upstream, work: means });
         let ended = |outcome| self.see(&Event::Ended { rpc: Rc::clone(&rpc), tx, outcome });
         let declined = |load: String| {
             ended(Outcome::Exhausted);
--- a/crates/fernroute-lab/src/main.rs
+++ b/crates/fernroute-lab/src/main.rs
@@ -30,6 +30,8 @@
     Check(Check),
     Run(RunOne),
     Experiment(Compare),
+    Cold(CountCold),
+    Depth(MeasureDepth),
     Live(Live),
     Balancer(RealOne),
     Beside(Beside),
@@ -83,6 +85,27 @@
     out: PathBuf,
 }
 
+/// Play scenarios with fleets of several sizes, and say how near cold upstreams come to a fall; ends with 1 where one fell.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cold")]
+struct CountCold {
+    /// experiment file: scenarios, fleets, seeds
+    #[argh(positional)]
+    experiment: PathBuf,
+}
+
+/// Play a scenario of many tiers, of whose last some share errs, and say what each hop adds.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "depth")]
+struct MeasureDepth {
+    /// scenario file
+    #[argh(positional)]
+    scenario: PathBuf,
+    /// how many seeds (default: 10)
+    #[argh(option, default = "10")]
+    seeds: u64,
+}
+
 /// Play one scenario against real processes on loopback, in real time; ends with 1 where a rule was broken, with 3
 /// where the load was not kept.
 #[derive(FromArgs)]
@@ -245,6 +268,17 @@
                 Ok(())
             })
         }
+        Command::Cold(count) => match experiment::cold::Experiment::read(&count.experiment) {
+            Ok(experiment) => {
+                let rows = experiment.play();
+                print!("{}", experiment::cold::table(&rows));
+                return ExitCode::from(u8::from(rows.iter().any(|row| row.broken > 0)));
+            }
+            Err(why) => Err(why),
+        },
+        Command::Depth(of) => Scenario::read(&of.scenario).map(|scenario| {
+            print!("{}", experiment::depth::table(&scenario, of.seeds));
+        }),
         Command::Live(one) => match play_live(&one) {
             Ok(code) => return ExitCode::from(code),
             Err(why) => Err(why),
--- a/crates/fernroute-lab/src/run.rs
+++ b/crates/fernroute-lab/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::books::Books;
 use crate::player::{Maker, Variant};
+use crate::referee::cold::Worst;
 use crate::referee::{Breach, Referee};
 use crate::scenario::Scenario;
 use crate::trace::{Event, Witness};
@@ -11,6 +12,8 @@
 pub struct Result {
     pub books: Books,
     pub breaches: Vec<Breach>,
+    /// Of each cold start that was sent anything, the window that came nearest to its fall.
+    pub cold_starts: Vec<Worst>,
     /// The most events, jobs and requests held at a time.
     pub most_held: usize,
 }
@@ -54,5 +57,5 @@
     let mut both = Both(&mut referee, onlooker);
     let (books, most_held) = World::new(scenario, seed, make, fleet, &mut both).play();
     referee.end(Time::MAX);
-    Result { books, breaches: referee.breaches, most_held }
+    Result { books, breaches: referee.breaches, cold_starts: referee.cold_starts, most_held }
 }
--- a/crates/fernroute-lab/src/trace.rs
+++ b/crates/fernroute-lab/src/trace.rs
@@ -35,6 +35,8 @@
         tx: usize,
         balancer: usize,
         upstream: usize,
+        /// Its work there, in RPCs of mean work.
+        work: f64,
     },
     /// It began at the upstream: from here on it has had its effect.
     Ran {
--- a/crates/fernroute-lab/tests/live.rs
+++ b/crates/fernroute-lab/tests/live.rs
@@ -81,6 +81,7 @@
     let report = |sent_late| Report {
         books: Books::new(&scenario_with("")),
         breaches: Vec::new(),
+        cold_starts: Vec::new(),
         requests: 1000,
         sent_late,
         latest: Duration::from_millis(80),
