A test of what goes to another steward at once, which fails without the bound

Need: the bound of 64 kB had no test that fails without it: the one with 20 long entries passes either way. Test: a log with long and short entries is read in the pieces in which it would be sent.

--- a/crates/fernroute-steward/tests/store.rs
+++ b/crates/fernroute-steward/tests/store.rs
@@ -6,10 +6,11 @@
 use fernroute_steward::store::{Book, Disk};
 use fernroute_steward::Kinds;
 use openraft::storage::{RaftSnapshotBuilder as _, RaftStateMachine as _};
-use openraft::{CommittedLeaderId, EntryPayload, LogId};
+use openraft::{CommittedLeaderId, EntryPayload, LogId, RaftLogReader as _};
 use redb::{Database, ReadableDatabase as _, TableDefinition};
 use std::path::{Path, PathBuf};
 
+const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
 const NOTES: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("notes");
 
 fn folder(name: &str) -> PathBuf {
@@ -83,3 +84,39 @@
     });
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+/// Guards against a message of many long entries, which does not get to another steward in the time that it has, and is
+/// sent again as long as it was.
+#[test]
+fn what_goes_to_another_steward_at_once_is_some_entries_or_one_long_one() {
+    let folder = folder("some");
+    actix_rt::System::new().block_on(async {
+        drop(book(&folder));
+        let file = Database::create(folder.join("ledger.redb")).expect("it opens");
+        let write = file.begin_write().expect("it writes");
+        {
+            let mut log = write.open_table(LOG).expect("it is there");
+            // Five short ones, a long one, three of half that length, and short ones.
+            let lengths = [10, 10, 10, 10, 10, 65_000, 30_000, 30_000, 30_000, 10, 10];
+            for (index, length) in (0..).zip(lengths) {
+                let bytes = serde_json::to_vec(&put(index, 0, &"x".repeat(length))).expect("it is JSON");
+                log.insert(index, bytes.as_slice()).expect("it is written");
+            }
+        }
+        write.commit().expect("it is kept");
+        drop(file);
+        let (mut disk, _) = Disk::open(&folder, "c").expect("it opens");
+        let mut places = Vec::new();
+        let mut next = 0;
+        while next < 11 {
+            let some = disk.limited_get_log_entries(next, 11).await.expect("it reads");
+            assert!(some.iter().map(|entry| entry.log_id.index).eq(next..next + some.len() as u64));
+            next += some.len() as u64;
+            places.push(next);
+        }
+        assert_eq!(places, [6, 9, 11]);
+        assert_eq!(disk.limited_get_log_entries(5, 6).await.expect("it reads").len(), 1);
+        assert_eq!(disk.try_get_log_entries(0..11).await.expect("it reads").len(), 11);
+    });
+    let _ = std::fs::remove_dir_all(&folder);
+}
