--- a/crates/fernroute-lab/src/processes.rs
+++ b/crates/fernroute-lab/src/processes.rs
@@ -1,7 +1,7 @@
 //! A fleet of real processes on loopback: stewards, balancers, one tenant's load, and a link from each balancer to each
 //! steward that can go wrong. What is judged is what an upstream ran, never what the fleet says of itself.
 
-mod configuration;
+pub mod configuration;
 
 use fernroute::{FURTHER, TRIALS};
 use fernroute_rig::caller::rpc;
--- a/crates/fernroute-lab/src/processes/configuration.rs
+++ b/crates/fernroute-lab/src/processes/configuration.rs
@@ -22,8 +22,13 @@
 const LOOK: Duration = Duration::from_millis(20);
 
 /// A steward's answer to an operator, if there is one.
-async fn say<A: DeserializeOwned>(at: SocketAddr, path: &str, message: impl Serialize) -> Option<A> {
-    let envelope = Envelope { cluster: "c".to_owned(), version: VERSION, to: 0, message };
+pub async fn say<A: DeserializeOwned>(
+    cluster: &str,
+    at: SocketAddr,
+    path: &str,
+    message: impl Serialize,
+) -> Option<A> {
+    let envelope = Envelope { cluster: cluster.to_owned(), version: VERSION, to: 0, message };
     let body = serde_json::to_string(&envelope).ok()?;
     let length = body.len();
     let head =
@@ -47,7 +52,7 @@
                 if !steward.is_running() {
                     continue;
                 }
-                match say::<Result<A, NotDone>>(*at, path, message).await {
+                match say::<Result<A, NotDone>>("c", *at, path, message).await {
                     Some(Err(NotDone::Elsewhere(_))) | None => {}
                     Some(done) => return done,
                 }
--- a/crates/fernroute-lab/src/scale/faults.rs
+++ b/crates/fernroute-lab/src/scale/faults.rs
@@ -1,5 +1,6 @@
 //! What goes wrong at full size, and how long until all balancers are answered by a leader again.
 
+use super::changes::{put, until_in_force};
 use super::figures::Second;
 use super::file::{Fault, Kind};
 use super::fleet::Fleet;
@@ -24,6 +25,10 @@
     pub settled_s: Option<f64>,
     /// The same for those on the larger side while a network is cut.
     pub cut_settled_s: Option<f64>,
+    /// From the end of a cut until the change that was made on the larger side meanwhile was in force everywhere.
+    pub change_in_force_s: Option<f64>,
+    /// Whether a change was entered on the other side meanwhile: there is no majority.
+    pub entered_without_majority: Option<bool>,
     /// Of the worst second until then: bytes of all balancers together, and processor time of all stewards, in percent of one.
     pub worst_second_bytes: Option<f64>,
     pub worst_second_processor_percent: Option<f64>,
@@ -41,6 +46,8 @@
 /// Beats that come may be so many fewer than usual on a busy machine.
 const MOST_OF: f64 = 0.9;
 const SETTLED_WITHIN: Duration = Duration::from_secs(60);
+/// Numbers of changes that no other change of a run has.
+const CUT: u64 = 900;
 const LOOK: Duration = Duration::from_millis(100);
 
 impl Bench<'_> {
@@ -172,10 +179,33 @@
         cut.iter().for_each(|link| link.refuse());
         let from = Instant::now();
         let cut_settled_s = self.settled_from(from, stay, &outside).await;
+        // Changes on both sides: one is entered, the other has no majority.
+        let service = &fleet.layout.services[0].name;
+        let (mut version, mut split) = (None, None);
+        if fleet.layout.plan.changes.is_some() {
+            if let (Some(leader), _) = self.led(&outside).await {
+                version = put(fleet.steward_addresses[leader], service, CUT).await;
+            }
+            for n in &outside {
+                let entered = put(fleet.steward_addresses[*n], service, CUT + 1).await;
+                split = Some(split.unwrap_or(false) || entered.is_some());
+            }
+        }
         sleep(lasts.saturating_sub(from.elapsed())).await;
         cut.iter().for_each(|link| link.mend());
-        let settled_s = self.settled(fleet.layout.members.len()).await;
-        Ok(Told { settled_s, cut_settled_s, ..Told::default() })
+        let healed = Instant::now();
+        let settled_s = self.settled_from(healed, fleet.layout.members.len(), &BTreeSet::new()).await;
+        let change_in_force_s = match version {
+            Some(version) => until_in_force(fleet, service, version, healed).await,
+            None => None,
+        };
+        Ok(Told {
+            settled_s,
+            cut_settled_s,
+            change_in_force_s,
+            entered_without_majority: split,
+            ..Told::default()
+        })
     }
 
     fn kill(&self, hollow: &[usize], real: &BTreeSet<usize>) {
--- a/crates/fernroute-lab/src/scale/hollow.rs
+++ b/crates/fernroute-lab/src/scale/hollow.rs
@@ -1,11 +1,11 @@
 //! Hollow balancers: the program as it is, started many times on one thread, and asked for no RPC.
 //!
-//! Each is `serve::start` of a file of its own: the same member of the fleet, the same watch of the list, the same door for
-//! operators, over the same sockets as in a process of its own. What is missing beside that are the signals of a process
-//! and the socket that a successor would come to.
+//! Each is `serve::begin` of a file of its own: the same member of the fleet, the same watch of the list, the same configuration,
+//! the same door for operators, over the same sockets as in a process of its own. What is missing are the signals that a
+//! process is told by.
 
 use fernroute_server::program::log;
-use fernroute_server::program::serve::start;
+use fernroute_server::program::serve::begin;
 use fernroute_server::program::station::Station;
 use std::path::{Path, PathBuf};
 
@@ -32,8 +32,8 @@
             let station = Station::read(page)?;
             station.check()?;
             let name = station.name.clone();
-            let one = start(station).await.map_err(|why| format!("{}: {why}", page.display()))?;
-            if let Some(door) = one.door {
+            let one = begin(station, page).await.map_err(|why| format!("{}: {why}", page.display()))?;
+            if let Some(door) = one.running.door {
                 eprintln!("{DOOR}{name} {door}");
             }
             running.push(one);
--- a/crates/fernroute-lab/src/scale/layout.rs
+++ b/crates/fernroute-lab/src/scale/layout.rs
@@ -17,6 +17,7 @@
 const STEWARD_KB: u64 = 200_000;
 
 pub const TENANT: &str = "t";
+pub const CLUSTER: &str = "scale";
 
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -142,7 +143,7 @@
         let mut text = format!(
             "name = \"{}\"\nlisten = \"127.0.0.1:0\"\nops = \"127.0.0.2:0\"\ndiscovery = \"{discovery}\"\n\
              [place]\ninstances = {}\nnumber = {}\nzone = \"{}\"\n[load]\nrefuse_over_share = true\n\
-             [fleet]\ncluster = \"scale\"\nstewards = [{}]\nbeat_ms = {}\n\
+             [fleet]\ncluster = \"{CLUSTER}\"\nservice = \"{}\"\nstewards = [{}]\nbeat_ms = {}\n\
              [rules]\ncold_from = 0.3\nwarm_within_s = 10\ncold_multiple = 3\ncold_window_s = 2\n\
              [limits]\ntransmissions = 3\n\
              [[method]]\nname = \"look\"\neffect = \"retriable\"\nsoft_ms = 1000\nhard_ms = 3000\n",
@@ -150,6 +151,7 @@
             s.size,
             m.number,
             m.zone,
+            s.name,
             stewards.join(", "),
             self.plan.beat_ms,
         );
@@ -163,7 +165,7 @@
     pub fn steward_page(&self, at: usize, folder: &str, list: &[SocketAddr]) -> String {
         // As many as there are, and room for those that come again before their time is over.
         let mut text = format!(
-            "cluster = \"scale\"\nname = \"s{at}\"\nfolder = \"{folder}\"\nmembers = {}\nshares_ms = {}\nfloors_s = 15\nbeat_ms = {}\n",
+            "cluster = \"{CLUSTER}\"\nname = \"s{at}\"\nfolder = \"{folder}\"\nmembers = {}\nshares_ms = {}\nfloors_s = 15\nbeat_ms = {}\n",
             self.members.len() + self.members.len() / 8 + 1,
             (8 * self.plan.beat_ms).max(2000),
             self.plan.beat_ms,
--- a/crates/fernroute-lab/src/scale/mod.rs
+++ b/crates/fernroute-lab/src/scale/mod.rs
@@ -110,6 +110,12 @@
             }
         }
     }
+    let mut changed = Changed::default();
+    if let Some(changes) = &plan.changes {
+        load.phase(Phase::Change);
+        during.extend((!balancers.is_empty()).then_some(Phase::Change));
+        changed = changes::make(fleet, changes.count, part(changes.every_s)).await?;
+    }
     load.phase(Phase::Idle);
 
     let (mut told, mut held) = (Vec::new(), held_beyond(fleet).await?);
@@ -165,7 +171,7 @@
             steward_follower: figures(window, &all, stewards - 1, of_followers, follower),
             discovery: figures(window, &all, 1, memory.3, |s| s.discovery),
             alike: if hollow > 0 { Alike::of(&of_hollow, &of_real) } else { Alike::default() },
-            changes: Changed::default(),
+            changes: changed,
             added_ms: Added::during(seen, Phase::Mean),
             added_ms_during: during.iter().map(|p| (p.name().to_owned(), Added::during(seen, *p))).collect(),
             rpcs: loaded.then_some(seen.sent),
--- a/crates/fernroute-lab/src/scale/report.rs
+++ b/crates/fernroute-lab/src/scale/report.rs
@@ -87,10 +87,12 @@
 }
 
 impl Report {
-    /// 3 where the figures say nothing, 1 where something was lost, beyond the whole, or never settled.
+    /// 3 where the figures say nothing, 1 where something was lost, beyond the whole, never settled or never in force.
     pub fn code(&self) -> u8 {
-        let unsettled = self.faults.iter().any(|fault| fault.settled_s.is_none());
+        let split = |fault: &Told| fault.entered_without_majority == Some(true);
+        let unsettled = self.faults.iter().any(|fault| fault.settled_s.is_none() || split(fault));
         let broken = self.lost.unwrap_or(0) > 0 || self.beyond_whole.unwrap_or(0) > 0 || unsettled;
+        let broken = broken || self.changes.left();
         match (broken, &self.not_kept) {
             (true, _) => 1,
             (false, Some(_)) => 3,
@@ -142,6 +144,13 @@
         for (during, added) in &self.added_ms_during {
             println!("  {during}: {} ms, {} ms", of(added.p50), of(added.p99));
         }
+        if let Some(made) = self.changes.made {
+            let everywhere = self.changes.in_force_everywhere.unwrap_or(0);
+            println!(
+                "changes: {everywhere} of {made} in force everywhere, the slowest after {} s",
+                of(self.changes.slowest_s)
+            );
+        }
         for f in &self.faults {
             println!(
                 "{}: settled after {} s, worst second {} bytes, stewards {}% of a processor",
--- a/crates/fernroute-lab/tests/scale.rs
+++ b/crates/fernroute-lab/tests/scale.rs
@@ -226,10 +226,12 @@
             assert!(of[role][figure].as_f64().is_some_and(|is| is > 0.0), "{role} {figure}: {said}");
         }
     }
-    // Not measured is no nought.
-    for figure in ["made", "in_force_everywhere", "slowest_s"] {
-        assert_eq!(of["changes"][figure], Value::Null);
-    }
+    let changes = &of["changes"];
+    assert_eq!(
+        (&changes["made"], &changes["in_force_everywhere"]),
+        (&Value::from(4), &Value::from(4)),
+        "{said}"
+    );
     let faults = of["faults"].as_array().expect("a list");
     let kinds: Vec<&str> = faults.iter().filter_map(|fault| fault["kind"].as_str()).collect();
     let all = [
@@ -245,6 +247,9 @@
     for fault in faults {
         assert!(fault["settled_s"].is_number(), "{said}");
     }
+    // A change on each side of the cut: one is entered there, and in force everywhere after it, the other never is.
+    let cut = &faults[5];
+    assert!(cut["change_in_force_s"].is_number() && cut["entered_without_majority"] == false, "{said}");
 }
 
 /// Hollow ones beside as many real ones that nobody asks: the same messages and bytes, counted where their connections end.
@@ -265,7 +270,10 @@
         let part = of["alike"][figure].as_f64().expect("both were there");
         assert!((0.9..=1.0 / 0.9).contains(&part), "{said}");
     }
-    // Nobody was asked anything.
+    // Nobody was asked anything, and nothing changed: not measured is no nought.
+    for figure in ["made", "in_force_everywhere", "slowest_s"] {
+        assert_eq!(of["changes"][figure], Value::Null);
+    }
     for figure in ["lost", "rpcs"] {
         assert_eq!(of[figure], Value::Null);
     }
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -12,6 +12,7 @@
 use crate::routing::switchboard::Switchboard;
 use crate::routing::take_in;
 use crate::transport::server::Server;
+use actix_rt::task::JoinHandle;
 use futures_util::future::{select, Either};
 use rustix::process::{getrlimit, Resource};
 use std::cell::{Cell, RefCell};
@@ -35,20 +36,7 @@
     runtime.block_on(async {
         // Both before all else: a signal that comes early is kept, and ends nothing.
         let (again, stop) = (reload::signals()?, shutdown::signals()?);
-        let in_force = Rc::new(InForce::new(path, station.clone())?);
-        let followed = configuration::begin(&station, |parts| in_force.begin_with(parts))?;
-        let station = in_force.station();
-        let before = upgrade::look(&station.name, station.listen).await?;
-        let (running, before) = start_after(station, before, followed.clone()).await?;
-        let running = Rc::new(running);
-        if let Some(followed) = &followed {
-            let (board, on, in_force) =
-                (Rc::clone(&running.board), Rc::clone(&running), Rc::clone(&in_force));
-            let lay = move |parts| in_force.lay_over(&on, parts);
-            actix_rt::spawn(Rc::clone(followed).follow(board, lay));
-        }
-        // Goes on while the program stops: a successor may still be told what is left to it.
-        let handed_over = actix_rt::spawn(upgrade::follow(Rc::clone(&running), before, followed.clone()));
+        let Begun { running, in_force, followed, handed_over } = begin(station, path).await?;
         let taken = || followed.iter().for_each(|followed| followed.retry());
         let mut stop = pin!(stop);
         let stop = select(&mut stop, handed_over);
@@ -66,6 +54,32 @@
     })
 }
 
+/// A balancer that has begun: all that a process of it is, but for the signals that it is told by.
+pub struct Begun {
+    pub running: Rc<Running>,
+    pub in_force: Rc<InForce>,
+    pub followed: Option<Rc<Followed>>,
+    /// Ends once a successor serves. It goes on while the program stops: a successor may still be told what is left to it.
+    pub handed_over: JoinHandle<Result<(), String>>,
+}
+
+/// Begins a balancer on the running thread, in the place of the process that is there, if there is one.
+pub async fn begin(station: Station, path: &Path) -> Result<Begun, String> {
+    let in_force = Rc::new(InForce::new(path, station.clone())?);
+    let followed = configuration::begin(&station, |parts| in_force.begin_with(parts))?;
+    let station = in_force.station();
+    let before = upgrade::look(&station.name, station.listen).await?;
+    let (running, before) = start_after(station, before, followed.clone()).await?;
+    let running = Rc::new(running);
+    if let Some(followed) = &followed {
+        let (board, on, in_force) = (Rc::clone(&running.board), Rc::clone(&running), Rc::clone(&in_force));
+        let lay = move |parts| in_force.lay_over(&on, parts);
+        actix_rt::spawn(Rc::clone(followed).follow(board, lay));
+    }
+    let handed_over = actix_rt::spawn(upgrade::follow(Rc::clone(&running), before, followed.clone()));
+    Ok(Begun { running, in_force, followed, handed_over })
+}
+
 /// A socket that nobody can connect to yet. Another process may come to this address as well, where handing the socket
 /// over fails.
 fn bind(at: SocketAddr) -> io::Result<TcpSocket> {
