What needs a restart is told as the file is read, not at each change of the fleet's

Cause: once a file had another listen address, say, each change that a fleet's stewards handed out told of it again. Change: the one path returns what needs a restart; who read the file tells it.

--- a/crates/fernroute-server/src/program/reload.rs
+++ b/crates/fernroute-server/src/program/reload.rs
@@ -59,7 +59,9 @@
         let own = Station::text(&self.path)?;
         let discovery = self.station.borrow().discovery;
         let parts = self.parts.borrow().clone();
-        self.take_over(running, own, parts)?;
+        for what in self.take_over(running, own, parts)? {
+            tracing::warn!("{what} has changed: that needs a restart");
+        }
         let now = self.station.borrow().discovery;
         if now == discovery {
             tracing::info!("read again, discovery is still at {now}");
@@ -69,20 +71,19 @@
         Ok(())
     }
 
-    /// Other parts over the file as it was read last.
+    /// Other parts over the file as it was read last. What needs a restart no part says, and what the file says of it has been
+    /// told as it was read.
     pub fn lay_over(&self, running: &Running, parts: Vec<Layer>) -> Result<(), String> {
         let own = self.own.borrow().clone();
-        self.take_over(running, own, parts)
+        self.take_over(running, own, parts).map(drop)
     }
 
-    /// The one path by which new terms reach a running balancer.
-    fn take_over(&self, running: &Running, own: String, parts: Vec<Layer>) -> Result<(), String> {
+    /// The one path by which new terms reach a running balancer; what of it needs a restart.
+    fn take_over(&self, running: &Running, own: String, parts: Vec<Layer>) -> Result<Vec<String>, String> {
         let new = self.outcome(&own, &parts)?;
         running.new_terms(&new.terms)?;
         let mut station = self.station.borrow_mut();
-        for what in station.differs(&new) {
-            tracing::warn!("{what} has changed: that needs a restart");
-        }
+        let late = station.differs(&new);
         if new.terms != station.terms {
             tracing::info!("new settings from now on");
         }
@@ -92,7 +93,7 @@
         (station.terms, station.discovery) = (new.terms, new.discovery);
         self.own.replace(own);
         self.parts.replace(parts);
-        Ok(())
+        Ok(late)
     }
 
     fn outcome(&self, own: &str, parts: &[Layer]) -> Result<Station, String> {
