Reread: what a balancer was told of is kept once, by the follower alone

The balancer's part kept the version that it was told of beside the follower's, and worked out once more what it knows how to do with. It asks the follower for both now. No behaviour changes.

--- a/crates/fernroute-fleet/src/configuration/follower.rs
+++ b/crates/fernroute-fleet/src/configuration/follower.rs
@@ -120,8 +120,13 @@
         Report { service, zone, in_force: self.in_force.version, refused: self.refused.clone() }
     }
 
+    /// The version that it was told of last.
+    pub fn told(&self) -> Version {
+        self.told
+    }
+
     /// The highest version that it knows how to do with: it goes by it, or refused it.
-    fn known(&self) -> Version {
+    pub fn known(&self) -> Version {
         self.refused.as_ref().map_or(0, |(version, _)| *version).max(self.in_force.version)
     }
 
--- a/crates/fernroute-server/src/program/configuration.rs
+++ b/crates/fernroute-server/src/program/configuration.rs
@@ -41,8 +41,6 @@
     fleet: Fleet,
     /// The copy on the disk.
     copy: Kept,
-    /// The version that it was told of last.
-    told: Cell<Version>,
     /// A leader has answered this process.
     heard: Cell<bool>,
     /// There is something to fetch.
@@ -75,7 +73,6 @@
         tracing::info!("configuration {} is in force, as it was kept", kept.version);
     }
     Ok(Some(Rc::new(Followed {
-        told: Cell::new(kept.as_ref().map_or(0, |kept| kept.version)),
         follower: RefCell::new(Follower::new(place.clone(), kept)),
         place,
         fleet: fleet.clone(),
@@ -122,7 +119,6 @@
     /// older version names none.
     pub fn hear(&self, version: Option<Version>) {
         if let Some(version) = version {
-            self.told.set(version);
             self.follower.borrow_mut().hear(version);
             self.news.notify_one();
         }
@@ -138,9 +134,8 @@
     /// The stewards have said what to go by, and it is in force or refused; or they had their time.
     pub async fn settle(&self) {
         let has_all = || {
-            let report = self.report();
-            let known = report.refused.map_or(0, |(version, _)| version).max(report.in_force);
-            self.heard.get() && known >= self.told.get()
+            let follower = self.follower.borrow();
+            self.heard.get() && follower.known() >= follower.told()
         };
         while !has_all() && self.began.elapsed() < duration(self.fleet.wait) {
             actix_rt::time::sleep(LOOK).await;
@@ -234,7 +229,7 @@
     /// For operators.
     fn show(&self, board: &Switchboard) {
         let Report { in_force, refused, .. } = self.report();
-        let (told, kept) = (self.told.get(), self.is_kept.get());
+        let (told, kept) = (self.follower.borrow().told(), self.is_kept.get());
         let shown = ops::Followed { in_force, told, refused, kept };
         board.note(|control| control.configuration = Some(shown));
     }
