A long answer's connection leaves the library's pool in the turn in which its end is met

Cause: Rest::next met the answer's end in the call that returned its last piece, and took the connection out of the library's pool (Course::over) in the next call only. In between, while a slow caller takes the piece, the library's pool gave it to another RPC; then it was taken from under that one and parked, its answer to come. Whoever was sent on it next got that answer. Where that answer is a turning-away, an RPC whose own request runs counts as never run and is sent again: the effect twice that the operators saw.

Change: Course::over in the turn in which the end is met.

--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -201,8 +201,13 @@
             (piece, met)
         });
         let (piece, met) = next.await;
-        if piece.is_empty() {
+        if met.is_some() {
+            // In the turn in which the end was met, though what came with it is still to be handed on. Guards against the
+            // library's pool, which has the connection from then on: another RPC would be sent on it, lose it as it is parked
+            // here later, and leave its answer to the one after that.
             self.course.over();
+        }
+        if piece.is_empty() {
             return met.unwrap_or(Ok(())).map(|()| None);
         }
         self.met = met;
