No byte of a repeat leaves once repeats are dropped no more, the last as little as the first

Need: an attempt counts once its last byte has come, and the window barred the first byte alone. A repeat with a long body that its upstream takes slowly began within the window and would have been whole after it.

Change: what is left of a repeat is not written after its time; it ends as Moot, since nothing can have begun it. What the machine holds already can't be called back. The decisions' word for that moment is written_by now. The test fails without it (16 MB taken, 200 after 0.3 s were over).

--- a/crates/fernroute-server/src/routing/route.rs
+++ b/crates/fernroute-server/src/routing/route.rs
@@ -16,7 +16,7 @@
         rpc: &Rc<str>,
         upstream: &Rc<str>,
         time_out: Time,
-        begins_by: Option<Time>,
+        written_by: Option<Time>,
     ) {
         let mut open = self.open.borrow_mut();
         let Some(entry) = open.get_mut(rpc) else {
@@ -32,7 +32,7 @@
         let line = self.lines.borrow().get(upstream).map(|(_, line)| Rc::clone(line));
         let course = Course::of(entry.caller.clone(), &self.tally.written);
         let left = |by: Time| duration(by.saturating_sub(self.clock.now()));
-        begins_by.map(left).into_iter().for_each(|left| course.bar_after(left));
+        written_by.map(left).into_iter().for_each(|left| course.bar_after(left));
         let out = Out {
             stop: Some(stop),
             time_out: time_out_key,
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -98,8 +98,8 @@
                 let caller_broke = request.upload.as_ref().is_some_and(|upload| upload.broken.get());
                 Err(match broken.reached {
                     Reached::Nothing if course.is_unwanted() => Outcome::Cancelled,
-                    // For want of connections here, or of the RPC: that says nothing of the upstream.
-                    Reached::Nothing if course.held_back() => Outcome::Moot,
+                    // For want of connections here, of time or of the RPC: that says nothing of the upstream.
+                    Reached::Nothing | Reached::Connected if course.held_back() => Outcome::Moot,
                     Reached::Nothing | Reached::Connected if caller_broke => Outcome::Moot,
                     // Turned away before it was there.
                     Reached::Nothing | Reached::Connected if course.early.get() => Outcome::Exhausted,
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -239,8 +239,8 @@
     fn act(self: &Rc<Self>) {
         while let Some(act) = self.desk.next() {
             match act {
-                Act::Transmit { rpc, upstream, time_out, begins_by } => {
-                    self.route(&rpc, &upstream, time_out, begins_by);
+                Act::Transmit { rpc, upstream, time_out, written_by } => {
+                    self.route(&rpc, &upstream, time_out, written_by);
                 }
                 Act::Cancel { rpc, tx } => self.stop(&rpc, tx, Outcome::Cancelled),
                 Act::Exhaust { rpc, stay_away } => {
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -42,8 +42,8 @@
     seat: RefCell<Option<Rc<Seat>>>,
     /// Called off, or its upstream has left the list: it does not begin any more.
     barred: Cell<bool>,
-    /// Nor after this.
-    begins_by: Cell<Option<Instant>>,
+    /// No byte of it leaves after this.
+    written_by: Cell<Option<Instant>>,
     /// Whose RPC it carries; none for calls of the balancer's own.
     caller: Option<Weak<Visit>>,
     /// Whose caller was gone before its first byte.
@@ -94,9 +94,23 @@
         self.barred.set(true);
     }
 
-    /// The same in so long. Guards against a repeat on a connection that comes up when repeats are not dropped any more.
+    /// In so long no byte leaves any more, neither the first nor the last. Guards against a repeat that is whole at its upstream
+    /// when repeats are not dropped any more: on a connection that comes up late, or that takes a long body slowly.
     pub fn bar_after(&self, left: Duration) {
-        self.begins_by.set(Some(Instant::now() + left));
+        self.written_by.set(Some(Instant::now() + left));
+    }
+
+    fn is_in_time(&self) -> bool {
+        self.written_by.get().is_none_or(|by| Instant::now() < by)
+    }
+
+    /// Whether what is left of it may still be written; an error where its time is over, and then its last byte never leaves.
+    fn may_go_on(&self) -> io::Result<()> {
+        if self.reached() >= Reached::Written || self.is_in_time() {
+            return Ok(());
+        }
+        self.held_back.set(true);
+        Err(io::Error::other("called off before its last byte"))
     }
 
     /// It was not begun, since its caller has left.
@@ -114,8 +128,7 @@
                 visit.iter().for_each(|visit| visit.leave());
             }
         }
-        let in_time = self.begins_by.get().is_none_or(|by| Instant::now() < by);
-        let may = in_time && !self.barred.get() && !self.unwanted.get();
+        let may = self.is_in_time() && !self.barred.get() && !self.unwanted.get();
         self.held_back.set(self.held_back.get() || !may);
         may
     }
@@ -143,6 +156,7 @@
             self.early.set(true);
             return Poll::Ready(Err(io::Error::other("an answer before the whole body")));
         }
+        self.may_go_on()?;
         match seat.write_left(cx) {
             Poll::Pending if seat.left.borrow().len() > window => Poll::Pending,
             Poll::Ready(Err(why)) => Poll::Ready(Err(why)),
@@ -221,6 +235,11 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Whether the transmission of the running task may still write.
+    fn may_go_on(&self) -> io::Result<()> {
+        COURSE.try_with(|course| course.may_go_on()).unwrap_or(Ok(()))
+    }
+
     /// The transmission of the running task, once it has this connection.
     fn note(&self, act: impl FnOnce(&Course)) {
         let _ = COURSE.try_with(|course| {
@@ -278,6 +297,7 @@
         if barred.unwrap_or(false) {
             return Poll::Ready(Err(io::Error::other("called off before its first byte")));
         }
+        self.may_go_on()?;
         if let Poll::Ready(result) = self.seat.write_left(cx) {
             result?;
             let written = self.seat.with(|stream| stream.poll_write(cx, buf));
@@ -290,6 +310,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.may_go_on()?;
         std::task::ready!(self.seat.write_left(cx))?;
         self.note(|course| {
             if !course.unfinished.get() {
--- a/crates/fernroute-server/tests/repeats.rs
+++ b/crates/fernroute-server/tests/repeats.rs
@@ -2,11 +2,17 @@
 
 mod common;
 
+use actix_http::header::HeaderMap;
+use actix_http::Method;
+use bytes::Bytes;
 use common::{balancer_at, entry, list, ok, read, rpc, run, send, until};
 use fernroute_rig::http::answer;
 use fernroute_rig::stand_in::Held;
+use fernroute_server::transport::client::{Body, Call, Client};
+use fernroute_server::transport::outbound::{Course, Reached};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::AsyncWriteExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
 
 /// Connections may take their time.
@@ -47,3 +53,46 @@
         });
     }
 }
+
+/// Guards against an effect twice: an attempt counts once its last byte has come. A body that the upstream takes slowly begins
+/// within the window and would be whole after it; its last byte must not leave then. With time enough all of it does.
+#[test]
+fn an_attempt_whose_last_byte_would_leave_after_its_time_is_never_whole() {
+    /// More than the machine takes for a connection that nobody reads.
+    const BODY: usize = 16 << 20;
+    const PAUSE: Duration = Duration::from_millis(600);
+    for (left, is_whole) in [(Duration::from_millis(300), false), (Duration::from_secs(60), true)] {
+        run(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let upstream = actix_rt::spawn(async move {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                tokio::time::sleep(PAUSE).await;
+                let mut taken = 0;
+                let mut piece = vec![0; 1 << 20];
+                while taken < BODY {
+                    match stream.read(&mut piece).await {
+                        Ok(0) | Err(_) => return taken,
+                        Ok(bytes) => taken += bytes,
+                    }
+                }
+                stream.write_all(&answer(200, "", "whole")).await.expect("it is read");
+                taken
+            });
+            let client = Client::new(Duration::from_secs(1), Duration::from_secs(10), 8, BODY);
+            let course = Course::of(None, &Rc::default());
+            course.bar_after(left);
+            let body = Body::Whole(Bytes::from(vec![b'x'; BODY]));
+            let uri = format!("http://{address}/put");
+            let call = Call { verb: Method::POST, uri, headers: HeaderMap::new(), body, fresh: true };
+            let answered = client.line(address).call(call, &course).await;
+            let taken = upstream.await.expect("the upstream ends");
+            assert_eq!((answered.is_ok(), taken >= BODY), (is_whole, is_whole), "{taken} bytes");
+            assert_eq!(
+                course.reached() >= Reached::Written,
+                is_whole,
+                "it is known to be whole, or not to be"
+            );
+        });
+    }
+}
--- a/crates/fernroute/src/decide.rs
+++ b/crates/fernroute/src/decide.rs
@@ -496,7 +496,7 @@
         }
         let m = &rpc.method.promise;
         let Some(first) = rpc.may_have_run() else { return true };
-        let in_window = rpc.begins_by(self.agreed.tick).is_none_or(|by| self.now < by);
+        let in_window = rpc.written_by(self.agreed.tick).is_none_or(|by| self.now < by);
         match m.repeat {
             Repeat::Anywhere => true,
             Repeat::AmongAll => in_window,
@@ -643,7 +643,7 @@
         }
         u.out.push(self.now);
         rpc.waiting = false;
-        let begins_by = rpc.begins_by(self.agreed.tick);
+        let written_by = rpc.written_by(self.agreed.tick);
         rpc.txs.push(Tx {
             upstream: id.clone(),
             zone: u.zone.clone(),
@@ -654,7 +654,7 @@
             ahead,
             end: None,
         });
-        self.host.transmit(rpc_id, id, time_out, begins_by);
+        self.host.transmit(rpc_id, id, time_out, written_by);
         true
     }
 
--- a/crates/fernroute/src/desk.rs
+++ b/crates/fernroute/src/desk.rs
@@ -11,7 +11,7 @@
         rpc: Rc<str>,
         upstream: Rc<str>,
         time_out: Time,
-        begins_by: Option<Time>,
+        written_by: Option<Time>,
     },
     Cancel {
         rpc: Rc<str>,
@@ -48,8 +48,8 @@
 }
 
 impl Host for Desk {
-    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time, begins_by: Option<Time>) {
-        self.note(Act::Transmit { rpc: rpc.into(), upstream: upstream.into(), time_out, begins_by });
+    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time, written_by: Option<Time>) {
+        self.note(Act::Transmit { rpc: rpc.into(), upstream: upstream.into(), time_out, written_by });
     }
     fn cancel(&mut self, rpc: &str, tx: usize) {
         self.note(Act::Cancel { rpc: rpc.into(), tx });
--- a/crates/fernroute/src/host.rs
+++ b/crates/fernroute/src/host.rs
@@ -14,9 +14,9 @@
 
 /// Everything a balancer can do. Calls take effect at the moment they are made.
 pub trait Host {
-    /// Sends the RPC to an upstream; its transmissions count 0, 1, 2 … in the order of these calls. One whose first byte has
-    /// not left at the moment `begins_by` never leaves, and ends as [`Outcome::Moot`].
-    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time, begins_by: Option<Time>);
+    /// Sends the RPC to an upstream; its transmissions count 0, 1, 2 … in the order of these calls. One whose last
+    /// byte has not left at the moment `written_by` is never whole, and ends as [`Outcome::Moot`].
+    fn transmit(&mut self, rpc: &str, upstream: &str, time_out: Time, written_by: Option<Time>);
     /// Stops waiting for one transmission; what became of it is still reported.
     fn cancel(&mut self, rpc: &str, tx: usize);
     /// Final answer: declined, and asking again does no harm. `stay_away` of 0 is no advice.
--- a/crates/fernroute/src/records.rs
+++ b/crates/fernroute/src/records.rs
@@ -203,10 +203,10 @@
         self.txs.iter().find(|t| !t.end.is_some_and(Outcome::never_ran))
     }
 
-    /// By when a transmission must have begun, where one before it may have run and repeats are dropped for a while alone.
-    /// Guards against a repeat whose connection comes up late, when the window is over: it would run a second time.
-    pub fn begins_by(&self, tick: Time) -> Option<Time> {
-        /// It arrives later than it is begun: by a way between zones and a busy turn, which the first may have had less of.
+    /// By when the last byte of a transmission must have left, where one before it may have run and repeats are dropped for a
+    /// while alone. Guards against a repeat that is whole at its upstream when the window is over: it would run a second time.
+    pub fn written_by(&self, tick: Time) -> Option<Time> {
+        /// It arrives later than it leaves: by a way between zones and a busy turn, which the first may have had less of.
         const TRIP: Time = SECOND / 50;
         let promise = &self.method.promise;
         let dropped = matches!(promise.repeat, Repeat::AmongAll | Repeat::InZone | Repeat::InCell);
