--- a/crates/fernroute-lab/src/scale/layout.rs
+++ b/crates/fernroute-lab/src/scale/layout.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 /// How many processes a run may have, all told.
-pub const MOST_PROCESSES: usize = 300;
+pub const MOST_PROCESSES: usize = 1_024;
 
 /// What a run may take of the machine's memory, at the most.
 pub const MOST_MEMORY: f64 = 0.5;
--- a/crates/fernroute-server/src/program/fleet.rs
+++ b/crates/fernroute-server/src/program/fleet.rs
@@ -19,8 +19,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// The longest answer of a steward.
-const MOST_ANSWER: usize = 64 << 10;
+/// The longest answer of a steward: floors and shares of 1,024 budgets with the longest names, and as many duties.
+const MOST_ANSWER: usize = 512 << 10;
 
 /// How long the process before this one is waited for between two looks.
 const LOOK: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/crates/fernroute-server/tests/sizes.rs
@@ -0,0 +1,52 @@
+//! Lists of the size that fleets have: 1,024 upstreams are taken whole, however they are written and whoever tells them.
+
+mod common;
+
+use common::{balancer_at, entry, list, run, until};
+use fernroute_rig::stand_in::Discovery;
+use fernroute_server::program::serve;
+use fernroute_server::protocol::handover::{decode, encode, Known, MOST_LINE};
+use std::net::SocketAddr;
+
+const MANY: usize = 1_024;
+
+/// With the longest ids, zones and indentation that are usual.
+fn many(state: &str) -> Vec<String> {
+    let at = |n: usize| SocketAddr::from(([127, 77, (n >> 8) as u8, n as u8], 9000));
+    let id = |n: usize| format!("s-{n:062}");
+    (0..MANY).map(|n| entry(&id(n), at(n), "a-zone-of-some-region-3", state)).collect()
+}
+
+/// Guards against a bound on the list's bytes, or on its entries, that a large service meets.
+#[test]
+fn a_list_of_many_upstreams_is_taken_whole_in_an_indented_answer() {
+    run(async {
+        let indented =
+            many("SERVING").join(",").replace(",\"", ",\n            \"").replace('{', "{\n            ");
+        let at = SocketAddr::from(([127, 0, 0, 1], 0));
+        let discovery = Discovery::start(at, indented).await.expect("a port");
+        let none: [SocketAddr; 0] = [];
+        let b = serve::start(common::station(&none, discovery.address, &[])).await.expect("it starts");
+        until(|| b.board.standing().0 == MANY).await;
+        assert_eq!(b.board.lines.borrow().len(), MANY);
+        discovery.tell(many("DRAINING").join(","));
+        until(|| b.board.lines.borrow().is_empty()).await;
+    });
+}
+
+/// Guards against an upgrade that fails for the length of its list.
+#[test]
+fn a_list_of_many_upstreams_goes_over_to_the_next_process() {
+    run(async {
+        let none: [SocketAddr; 0] = [];
+        let b = balancer_at(&none, &[]).await;
+        b.board.take_list(&list(8, true, &many("SERVING")), true);
+        let lines = b.board.lines.borrow();
+        let discovery = SocketAddr::from(([127, 0, 0, 1], 1));
+        let known = Known::of(discovery, Some(8), lines.values().map(|(entry, _)| entry));
+        let line = encode(&known);
+        assert!(line.len() * 4 < MOST_LINE, "{} bytes", line.len());
+        let known: Known = decode(&line).expect("it is read");
+        assert_eq!(known.list().entries.len(), MANY);
+    });
+}
--- a/crates/fernroute-steward/src/door.rs
+++ b/crates/fernroute-steward/src/door.rs
@@ -23,8 +23,8 @@
 /// A caller has this long for a head, and gives up on an answer sooner.
 const HEAD: Duration = Duration::from_secs(5);
 
-/// A message of a member is short: its name and what it wants of each budget.
-const MOST_BEAT: usize = 64 << 10;
+/// A message of a member: its name, what it wants of 1,024 budgets with the longest names, and as many duties.
+const MOST_BEAT: usize = 256 << 10;
 
 /// The longest content as JSON, every character of it escaped, and what stands round it.
 const MOST_PUT: usize = 6 * MOST_CONTENT + MOST_BEAT;
--- a/crates/fernroute-steward/tests/common/mod.rs
+++ b/crates/fernroute-steward/tests/common/mod.rs
@@ -66,6 +66,13 @@
         std::fs::write(&self.page, text).expect("a file");
     }
 
+    /// Puts one text of its file in place of another, before it starts.
+    pub fn change_page(&self, old: &str, new: &str) {
+        let text = std::fs::read_to_string(&self.page).expect("a file");
+        assert!(text.contains(old), "{old}");
+        std::fs::write(&self.page, text.replace(old, new)).expect("a file");
+    }
+
     pub fn process(&self) -> &Process {
         self.process.as_ref().expect("it was started")
     }
--- a/crates/fernroute-steward/tests/fleet.rs
+++ b/crates/fernroute-steward/tests/fleet.rs
@@ -255,3 +255,26 @@
         beat_until(&stewards, &mut members, near_all).await;
     });
 }
+
+/// Guards against a bound on members, or on what a steward answers, that a large fleet meets.
+#[test]
+fn a_thousand_members_are_taken_in_and_told_of() {
+    const MANY: usize = 1_024;
+    run(async {
+        let mut stewards = Stewards::new("many", "c", 1);
+        stewards.places[0].change_page("members = 10", &format!("members = {MANY}"));
+        stewards.start();
+        stewards.leader(None).await;
+        let mut members: Vec<Asks> =
+            (0..MANY).map(|n| Asks::new(&format!("n{n}"), n as u64 + 1, 150)).collect();
+        // All at once, as after a start of the whole fleet.
+        for _ in 0..3 {
+            let addresses = stewards.addresses();
+            let beats = members.iter_mut().map(|member| member.beat(&stewards.peers, &addresses));
+            futures_util::future::join_all(beats).await;
+        }
+        until(|| async { stewards.status(0).await.is_some_and(|s| s.members.len() == MANY) }).await;
+        let status = stewards.status(0).await.expect("its word");
+        assert!(status.budgets["acme"].held <= status.budgets["acme"].whole, "{:?}", status.budgets);
+    });
+}
