Duties under a lease with a fencing token: decisions, stewards, the balancer's part, commands

Need: what one balancer alone is to do at a time. Built on the stewards' log and the heartbeat; nothing of it runs without [fleet]. A process that starts again is another candidate.

The operator's way to the leader stands in a module of its own now, for both commands.

--- /dev/null
+++ b/crates/fernroute-fleet/src/duties/holder.rs
@@ -0,0 +1,172 @@
+//! A member's side: which duties it may act on now, and until when by its own clock. Whoever acts asks [`Duties::term`] at each
+//! act, and sends the term with it.
+
+use super::{Report, Term, Terms, Told};
+use fernroute::Time;
+use std::collections::BTreeMap;
+
+/// Heartbeats that are not answered yet, at the most: an answer to an older one would find its time over.
+const MOST_OPEN: usize = 16;
+
+/// A duty that this member may act on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Held {
+    term: Term,
+    /// From this moment on it does not act.
+    until: Time,
+}
+
+/// What became of a duty at this member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It acts on it from now on.
+    Begins { duty: String, term: Term },
+    /// It acts on it no more.
+    Stops { duty: String, term: Term, reason: StopReason },
+}
+
+/// Why a member stopped to act on a duty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopReason {
+    /// It heard nothing for as long as it may act; should it be told so again, it goes on under the same term.
+    LeaseOver,
+    /// The stewards' answer names it no more.
+    Told,
+    /// It gave it up: it drains, or another process goes on in its place.
+    GivenUp,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Duties {
+    incarnation: u64,
+    eligible: bool,
+    held: BTreeMap<String, Held>,
+    /// Terms that it will never act on again: the latest of each duty.
+    released: Terms,
+    highest: Term,
+    /// When each heartbeat left that may still be answered; `MOST_OPEN` at most.
+    open: BTreeMap<u64, Time>,
+    /// The latest heartbeat that was answered.
+    answered: u64,
+}
+
+impl Duties {
+    /// `incarnation` is drawn at random by each process.
+    pub fn new(incarnation: u64) -> Self {
+        Duties {
+            incarnation,
+            eligible: true,
+            held: BTreeMap::new(),
+            released: Terms::new(),
+            highest: 0,
+            open: BTreeMap::new(),
+            answered: 0,
+        }
+    }
+
+    /// The report of the heartbeat with this number, which leaves now.
+    pub fn report(&mut self, now: Time, number: u64) -> Report {
+        if self.open.len() == MOST_OPEN {
+            self.open.pop_first();
+        }
+        self.open.insert(number, now);
+        Report {
+            incarnation: self.incarnation,
+            eligible: self.eligible,
+            released: self.released.clone(),
+            highest: self.highest,
+        }
+    }
+
+    /// The term to act under now; none where it does not hold the duty, or not any more.
+    pub fn term(&self, now: Time, duty: &str) -> Option<Term> {
+        self.held.get(duty).filter(|held| now < held.until).map(|held| held.term)
+    }
+
+    /// All that it may act on now.
+    pub fn terms(&self, now: Time) -> Terms {
+        let current = self.held.iter().filter(|(_, held)| now < held.until);
+        current.map(|(duty, held)| (duty.clone(), held.term)).collect()
+    }
+
+    /// Takes the answer to the heartbeat with this number; none where it says nothing of duties. Its time counts from when the
+    /// heartbeat left. An answer that was overtaken changes nothing.
+    pub fn hear(&mut self, now: Time, number: u64, told: Option<&Told>) -> Vec<Event> {
+        let mut events = self.look(now);
+        let asked = self.open.remove(&number).filter(|_| number > self.answered);
+        let Some(asked) = asked else { return events };
+        self.answered = number;
+        let nothing = Told::default();
+        let told = told.unwrap_or(&nothing);
+        let until = asked.saturating_add(told.holds_for);
+        self.drop_what_is_not_told(told, &mut events);
+        self.released.retain(|duty, _| !told.over.contains(duty));
+        for (duty, term) in &told.terms {
+            self.highest = self.highest.max(*term);
+            if !self.eligible {
+                // It was given before the stewards heard that this member drains.
+                self.released.insert(duty.clone(), *term);
+            }
+            let is_over = self.released.get(duty).is_some_and(|released| term <= released);
+            if is_over || now >= until {
+                continue;
+            }
+            let before = self.held.insert(duty.clone(), Held { term: *term, until });
+            if before.is_none() {
+                events.push(Event::Begins { duty: duty.clone(), term: *term });
+            }
+        }
+        events
+    }
+
+    fn drop_what_is_not_told(&mut self, told: &Told, events: &mut Vec<Event>) {
+        let gone: Vec<(String, Term)> = self
+            .held
+            .iter()
+            .filter(|(duty, held)| told.terms.get(*duty) != Some(&held.term))
+            .map(|(duty, held)| (duty.clone(), held.term))
+            .collect();
+        for (duty, term) in gone {
+            self.held.remove(&duty);
+            self.released.insert(duty.clone(), term);
+            events.push(Event::Stops { duty, term, reason: StopReason::Told });
+        }
+    }
+
+    /// What has ended by the clock since the last look.
+    pub fn look(&mut self, now: Time) -> Vec<Event> {
+        let over: Vec<(String, Term)> = self
+            .held
+            .iter()
+            .filter(|(_, held)| now >= held.until)
+            .map(|(duty, held)| (duty.clone(), held.term))
+            .collect();
+        let mut events = Vec::new();
+        for (duty, term) in over {
+            self.held.remove(&duty);
+            events.push(Event::Stops { duty, term, reason: StopReason::LeaseOver });
+        }
+        events
+    }
+
+    /// It drains, or is about to end: it gives up what it holds, and takes nothing until [`Duties::resume`]. The next heartbeat
+    /// says so, and is best sent at once.
+    pub fn give_up(&mut self) -> Vec<Event> {
+        self.eligible = false;
+        let mut events = Vec::new();
+        for (duty, held) in std::mem::take(&mut self.held) {
+            self.released.insert(duty.clone(), held.term);
+            events.push(Event::Stops { duty, term: held.term, reason: StopReason::GivenUp });
+        }
+        events
+    }
+
+    /// It may be given duties again.
+    pub fn resume(&mut self) {
+        self.eligible = true;
+    }
+
+    pub fn is_eligible(&self) -> bool {
+        self.eligible
+    }
+}
--- /dev/null
+++ b/crates/fernroute-fleet/src/duties/leader.rs
@@ -0,0 +1,249 @@
+//! What only the leader of the stewards knows of duties: when it heard of which candidate by its own clock, and what each
+//! reported. It decides who gets or loses a duty next. It is made anew with each leadership, and takes every holder for heard of
+//! at that moment, since the leader before it may have answered until then.
+//!
+//! As with budgets, the caller answers a heartbeat only once it is certain that it still led after the heartbeat came, and has
+//! applied all that was entered before.
+
+use super::placement::choose;
+use super::table::{Change, End, Grant, Holder, Table};
+use super::{holds_for, Candidate, EndReason, Report, Term, Told};
+use crate::lease::Lease;
+use crate::message::Beat;
+use fernroute::Time;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the leader knows of one candidate.
+#[derive(Clone, Debug)]
+struct Known {
+    name: String,
+    /// The last heartbeat, by this leader's clock; its leadership's begin before there was one.
+    heard: Time,
+    /// What the latest heartbeat said, and its number; none before there was one.
+    report: Option<(u64, Report)>,
+}
+
+/// How a duty stands, as the leader knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// Until its holder loses it unless it is heard of.
+    pub left: Time,
+    /// For how long it has been held. Of a holder of before this leadership it is known to be so long at the least.
+    pub held_for: Time,
+    pub at_least: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Leader {
+    lease: Lease,
+    begun: Time,
+    /// Emptied as candidates that hold nothing are not heard of any more.
+    known: BTreeMap<Candidate, Known>,
+    /// What is being entered, until it is known to be applied, or never to be.
+    entering: Option<Change>,
+    /// An operator wants these released: their holders are not told that they hold them. Emptied as they end.
+    releasing: BTreeSet<(String, Term)>,
+    /// When terms were given in this leadership. As long as the list of duties.
+    granted: BTreeMap<String, (Term, Time)>,
+}
+
+impl Leader {
+    pub fn new(now: Time, table: &Table, lease: Lease) -> Self {
+        let mut leader = Leader {
+            lease,
+            begun: now,
+            known: BTreeMap::new(),
+            entering: None,
+            releasing: BTreeSet::new(),
+            granted: BTreeMap::new(),
+        };
+        leader.forget(now, table);
+        leader
+    }
+
+    /// Notes a heartbeat. One that says nothing of duties is of a member that takes none.
+    pub fn hear(&mut self, now: Time, beat: &Beat) {
+        let Some(report) = &beat.duties else { return };
+        let candidate = Candidate { identity: beat.identity, incarnation: report.incarnation };
+        let new = || Known { name: beat.name.clone(), heard: now, report: None };
+        let known = self.known.entry(candidate).or_insert_with(new);
+        known.heard = now;
+        // One that was overtaken says nothing of what is so now.
+        if known.report.as_ref().is_none_or(|(number, _)| beat.number > *number) {
+            known.report = Some((beat.number, report.clone()));
+        }
+    }
+
+    /// What the member of this heartbeat may be told now; none where it neither holds nor released anything.
+    pub fn answer(&self, beat: &Beat, table: &Table) -> Option<Told> {
+        let report = beat.duties.as_ref()?;
+        let candidate = Candidate { identity: beat.identity, incarnation: report.incarnation };
+        let mut told = Told { holds_for: holds_for(&self.lease), ..Told::default() };
+        for (name, duty) in table.duties() {
+            let Some(holder) = duty.holder.as_ref().filter(|holder| holder.candidate == candidate) else {
+                continue;
+            };
+            // Guards against a promise to a holder whose lapse is being entered.
+            let is_ending = self.entering.iter().flat_map(|change| &change.ends).any(|end| end.duty == *name);
+            if !is_ending && !duty.removed && !self.releasing.contains(&(name.clone(), holder.term)) {
+                told.terms.insert(name.clone(), holder.term);
+            }
+        }
+        for (duty, term) in &report.released {
+            if table.holder(duty).is_none_or(|holder| holder.term != *term) {
+                told.over.insert(duty.clone());
+            }
+        }
+        (!told.terms.is_empty() || !told.over.is_empty()).then_some(told)
+    }
+
+    /// An operator wants this duty to go to another member; who holds it.
+    pub fn release(&mut self, duty: &str, table: &Table) -> Option<Holder> {
+        let holder = table.holder(duty)?;
+        self.releasing.insert((duty.to_owned(), holder.term));
+        Some(holder.clone())
+    }
+
+    /// What is to be entered now, if anything. Until [`Leader::entered`] is called there is nothing more.
+    pub fn due(&mut self, now: Time, table: &Table) -> Option<Change> {
+        if self.entering.is_some() {
+            return None;
+        }
+        self.forget(now, table);
+        let ends = self.ends(now, table);
+        let grants = self.grants(now, table, &ends);
+        let above = self.known.values().filter_map(|known| known.report.as_ref());
+        let above = above.map(|(_, report)| report.highest).max().unwrap_or(0);
+        let change = Change { base: table.version(), ends, grants, above };
+        if change.is_empty() {
+            return None;
+        }
+        self.entering = Some(change.clone());
+        Some(change)
+    }
+
+    /// The change has been applied, or refused, or will never be: the table says which.
+    pub fn entered(&mut self, now: Time, table: &Table) {
+        let Some(change) = self.entering.take() else { return };
+        for grant in &change.grants {
+            if let Some(holder) = table.holder(&grant.duty).filter(|h| h.candidate == grant.candidate) {
+                self.granted.insert(grant.duty.clone(), (holder.term, now));
+            }
+        }
+        let is_held = |duty: &str, term: Term| table.holder(duty).is_some_and(|holder| holder.term == term);
+        self.releasing.retain(|(duty, term)| is_held(duty, *term));
+        self.granted.retain(|duty, (term, _)| is_held(duty, *term));
+    }
+
+    /// How a duty that is held stands.
+    pub fn standing(&self, now: Time, duty: &str, holder: &Holder) -> Standing {
+        let heard = self.known.get(&holder.candidate).map_or(self.begun, |known| known.heard);
+        let granted = self.granted.get(duty).filter(|(term, _)| *term == holder.term).map(|(_, at)| *at);
+        Standing {
+            left: self.lease.lapse().saturating_sub(now.saturating_sub(heard)),
+            held_for: now.saturating_sub(granted.unwrap_or(self.begun)),
+            at_least: granted.is_none(),
+        }
+    }
+
+    fn silent(&self, now: Time, known: &Known) -> Time {
+        now.saturating_sub(known.heard)
+    }
+
+    fn ends(&self, now: Time, table: &Table) -> Vec<End> {
+        let mut ends = Vec::new();
+        for (name, duty) in table.duties() {
+            let Some(holder) = &duty.holder else { continue };
+            let Some(known) = self.known.get(&holder.candidate) else { continue };
+            let released = known.report.as_ref().and_then(|(_, report)| report.released.get(name));
+            let reason = if released.is_some_and(|term| *term >= holder.term) {
+                self.reason_of_release(name, holder.term, duty.removed)
+            } else if self.silent(now, known) > self.lease.lapse() {
+                EndReason::Lapsed
+            } else {
+                continue;
+            };
+            ends.push(End { duty: name.clone(), term: holder.term, reason });
+        }
+        ends
+    }
+
+    fn reason_of_release(&self, duty: &str, term: Term, removed: bool) -> EndReason {
+        if removed {
+            EndReason::Removed
+        } else if self.releasing.contains(&(duty.to_owned(), term)) {
+            EndReason::Operator
+        } else {
+            EndReason::Drained
+        }
+    }
+
+    fn grants(&self, now: Time, table: &Table, ends: &[End]) -> Vec<Grant> {
+        // A heartbeat or two after its begin it knows who is there: before that the first to come would get all.
+        if now.saturating_sub(self.begun) < self.lease.length / 3 {
+            return Vec::new();
+        }
+        let ending: BTreeMap<&str, EndReason> =
+            ends.iter().map(|end| (end.duty.as_str(), end.reason)).collect();
+        let mut held = self.eligible(now);
+        for (name, duty) in table.duties() {
+            let holder = duty.holder.as_ref().filter(|_| !ending.contains_key(name.as_str()));
+            if let Some(count) = holder.and_then(|holder| held.get_mut(&holder.candidate)) {
+                *count += 1;
+            }
+        }
+        let mut grants = Vec::new();
+        for (name, duty) in table.duties().iter().filter(|(_, duty)| !duty.removed) {
+            if duty.holder.is_some() && !ending.contains_key(name.as_str()) {
+                continue;
+            }
+            let others = self.without_released(&held, name, table, &ending);
+            let Some(candidate) = choose(name, &others) else { continue };
+            let Some(known) = self.known.get(&candidate) else { continue };
+            held.entry(candidate).and_modify(|count| *count += 1);
+            grants.push(Grant { duty: name.clone(), candidate, name: known.name.clone() });
+        }
+        grants
+    }
+
+    /// Of a duty that an operator had released, the member that held it is a candidate only where it is the only one.
+    fn without_released(
+        &self,
+        held: &BTreeMap<Candidate, usize>,
+        duty: &str,
+        table: &Table,
+        ending: &BTreeMap<&str, EndReason>,
+    ) -> BTreeMap<Candidate, usize> {
+        let mut others = held.clone();
+        if ending.get(duty) == Some(&EndReason::Operator) && others.len() > 1 {
+            table.holder(duty).map(|holder| others.remove(&holder.candidate));
+        }
+        others
+    }
+
+    /// Who may be given a duty: who says so, and was heard of within half of a lease. Guards against a duty that is given to
+    /// a member that has just died.
+    fn eligible(&self, now: Time) -> BTreeMap<Candidate, usize> {
+        let is_eligible = |known: &Known| {
+            let says_so = known.report.as_ref().is_some_and(|(_, report)| report.eligible);
+            says_so && self.silent(now, known) <= self.lease.length / 2
+        };
+        let eligible = self.known.iter().filter(|(_, known)| is_eligible(known));
+        eligible.map(|(candidate, _)| (*candidate, 0)).collect()
+    }
+
+    /// Candidates that hold nothing and are not heard of any more. Holders that are not known were heard of by a leader before.
+    fn forget(&mut self, now: Time, table: &Table) {
+        let lapse = self.lease.lapse();
+        let holders = table.duties().values().filter_map(|duty| duty.holder.as_ref());
+        let holders: BTreeMap<Candidate, &str> =
+            holders.map(|holder| (holder.candidate, holder.name.as_str())).collect();
+        self.known.retain(|candidate, known| {
+            holders.contains_key(candidate) || now.saturating_sub(known.heard) <= lapse
+        });
+        for (candidate, name) in holders {
+            let new = || Known { name: name.to_owned(), heard: now, report: None };
+            self.known.entry(candidate).or_insert_with(new);
+        }
+    }
+}
--- a/crates/fernroute-fleet/src/leader.rs
+++ b/crates/fernroute-fleet/src/leader.rs
@@ -132,6 +132,7 @@
             shares_for,
             floors_for,
             configuration: concerns,
+            duties: None,
         })
     }
 
--- a/crates/fernroute-fleet/src/ledger.rs
+++ b/crates/fernroute-fleet/src/ledger.rs
@@ -2,6 +2,7 @@
 //! applies the same entries. It trusts no entry: one that would let all together hold more than the whole is refused.
 
 use crate::configuration::register::Put;
+use crate::duties;
 use crate::message::Grant;
 use crate::{Identity, Shares, Units, UNIT};
 use serde::{Deserialize, Serialize};
@@ -84,6 +85,8 @@
     Step(Step),
     /// Of the register beside the ledger; nothing of the ledger's.
     Configuration(Put),
+    /// Of the table of duties beside the ledger; nothing of the ledger's.
+    Duties(duties::table::Entry),
 }
 
 /// Why an entry changed nothing.
@@ -150,7 +153,7 @@
         match entry {
             Entry::Budgets(budgets) => next.budgets.clone_from(budgets),
             // The ledger's epoch is of who holds what alone.
-            Entry::Configuration(_) => return Ok(()),
+            Entry::Configuration(_) | Entry::Duties(_) => return Ok(()),
             Entry::Step(step) => {
                 if step.base != self.epoch {
                     return Err(Refused::OutOfDate);
--- a/crates/fernroute-fleet/src/lib.rs
+++ b/crates/fernroute-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`leader`]: what only the leader of the ledger's processes knows: when it heard of whom, and what each asked for.
 //!   It decides what to enter next, and what a member is told.
 //! - [`member`]: a balancer's side: what it holds, and until when.
+//! - [`duties`]: what one member alone does at a time, under a lease with a fencing token.
 //! - [`configuration`]: versioned entries of configuration, and who goes by which.
 //! - [`division`]: who should get how much. [`demand`]: what a member could use. [`lease`]: how long who believes what. [`message`]: what they say.
 //!
@@ -14,6 +15,7 @@
 pub mod configuration;
 pub mod demand;
 pub mod division;
+pub mod duties;
 pub mod leader;
 pub mod lease;
 pub mod ledger;
--- a/crates/fernroute-fleet/src/member.rs
+++ b/crates/fernroute-fleet/src/member.rs
@@ -96,6 +96,7 @@
             wants,
             leaves: false,
             configuration: None,
+            duties: None,
         }
     }
 
--- a/crates/fernroute-fleet/src/message.rs
+++ b/crates/fernroute-fleet/src/message.rs
@@ -1,6 +1,7 @@
 //! What members and the leader say to each other, whatever carries it. Fields that are not known are passed over.
 
 use crate::configuration::{Report, Version};
+use crate::duties;
 use crate::{Identity, Shares};
 use fernroute::Time;
 use serde::{Deserialize, Serialize};
@@ -22,6 +23,9 @@
     /// The configuration that it goes by; none where it follows none, or is of a version that knows of none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub configuration: Option<Report>,
+    /// Whether it takes duties; none where it is of a version that knows of none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub duties: Option<duties::Report>,
 }
 
 /// What a member may hold, as of one epoch of the ledger.
@@ -47,6 +51,9 @@
     /// The version that concerns it, where it reported another one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub configuration: Option<Version>,
+    /// The duties that it holds; none where it holds none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub duties: Option<duties::Told>,
 }
 
 /// Of the messages between stewards and from members. Another one is refused by name.
--- a/crates/fernroute-server/src/program/fleet.rs
+++ b/crates/fernroute-server/src/program/fleet.rs
@@ -2,6 +2,7 @@
 //! for it, and it waits for none. Where no fleet is named nothing of this runs.
 
 use super::configuration::Followed;
+use super::duties::HeldDuties;
 use super::stewards::Stewards;
 use crate::protocol::ops::Control;
 use crate::routing::clock::{duration, tenths, Clock};
@@ -46,6 +47,7 @@
     });
     let part = Rc::new(Part {
         stewards: Stewards::new(fleet, Rc::clone(&board)),
+        duties: HeldDuties::new(Rc::clone(&board), draw()),
         board,
         followed,
         beat: duration(fleet.beat),
@@ -68,6 +70,7 @@
 pub struct Part {
     board: Rc<Switchboard>,
     stewards: Stewards,
+    pub duties: HeldDuties,
     /// The fleet's configuration, where it goes by it.
     followed: Option<Rc<Followed>>,
     beat: Duration,
@@ -100,6 +103,7 @@
 
     /// A successor asks for what this process holds: half of it goes over.
     pub fn hand_over(&self) -> Option<Handed> {
+        self.duties.set_replaced(true);
         let now = self.board.clock.now();
         let handed = self.member.borrow_mut().as_mut()?.hand_over(now)?;
         self.handed.set(true);
@@ -115,6 +119,7 @@
 
     /// The successor has ended.
     pub fn take_back(&self) {
+        self.duties.set_replaced(false);
         if self.handed.replace(false) {
             self.member.borrow_mut().iter_mut().for_each(|member| member.take_back(first()));
             self.grant();
@@ -145,8 +150,13 @@
                 actix_rt::time::sleep(self.beat).await;
                 continue;
             };
+            beat.duties = Some(self.duties.report(beat.number));
             beat.configuration = self.followed.as_ref().map(|followed| followed.report());
             let said = self.say(&beat, &mut to).await;
+            match &said {
+                Ok(answer) => self.duties.hear(beat.number, answer.duties.as_ref()),
+                Err(_) => self.duties.look(),
+            }
             if let (Some(followed), Ok(answer)) = (&self.followed, &said) {
                 followed.hear(answer.configuration);
             }
@@ -172,7 +182,9 @@
                 tracing::info!("{news}");
                 told = news;
             }
-            actix_rt::time::sleep(self.beat).await;
+            // A balancer that drains says so at once: another one takes its duties over.
+            let changed = self.board.phase_changed.notified();
+            let _ = actix_rt::time::timeout(self.beat, changed).await;
         }
     }
 
--- a/crates/fernroute-server/src/program/mod.rs
+++ b/crates/fernroute-server/src/program/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod commands;
 pub mod configuration;
+mod duties;
 pub mod fleet;
 pub mod kept;
 pub mod log;
--- a/crates/fernroute-server/src/protocol/ops.rs
+++ b/crates/fernroute-server/src/protocol/ops.rs
@@ -95,6 +95,9 @@
     pub received_bytes: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub configuration: Option<Followed>,
+    /// The duties that this balancer holds, and under which terms.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub duties: BTreeMap<String, u64>,
 }
 
 /// The fleet's configuration, as a balancer goes by it.
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -103,6 +103,8 @@
     pub gauges: RefCell<Gauges>,
     /// In service, or on the way out of it.
     pub phase: Cell<Phase>,
+    /// For the fleet's part, which is told at once.
+    pub phase_changed: Notify,
     pub tally: Rc<Tally>,
     /// What may wait in here of long bodies.
     pub windows: Rc<Windows>,
@@ -146,6 +148,7 @@
             methods: RefCell::new(methods),
             gauges: RefCell::new(gauges(terms)),
             phase: Cell::new(Phase::new(longest(terms))),
+            phase_changed: Notify::new(),
             windows: Windows::new(memory),
             asked: RefCell::default(),
             control: RefCell::default(),
@@ -186,7 +189,11 @@
         let (before, mut phase) = (self.phase.get(), self.phase.get());
         change(&mut phase, self.clock.now());
         self.phase.set(phase);
-        phase != before
+        let changed = phase != before;
+        if changed {
+            self.phase_changed.notify_one();
+        }
+        changed
     }
 
     /// How far the closing of callers' connections has come.
--- a/crates/fernroute-steward/src/commands.rs
+++ b/crates/fernroute-steward/src/commands.rs
@@ -1,6 +1,8 @@
 //! The command line.
 
 mod configuration;
+mod duties;
+mod operator;
 
 use crate::keep::{Keeper, Status, StewardLine};
 use crate::peers::{Peers, CHANGE, STATUS};
@@ -43,6 +45,7 @@
     Status(Ask),
     Change(Change),
     Configuration(configuration::Configuration),
+    Duties(duties::Duties),
 }
 
 /// Serve until told to stop (SIGTERM or SIGINT).
@@ -109,8 +112,9 @@
             run_on_one_thread(keep(terms, serve.first))
         }),
         Command::Check(check) => Terms::read(&check.config).map(|terms| {
-            let (stewards, budgets) = (terms.stewards.len(), terms.budgets.len());
-            println!("{} of {}: {stewards} stewards, {budgets} budgets", terms.name, terms.cluster);
+            let (stewards, budgets, duties) = (terms.stewards.len(), terms.budgets.len(), terms.duties.len());
+            let (name, cluster) = (terms.name, terms.cluster);
+            println!("{name} of {cluster}: {stewards} stewards, {budgets} budgets, {duties} duties");
         }),
         Command::Status(ask) => run_on_one_thread(async move {
             let status: Status = Peers::new("", &[]).ask(&ask.at.to_string(), STATUS, WITHIN).await?;
@@ -125,6 +129,7 @@
             Terms::read(&change.config).and_then(|terms| run_on_one_thread(change_stewards(terms)))
         }
         Command::Configuration(command) => return configuration::run(command),
+        Command::Duties(command) => return duties::run(command),
     };
     done.map_or_else(|why| refuse(&why), |()| ExitCode::SUCCESS)
 }
--- a/crates/fernroute-steward/src/commands/configuration.rs
+++ b/crates/fernroute-steward/src/commands/configuration.rs
@@ -1,28 +1,19 @@
 //! `fernroute-steward configuration`: what the balancers of a fleet go by.
 
-use super::{end, refuse, run_on_one_thread, WITHIN};
+use super::operator::{print, Operator, Said, AGAIN};
+use super::{end, refuse, run_on_one_thread};
 use crate::configuration::{check, Latest, NotDone, ScopeLine, Standings, Wish, GET, HISTORY, PUT, STATUS};
-use crate::peers::{Peers, Who, WHO};
 use argh::FromArgs;
 use chrono::{DateTime, SecondsFormat};
 use fernroute_fleet::configuration::register::Line;
 use fernroute_fleet::configuration::standing::{MemberStanding, Standing};
 use fernroute_fleet::configuration::{hash, Place, Scope, Version, MOST_CONTENT};
-use serde::de::DeserializeOwned;
-use serde::Serialize;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-/// How long stewards that elect a leader are asked again, and how often.
-const ASKED_FOR: Duration = Duration::from_secs(8);
-const AGAIN: Duration = Duration::from_millis(100);
-
-/// A word is kept by a majority before it is answered: longer than a steward waits for that.
-const ENTERED_WITHIN: Duration = Duration::from_secs(4);
-
 /// How long `put --wait` waits where it is not told, seconds.
 const WAIT: &str = "60";
 
@@ -166,97 +157,6 @@
     String::from_utf8(bytes).map_err(|e| trouble(e.to_string()))
 }
 
-fn print(json: bool, what: &impl Serialize, table: String) -> Result<ExitCode, String> {
-    if json {
-        println!("{}", serde_json::to_string_pretty(what).map_err(|e| e.to_string())?);
-    } else {
-        print!("{table}");
-    }
-    Ok(ExitCode::SUCCESS)
-}
-
-/// Speaks to whichever of the stewards leads.
-struct Operator {
-    at: Vec<SocketAddr>,
-    peers: Peers,
-}
-
-/// What came of a question that was asked until it was answered, or for long enough.
-enum Said<A> {
-    Answer(A),
-    Not(NotDone),
-    /// Nobody answered; what was asked may have been done.
-    Nobody(String),
-}
-
-impl Operator {
-    /// The first steward that answers says which cluster it is.
-    async fn open(at: &[SocketAddr]) -> Result<Self, String> {
-        let peers = Peers::new("", &[]);
-        let mut failed = Vec::new();
-        for address in at {
-            match peers.ask::<Who>(&address.to_string(), WHO, WITHIN).await {
-                Ok(who) => return Ok(Operator { at: at.to_vec(), peers: Peers::new(&who.cluster, &[]) }),
-                Err(why) => failed.push(why),
-            }
-        }
-        Err(if at.is_empty() { "--at names no steward".to_owned() } else { failed.join("; ") })
-    }
-
-    /// Asks one after another, and whom they name, until the leader has answered. `unsure` tells whether it may have been
-    /// done by one that did not say so.
-    async fn say<A: DeserializeOwned>(
-        &self,
-        path: &str,
-        what: &impl Serialize,
-        unsure: &mut bool,
-    ) -> Said<A> {
-        let from = Instant::now();
-        loop {
-            let mut failed = String::new();
-            for first in &self.at {
-                let mut at = first.to_string();
-                // Whom it names, and whom that one names: by then there is another leader, or none.
-                for _ in 0..3 {
-                    let said: Result<Result<A, NotDone>, String> =
-                        self.peers.say(&at, path, 0, what, ENTERED_WITHIN).await;
-                    match said {
-                        Ok(Ok(answer)) => return Said::Answer(answer),
-                        Ok(Err(NotDone::Elsewhere(Some(leader)))) => {
-                            failed = format!("{at}: {leader} leads, or did");
-                            at = leader;
-                            continue;
-                        }
-                        Ok(Err(NotDone::Elsewhere(None))) => failed = format!("{at}: nobody leads"),
-                        Ok(Err(NotDone::Unknown(why))) => {
-                            *unsure = true;
-                            failed = format!("{at}: {why}");
-                        }
-                        Ok(Err(not)) => return Said::Not(not),
-                        Err(why) => {
-                            *unsure = true;
-                            failed = why;
-                        }
-                    }
-                    break;
-                }
-            }
-            if from.elapsed() > ASKED_FOR {
-                return Said::Nobody(failed);
-            }
-            actix_rt::time::sleep(AGAIN).await;
-        }
-    }
-
-    async fn ask<A: DeserializeOwned>(&self, path: &str, what: &impl Serialize) -> Result<A, String> {
-        match self.say(path, what, &mut false).await {
-            Said::Answer(answer) => Ok(answer),
-            Said::Not(NotDone::Refused(why)) | Said::Nobody(why) => Err(why),
-            Said::Not(not) => Err(format!("{not:?}")),
-        }
-    }
-}
-
 async fn get(it: Get) -> Result<ExitCode, String> {
     let latest: Latest = Operator::open(&it.at).await?.ask(GET, &it.scope).await?;
     let Some(part) = latest.part else { return Err(format!("{}: nothing was ever put", it.scope)) };
--- a/crates/fernroute-steward/src/configuration.rs
+++ b/crates/fernroute-steward/src/configuration.rs
@@ -81,7 +81,7 @@
     }
 
     /// While this steward leads for certain, and has applied all that was entered before.
-    async fn leads(&self) -> Result<&Raft, NotDone> {
+    pub(crate) async fn leads(&self) -> Result<&Raft, NotDone> {
         self.look();
         let leads = self.leading.borrow().is_some();
         let Some(raft) = self.raft().filter(|_| leads) else {
@@ -102,7 +102,7 @@
         let Wish { scope, base, hash, content, who } = wish;
         let told = format!("{scope} by {who}");
         // Numbers that members go by of a register that was lost are not given again.
-        let above = self.leading.borrow().as_ref().map_or(0, |(_, leader)| leader.reported());
+        let above = self.leading.borrow().as_ref().map_or(0, |leading| leading.budgets.reported());
         let put = Put { scope: scope.clone(), base, hash, content, who, when_ms, above };
         let unknown = |why: String| {
             tracing::warn!("configuration of {told}: not known to be entered: {why}");
@@ -141,9 +141,9 @@
     pub async fn standings(&self) -> Result<Standings, NotDone> {
         self.leads().await?;
         let leading = self.leading.borrow();
-        let Some((_, leader)) = leading.as_ref() else { return Err(NotDone::Elsewhere(None)) };
+        let Some(leading) = leading.as_ref() else { return Err(NotDone::Elsewhere(None)) };
         let kept = self.book.kept.borrow();
-        let mut members = leader.standings(now(), &kept.ledger, &kept.register);
+        let mut members = leading.budgets.standings(now(), &kept.ledger, &kept.register);
         members.sort_by(|a, b| a.name.cmp(&b.name));
         let scope = |part: &Part| ScopeLine {
             scope: part.scope.clone(),
--- a/crates/fernroute-steward/src/door.rs
+++ b/crates/fernroute-steward/src/door.rs
@@ -1,6 +1,7 @@
 //! Answers other stewards, members and people.
 
 use crate::configuration::{self, GET, HISTORY, PUT};
+use crate::duties;
 use crate::keep::Keeper;
 use crate::peers::{sent, APPEND, CHANGE, MOST_BYTES, SNAPSHOT, STATUS, VOTE, WHO};
 use crate::store::Mark;
@@ -74,6 +75,9 @@
             Ok(names) => json(&keeper.change(&names).await),
             Err(why) => Err(why),
         },
+        (&Method::POST, duties::STATUS | duties::RELEASE | duties::NOTE) => {
+            duty(keeper, &path, &mut request).await
+        }
         (&Method::POST, FETCH | PUT | GET | HISTORY | configuration::STATUS) => {
             configured(keeper, &path, &mut request).await
         }
@@ -90,7 +94,10 @@
             | PUT
             | GET
             | HISTORY
-            | configuration::STATUS,
+            | configuration::STATUS
+            | duties::STATUS
+            | duties::RELEASE
+            | duties::NOTE,
         ) => Err(Unfit(StatusCode::METHOD_NOT_ALLOWED, "another verb".to_owned())),
         _ => Err(Unfit(StatusCode::NOT_FOUND, "nothing is here".to_owned())),
     };
@@ -152,6 +159,24 @@
     }
 }
 
+/// What concerns duties.
+async fn duty(keeper: &Keeper, path: &str, request: &mut Request) -> Result<Vec<u8>, Unfit> {
+    if let Some(why) = keeper.trouble() {
+        return Err(Unfit(StatusCode::SERVICE_UNAVAILABLE, format!("takes no part: {why}")));
+    }
+    match path {
+        duties::STATUS => {
+            read::<()>(keeper, request, MOST_BEAT, false).await?;
+            json(&keeper.duty_status().await)
+        }
+        duties::RELEASE => {
+            let duty: String = read(keeper, request, MOST_BEAT, false).await?;
+            json(&keeper.release_duty(&duty).await)
+        }
+        _ => json(&keeper.note_duty(read(keeper, request, MOST_BEAT, false).await?).await),
+    }
+}
+
 fn json(what: &impl Serialize) -> Result<Vec<u8>, Unfit> {
     serde_json::to_vec(what).map_err(|e| Unfit(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()))
 }
--- a/crates/fernroute-steward/src/keep.rs
+++ b/crates/fernroute-steward/src/keep.rs
@@ -6,6 +6,7 @@
 use crate::terms::{Steward, Terms};
 use crate::Raft;
 use fernroute::Time;
+use fernroute_fleet::duties::{self, EndReason};
 use fernroute_fleet::leader::Leader;
 use fernroute_fleet::ledger::{Entry, Ledger};
 use fernroute_fleet::message::{Answer, Beat, Unanswered};
@@ -49,6 +50,13 @@
 /// How long a steward that is taken in may take to have the ledger.
 const CATCH_UP: Duration = Duration::from_secs(10);
 
+/// What this steward knows as the leader, and as of which term.
+pub(crate) struct Leading {
+    term: u64,
+    pub(crate) budgets: Leader,
+    pub(crate) duties: duties::leader::Leader,
+}
+
 pub struct Keeper {
     pub terms: Terms,
     pub own: Own,
@@ -62,8 +70,10 @@
     pub(crate) book: Book,
     /// Messages that could not be read, since the start.
     pub unread: Cell<u64>,
-    /// While this steward leads, and as of which term.
-    pub(crate) leading: RefCell<Option<(u64, Leader)>>,
+    /// While this steward leads.
+    pub(crate) leading: RefCell<Option<Leading>>,
+    /// How often duties ended since the start, by the reason.
+    pub(crate) duties_ended: RefCell<BTreeMap<EndReason, u64>>,
     /// Since when it leads.
     pub(crate) leads_from: Cell<Time>,
     /// A term in which a step was sent off and is not known to be entered: nobody is answered in it any more.
@@ -87,6 +97,7 @@
             book,
             unread: Cell::default(),
             leading: RefCell::default(),
+            duties_ended: RefCell::default(),
             leads_from: Cell::default(),
             unsure: Cell::default(),
             peers,
@@ -318,10 +329,13 @@
             if leading.take().is_some() {
                 tracing::info!("another steward leads, or none");
             }
-        } else if leading.as_ref().is_none_or(|(term, _)| *term != metrics.current_term) {
+        } else if leading.as_ref().is_none_or(|leading| leading.term != metrics.current_term) {
             let t = &self.terms;
-            let leader = self.ledger(|ledger| Leader::new(now(), ledger, t.shares, t.floors, t.members));
-            *leading = Some((metrics.current_term, leader));
+            *leading = Some(Leading {
+                term: metrics.current_term,
+                budgets: self.ledger(|ledger| Leader::new(now(), ledger, t.shares, t.floors, t.members)),
+                duties: self.duties(|table| duties::leader::Leader::new(now(), table, t.duty_lease)),
+            });
             self.leads_from.set(now());
             tracing::info!("leads, term {}", metrics.current_term);
         }
@@ -338,21 +352,30 @@
         }
         let step = {
             let mut leading = self.leading.borrow_mut();
-            let Some((_, leader)) = leading.as_mut() else { return };
-            self.ledger(|ledger| leader.due(now(), ledger))
+            let Some(leading) = leading.as_mut() else { return };
+            self.ledger(|ledger| leading.budgets.due(now(), ledger))
         };
-        let Some(step) = step else { return };
-        let Err(why) = write(raft, Entry::Step(step)).await else {
-            return self.leading.borrow_mut().iter_mut().for_each(|(_, leader)| leader.entered());
-        };
-        // Guards against a member that is answered while its lapse may still be entered: in this term nobody is, and in
-        // the next one all that was sent off is entered before anybody is, or never.
+        if let Some(step) = step {
+            if !self.enter_for_certain(raft, Entry::Step(step)).await {
+                return;
+            }
+            self.leading.borrow_mut().iter_mut().for_each(|leading| leading.budgets.entered());
+        }
+        self.enter_duties(raft).await;
+    }
+
+    /// Enters what the leader decided; whether it is known to be entered, or refused. Guards against a member that is answered
+    /// while its lapse may still be entered: where it is not known nobody is answered in this term, and in the next one all
+    /// that was sent off is entered before anybody is, or never.
+    pub(crate) async fn enter_for_certain(&self, raft: &Raft, entry: Entry) -> bool {
+        let Err(why) = write(raft, entry).await else { return true };
         tracing::warn!("not known to be entered: {why}");
-        self.unsure.set(self.leading.take().map(|(term, _)| term));
+        self.unsure.set(self.leading.take().map(|leading| leading.term));
         if self.unsure.get() == Some(raft.metrics().borrow().current_term) {
             // An error is its word that it does not lead, or has ended.
             let _ = raft.trigger().elect().await;
         }
+        false
     }
 
     /// A member's beat.
@@ -361,7 +384,10 @@
         let heard = {
             let mut leading = self.leading.borrow_mut();
             match leading.as_mut() {
-                Some((_, leader)) => self.ledger(|ledger| leader.hear(now(), beat, ledger)),
+                Some(leading) => {
+                    leading.duties.hear(now(), beat);
+                    self.ledger(|ledger| leading.budgets.hear(now(), beat, ledger))
+                }
                 None => return Err(Unanswered::Elsewhere(self.leader_address())),
             }
         };
@@ -375,11 +401,13 @@
             return Err(Unanswered::Elsewhere(self.leader_address()));
         }
         let leading = self.leading.borrow();
-        let Some((_, leader)) = leading.as_ref() else {
+        let Some(leading) = leading.as_ref() else {
             return Err(Unanswered::Elsewhere(None));
         };
         let kept = self.book.kept.borrow();
-        leader.answer(beat, &kept.ledger, &kept.register).map_err(Unanswered::Refused)
+        let answer = leading.budgets.answer(beat, &kept.ledger, &kept.register);
+        let answer = answer.map_err(Unanswered::Refused)?;
+        Ok(Answer { duties: leading.duties.answer(beat, &kept.duties), ..answer })
     }
 
     /// As this steward's own file says it: members may reach it elsewhere, and then ask the others in turn.
--- a/crates/fernroute-steward/src/lib.rs
+++ b/crates/fernroute-steward/src/lib.rs
@@ -1,12 +1,13 @@
 //! The ledger's processes. One is enough to divide budgets; three or five go on when one or two are lost.
 //!
 //! `terms` reads the file, `store` keeps log and votes on the disk, `peers` carries what stewards say to each other,
-//! `keep` holds the ledger and leads it, `configuration` enters what balancers go by and hands it out, `status` tells people,
+//! `keep` holds the ledger and leads it, `configuration` enters what balancers go by and hands it out, `duties` gives out what one balancer alone does, `status` tells people,
 //! `door` answers members, stewards and people, `commands` is the command line.
 
 pub mod commands;
 pub mod configuration;
 pub mod door;
+pub mod duties;
 pub mod keep;
 pub mod peers;
 pub mod status;
--- a/crates/fernroute-steward/src/store.rs
+++ b/crates/fernroute-steward/src/store.rs
@@ -7,6 +7,7 @@
 use crate::{Applied, Kinds, NotApplied};
 use fernroute_fleet::configuration::register::{NotEntered, Register};
 use fernroute_fleet::configuration::MOST_CONTENT;
+use fernroute_fleet::duties::table::Table;
 use fernroute_fleet::ledger::{Entry as Command, Ledger};
 use openraft::storage::{LogFlushed, LogState, RaftLogStorage, RaftStateMachine, Snapshot};
 use openraft::{
@@ -282,6 +283,9 @@
     /// A disk of a version before has none.
     #[serde(default)]
     pub register: Register,
+    /// A disk of a version before has none.
+    #[serde(default)]
+    pub duties: Table,
     applied: Option<LogId<u64>>,
     membership: StoredMembership<u64, BasicNode>,
 }
@@ -362,6 +366,11 @@
                 EntryPayload::Normal(Command::Configuration(put)) => {
                     kept.register.apply(&put).map_err(not_put)
                 }
+                EntryPayload::Normal(Command::Duties(entry)) => kept
+                    .duties
+                    .apply(&entry)
+                    .map(|()| 0)
+                    .map_err(|why| NotApplied { why: why.to_string(), latest: None }),
                 EntryPayload::Normal(entry) => kept
                     .ledger
                     .apply(&entry)
--- a/crates/fernroute-steward/src/terms.rs
+++ b/crates/fernroute-steward/src/terms.rs
@@ -1,6 +1,8 @@
 //! The steward's file: TOML, checked whole; all that is wrong is told at once, in one line.
 
 use fernroute::Time;
+use fernroute_fleet::configuration::is_name;
+use fernroute_fleet::duties::MOST_DUTIES;
 use fernroute_fleet::lease::Lease;
 use fernroute_fleet::ledger::Budget;
 use serde::Deserialize;
@@ -19,6 +21,8 @@
     members: usize,
     #[serde(default = "shares")]
     shares_ms: f64,
+    /// How long a holder may act on a duty after it was last heard of; as long as shares where it is left out.
+    duties_ms: Option<f64>,
     /// How often balancers beat, the slowest of them.
     #[serde(default = "beat")]
     beat_ms: f64,
@@ -29,6 +33,15 @@
     steward: Vec<Steward>,
     #[serde(default)]
     budget: Vec<BudgetPage>,
+    #[serde(default)]
+    duty: Vec<DutyPage>,
+}
+
+/// What one balancer alone does at a time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DutyPage {
+    name: String,
 }
 
 fn most() -> usize {
@@ -88,6 +101,9 @@
     pub floors: Lease,
     pub stewards: Vec<Steward>,
     pub budgets: BTreeMap<String, Budget>,
+    /// By name.
+    pub duties: BTreeSet<String>,
+    pub duty_lease: Lease,
 }
 
 impl Terms {
@@ -113,7 +129,9 @@
             address,
             shares: lease(page.shares_ms * 10.0),
             floors: lease(page.floors_s * 10_000.0),
+            duty_lease: lease(page.duties_ms.unwrap_or(page.shares_ms) * 10.0),
             budgets: page.budget.iter().map(budget).collect(),
+            duties: page.duty.into_iter().map(|duty| duty.name).collect(),
             cluster: page.cluster,
             name: page.name,
             folder: page.folder,
@@ -175,6 +193,33 @@
             );
             ask(within(b.floors, 0.0, 1.0), format!("budget[{n}].floors: {} is beyond the whole", b.floors));
         }
+        faults.extend(self.duty_faults());
+        faults
+    }
+
+    fn duty_faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        if let Some(length) = self.duties_ms {
+            if !(300.0..=60_000.0).contains(&length) {
+                faults.push(format!("duties_ms: {length} is not between 300 and 60000"));
+            }
+            if length < 4.0 * self.beat_ms {
+                let beat = self.beat_ms;
+                faults.push(format!("duties_ms: {length} is shorter than four beats of beat_ms: {beat}"));
+            }
+        }
+        if self.duty.len() > MOST_DUTIES {
+            faults.push(format!("duty: {} of them, over {MOST_DUTIES}", self.duty.len()));
+        }
+        let mut names = BTreeSet::new();
+        for (n, duty) in self.duty.iter().enumerate() {
+            if !is_name(&duty.name) {
+                faults.push(format!("duty[{n}].name: {:?} won't do", duty.name));
+            }
+            if !names.insert(&duty.name) {
+                faults.push(format!("duty[{n}].name: {} is there twice", duty.name));
+            }
+        }
         faults
     }
 }
