--- a/crates/fernroute-fleet/src/duties/holder.rs
+++ b/crates/fernroute-fleet/src/duties/holder.rs
@@ -83,10 +83,9 @@
         self.held.get(duty).filter(|held| now < held.until).map(|held| held.term)
     }
 
-    /// All that it may act on now.
-    pub fn terms(&self, now: Time) -> Terms {
-        let current = self.held.iter().filter(|(_, held)| now < held.until);
-        current.map(|(duty, held)| (duty.clone(), held.term)).collect()
+    /// What it holds as of the last look: the duty, its term, and when it stops to act on it.
+    pub fn held(&self) -> impl Iterator<Item = (&str, Term, Time)> {
+        self.held.iter().map(|(duty, held)| (duty.as_str(), held.term, held.until))
     }
 
     /// Takes the answer to the heartbeat with this number; none where it says nothing of duties. Its time counts from when the
--- a/crates/fernroute-lab/src/processes.rs
+++ b/crates/fernroute-lab/src/processes.rs
@@ -89,6 +89,8 @@
     pub trials: Option<f64>,
     /// Whether balancers go by the configuration of the service `shop`.
     pub follows: bool,
+    /// What one balancer alone does at a time, under leases of two seconds.
+    pub duties: Vec<String>,
 }
 
 impl Shape {
@@ -102,10 +104,16 @@
             further: None,
             trials: None,
             follows: false,
+            duties: Vec::new(),
         }
     }
 
-    /// The budgets as a steward's file names them.
+    /// Budgets and duties as a steward's file names them.
+    fn shared(&self) -> String {
+        let duty = |name: &String| format!("[[duty]]\nname = \"{name}\"\n");
+        self.budgets() + &self.duties.iter().map(duty).collect::<String>()
+    }
+
     fn budgets(&self) -> String {
         let tenant = ("acme", Some(self.whole as f64));
         let all = [tenant, (FURTHER, self.further), (TRIALS, self.trials)];
@@ -156,6 +164,8 @@
     pub between: BTreeMap<(usize, usize), Rc<Link>>,
     pub balancers: Vec<Process>,
     pub addresses: Vec<SocketAddr>,
+    /// Where balancers answer operators.
+    pub doors: Vec<SocketAddr>,
     /// From each balancer to each steward.
     pub links: Vec<Vec<Rc<Link>>>,
     pages: Vec<String>,
@@ -196,12 +206,12 @@
             }
             let disk = folder.join(format!("s{n}"));
             steward_pages.push(format!(
-                "cluster = \"c\"\nname = \"s{n}\"\nfolder = \"{}\"\nmembers = {members}\nshares_ms = 3000\nfloors_s = 12\n{list}",
+                "cluster = \"c\"\nname = \"s{n}\"\nfolder = \"{}\"\nmembers = {members}\nshares_ms = 3000\nduties_ms = 2000\nfloors_s = 12\n{list}",
                 disk.display()
             ));
         }
         let start = |(n, text): (usize, &String)| {
-            launch(program, "steward", &folder, &format!("s{n}"), &format!("{text}{}", shape.budgets()))
+            launch(program, "steward", &folder, &format!("s{n}"), &format!("{text}{}", shape.shared()))
         };
         let stewards =
             steward_pages.iter().enumerate().map(start).collect::<Result<Vec<Process>, String>>()?;
@@ -240,6 +250,7 @@
             between,
             balancers: Vec::new(),
             addresses: Vec::new(),
+            doors: addresses(balancers).map_err(trouble)?,
             links: Vec::new(),
             pages: Vec::new(),
             ran,
@@ -257,12 +268,13 @@
             }
             let to: Vec<String> = own.iter().map(|link| format!("\"{}\"", link.address)).collect();
             let text = format!(
-                "name = \"b{n}\"\nlisten = \"127.0.0.1:0\"\ndiscovery = \"{}\"\n[place]\ninstances = {balancers}\nzone = \"a\"\n\
+                "name = \"b{n}\"\nlisten = \"127.0.0.1:0\"\n{}discovery = \"{}\"\n[place]\ninstances = {balancers}\nzone = \"a\"\n\
                  [load]\nrefuse_over_share = true\n[fleet]\ncluster = \"c\"\nstewards = [{}]\nbeat_ms = 200\ndivides = [{}]\n{}\
                  [rules]\ncold_from = 0.3\nwarm_within_s = 10\ncold_multiple = 3\ncold_window_s = 2\n\
                  [[method]]\nname = \"look\"\neffect = \"retriable\"\nsoft_ms = 1000\nhard_ms = 3000\n\
                  [[tenant]]\nname = \"acme\"\nrate = {whole}\n\
                  [limits]\ntransmissions = 4\n{}",
+                fleet.door(n),
                 fleet._discovery.address,
                 to.join(", "),
                 fleet.shape.divides(),
@@ -276,9 +288,18 @@
         Ok(fleet)
     }
 
+    /// Where a balancer answers operators, as its file says it. Two processes of one balancer can't have it both, as in an
+    /// upgrade: it is there where duties are, whose holders are asked at it.
+    fn door(&self, n: usize) -> String {
+        if self.shape.duties.is_empty() {
+            return String::new();
+        }
+        format!("ops = \"{}\"\n", self.doors[n])
+    }
+
     /// Starts one again, with what is left on its disk.
     pub fn start_steward(&mut self, n: usize) -> Result<(), String> {
-        let text = format!("{}{}", self.steward_pages[n], self.shape.budgets());
+        let text = format!("{}{}", self.steward_pages[n], self.shape.shared());
         self.stewards[n] = launch(&self.program, "steward", &self.folder, &format!("s{n}"), &text)?;
         Ok(())
     }
--- a/crates/fernroute-server/src/program/duties.rs
+++ b/crates/fernroute-server/src/program/duties.rs
@@ -1,7 +1,8 @@
 //! The duties that this balancer holds of its fleet: taken while it serves, given up as soon as it drains or ends.
 
-use crate::protocol::ops::Control;
+use crate::protocol::ops::{Control, HeldDuty};
 use crate::routing::switchboard::Switchboard;
+use fernroute::Time;
 use fernroute_fleet::duties::holder::{Duties, Event, StopReason};
 use fernroute_fleet::duties::{Report, Term, Told};
 use std::cell::{Cell, RefCell};
@@ -72,7 +73,8 @@
                 }
             }
         }
-        let terms = self.duties.borrow().terms(self.board.clock.now());
-        self.board.note(|control: &mut Control| control.duties = terms);
+        let figure = |(duty, term, until): (&str, Term, Time)| (duty.to_owned(), HeldDuty { term, until });
+        let held = self.duties.borrow().held().map(figure).collect();
+        self.board.note(|control: &mut Control| control.duties = held);
     }
 }
--- a/crates/fernroute-server/src/protocol/ops.rs
+++ b/crates/fernroute-server/src/protocol/ops.rs
@@ -2,6 +2,7 @@
 
 use super::names;
 use actix_http::{Method, StatusCode, Uri};
+use fernroute::Time;
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -95,9 +96,18 @@
     pub received_bytes: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub configuration: Option<Followed>,
-    /// The duties that this balancer holds, and under which terms.
+    /// The duties that this balancer holds.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
-    pub duties: BTreeMap<String, u64>,
+    pub duties: BTreeMap<String, HeldDuty>,
+}
+
+/// A duty that this balancer holds, under a term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct HeldDuty {
+    pub term: u64,
+    /// From then on it does not.
+    #[serde(skip)]
+    pub until: Time,
 }
 
 /// The fleet's configuration, as a balancer goes by it.
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -216,10 +216,17 @@
             transmissions: self.tally.written.get(),
             listed,
             avoided,
-            fleet: self.control.borrow().clone(),
+            fleet: self.control.borrow().clone().map(|control| self.as_of_now(control)),
         }
     }
 
+    /// Without the duties whose lease is over by now.
+    fn as_of_now(&self, mut control: Control) -> Control {
+        let now = self.clock.now();
+        control.duties.retain(|_, held| now < held.until);
+        control
+    }
+
     /// Counts what is told to and by a fleet's stewards.
     pub fn note(&self, change: impl FnOnce(&mut Control)) {
         if let Some(control) = &mut *self.control.borrow_mut() {
