--- a/crates/fernroute-steward/tests/common/mod.rs
+++ b/crates/fernroute-steward/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod operator;
 
 use fernroute_fleet::configuration::{Report, Version};
+use fernroute_fleet::duties::holder::Duties;
 use fernroute_fleet::member::Member;
 use fernroute_fleet::message::{Answer, Unanswered, BEAT};
 use fernroute_fleet::{Shares, Units};
@@ -175,12 +176,14 @@
     pub report: Option<Report>,
     /// The version that the last answer told it of.
     pub told: Option<Version>,
+    /// The duties that it holds: none at a version that knows of none.
+    pub duties: Option<Duties>,
 }
 
 impl Asks {
     pub fn new(name: &str, identity: u64, wants: Units) -> Self {
         let member = Member::new(name, identity, now());
-        Asks { member, wants, bare: 0, had: false, report: None, told: None }
+        Asks { member, wants, bare: 0, had: false, report: None, told: None, duties: None }
     }
 
     pub fn holds(&self) -> Units {
@@ -194,12 +197,16 @@
         }
         let mut beat = self.member.beat(now(), Shares::from([("acme".to_owned(), self.wants)]));
         beat.configuration.clone_from(&self.report);
+        beat.duties = self.duties.as_mut().map(|duties| duties.report(now(), beat.number));
         for at in stewards {
             let said: Result<Result<Answer, Unanswered>, String> =
                 peers.say(&at.to_string(), BEAT, 0, &beat, WITHIN).await;
             if let Ok(Ok(answer)) = said {
                 self.told = answer.configuration;
                 self.member.hear(now(), &answer);
+                if let Some(duties) = &mut self.duties {
+                    duties.hear(now(), answer.number, answer.duties.as_ref());
+                }
                 self.had |= self.member.parts("acme").1 > 0;
                 return true;
             }
