--- a/crates/fernroute-fleet/tests/duties.rs
+++ b/crates/fernroute-fleet/tests/duties.rs
@@ -296,3 +296,41 @@
     }
     assert_eq!(table.holder("a"), None);
 }
+
+/// Guards against a storm: members without a duty say and are told next to nothing, and the log has entries for changes alone.
+#[test]
+fn twelve_hundred_members_and_fifty_duties_cost_little_where_nothing_changes() {
+    const ALL: u64 = 1_200;
+    let names: Vec<String> = (0..50).map(|n| format!("d{n}")).collect();
+    let mut table = table(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    let mut leader = Leader::new(0, &table, LEASE);
+    let (mut entries, mut said, mut told) = (0, 0, 0);
+    for round in 1..=40_u64 {
+        let now = round * 2_500;
+        for identity in 1..=ALL {
+            let duties = Report {
+                incarnation: u64::MAX >> 1,
+                eligible: true,
+                answered: round - 1,
+                ..Report::default()
+            };
+            let beat = Beat { identity, name: format!("n{identity}"), ..beat(round, Some(duties)) };
+            leader.hear(now, &beat);
+            let without = Beat { duties: None, ..beat.clone() };
+            let length = |beat: &Beat| serde_json::to_string(beat).expect("it is JSON").len();
+            said = length(&beat) - length(&without);
+            told += leader
+                .answer(&beat, &table)
+                .map_or(0, |told| serde_json::to_string(&told).expect("JSON").len());
+        }
+        if let Some(change) = leader.due(now, &table) {
+            table.apply(&Entry::Change(change)).expect("it is up to date");
+            leader.entered(now, &table);
+            entries += 1;
+        }
+    }
+    assert!(table.duties().values().all(|duty| duty.holder.is_some()));
+    println!("{said} bytes more in a heartbeat, {told} bytes told in all, {entries} entries");
+    assert!(said <= 100, "{said} bytes more in a heartbeat");
+    assert_eq!(entries, 1, "one entry gives all of them out");
+}
