--- a/crates/fernroute-fleet/tests/duties.rs
+++ b/crates/fernroute-fleet/tests/duties.rs
@@ -86,7 +86,7 @@
     let mut table = Table::default();
     let many = |count: usize| Entry::Names((0..count).map(|n| format!("d{n}")).collect());
     assert_eq!(table.apply(&many(MOST_DUTIES + 1)), Err(Refused::TooMany));
-    assert!(MOST_DUTIES >= 1_024);
+    const { assert!(MOST_DUTIES >= 1_024) };
     table.apply(&many(1_024)).expect("so many may be");
     let bad = Entry::Names(BTreeSet::from(["a/b".to_owned()]));
     assert_eq!(table.apply(&bad), Err(Refused::Unknown("a/b".to_owned())));
--- a/crates/fernroute-server/src/program/running.rs
+++ b/crates/fernroute-server/src/program/running.rs
@@ -88,7 +88,11 @@
     }
 
     pub(super) fn say_serving(&self) {
-        tracing::info!("serving on {}, {} upstreams known", self.address, self.board.lines.borrow().len());
+        tracing::info!(
+            "serving on {}, {} upstreams known",
+            self.address,
+            self.board.upstreams.borrow().len()
+        );
     }
 
     /// Tells its part in a fleet what becomes of this process, where it has one.
@@ -105,8 +109,8 @@
 
     /// The list as this process has it.
     pub fn known(&self) -> Known {
-        let lines = self.board.lines.borrow();
-        Known::of(self.discovery.get(), self.board.since.get(), lines.values().map(|(entry, _)| entry))
+        let upstreams = self.board.upstreams.borrow();
+        Known::of(self.discovery.get(), self.board.since.get(), upstreams.values().map(|(entry, _)| entry))
     }
 
     pub fn connections(&self) -> usize {
--- a/crates/fernroute-server/src/program/upgrade.rs
+++ b/crates/fernroute-server/src/program/upgrade.rs
@@ -212,7 +212,7 @@
     {
         let listed = pin!(async {
             told.await;
-            while running.board.lines.borrow().is_empty() {
+            while running.board.upstreams.borrow().is_empty() {
                 actix_rt::time::sleep(LOOK).await;
             }
         });
--- a/crates/fernroute-server/src/routing/route.rs
+++ b/crates/fernroute-server/src/routing/route.rs
@@ -1,11 +1,11 @@
 //! From the upstream that was drawn to the transmission's task: its address, its number, its timer.
 
 use super::clock::duration;
-use super::send::Way;
+use super::send::AttemptPlan;
 use super::switchboard::{Out, Switchboard};
 use super::timers::Due;
-use crate::transport::client::Line;
-use crate::transport::outbound::{Course, Reached};
+use crate::transport::client::UpstreamClient;
+use crate::transport::outbound::{AttemptState, Reached};
 use fernroute::{Outcome, Time};
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -29,22 +29,22 @@
         let due = Due::Transmission { rpc: Rc::clone(rpc), tx };
         // Its time counts from the last byte of an RPC that still comes.
         let time_out_key = entry.request.is_whole().then(|| self.timers.set(time_out, due));
-        let line = self.lines.borrow().get(upstream).map(|(_, line)| Rc::clone(line));
-        let course = Course::of(entry.caller.clone(), &self.tally.written);
+        let client = self.upstreams.borrow().get(upstream).map(|(_, client)| Rc::clone(client));
+        let attempt = AttemptState::of(entry.caller.clone(), &self.tally.written);
         let left = |by: Time| duration(by.saturating_sub(self.clock.now()));
-        written_by.map(left).into_iter().for_each(|left| course.bar_after(left));
+        written_by.map(left).into_iter().for_each(|left| attempt.bar_after(left));
         let out = Out {
             stop: Some(stop),
             time_out: time_out_key,
             lasts: time_out,
-            course: Rc::clone(&course),
-            line: line.clone(),
+            attempt: Rc::clone(&attempt),
+            client: client.clone(),
         };
         entry.out.insert(tx, out);
         let request = Rc::clone(&entry.request);
         tracing::debug!("RPC {rpc} transmission {tx} to {upstream}");
-        let way = Way { line, course, time_out, stopped };
-        actix_rt::spawn(Rc::clone(self).transmission(Rc::clone(rpc), tx, request, way));
+        let plan = AttemptPlan { client, attempt, time_out, stopped };
+        actix_rt::spawn(Rc::clone(self).transmission(Rc::clone(rpc), tx, request, plan));
     }
 
     /// The last byte of an RPC has come that was sent on while it came.
@@ -71,7 +71,7 @@
         if let Some(time_out) = out.time_out.take().filter(|_| why != Outcome::TimedOut) {
             self.timers.drop(&time_out);
         }
-        out.course.bar();
+        out.attempt.bar();
         // Its task may have ended this moment: then it was not stopped.
         let _ = stop.send(why);
     }
@@ -79,10 +79,12 @@
     /// What has not begun at an upstream that left the list, or started anew, does not begin there. Guards against a
     /// connection that comes up past the grace.
     pub(super) fn call_off_to_those_that_left(&self) {
-        let lines = self.lines.borrow();
-        let is_there = |line: &Rc<Line>| lines.values().any(|(_, listed)| Rc::ptr_eq(listed, line));
+        let upstreams = self.upstreams.borrow();
+        let is_there =
+            |client: &Rc<UpstreamClient>| upstreams.values().any(|(_, listed)| Rc::ptr_eq(listed, client));
         let has_left = |out: &Out| {
-            out.course.reached() == Reached::Nothing && out.line.as_ref().is_some_and(|line| !is_there(line))
+            out.attempt.reached() == Reached::Nothing
+                && out.client.as_ref().is_some_and(|client| !is_there(client))
         };
         let mut those = Vec::new();
         for (rpc, entry) in &*self.open.borrow() {
@@ -95,7 +97,7 @@
     /// The caller has gone: what is not all written of its RPC never will be, also where what may have run is not to be
     /// called off. Guards against a connection that comes up late, and an RPC that nobody waits for on it.
     pub(super) fn call_off_unwritten(&self, rpc: &str) {
-        let unwritten = |out: &Out| out.course.reached() < Reached::Written;
+        let unwritten = |out: &Out| out.attempt.reached() < Reached::Written;
         let those: Vec<usize> = match self.open.borrow().get(rpc) {
             Some(entry) => entry.out.iter().filter(|(_, out)| unwritten(out)).map(|(tx, _)| *tx).collect(),
             None => return,
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -5,8 +5,8 @@
 use super::windows::PIECES;
 use crate::protocol::answer::{Answer, Cut, Flow};
 use crate::protocol::request::Request;
-use crate::transport::client::{Body, Call, Line, Rest};
-use crate::transport::outbound::{Course, Reached};
+use crate::transport::client::{Body, Call, Rest, UpstreamClient};
+use crate::transport::outbound::{AttemptState, Reached};
 use actix_http::body::BoxBody;
 use fernroute::{Outcome, Time};
 use futures_util::future::{select, Either};
@@ -23,9 +23,9 @@
 const SILENT: Duration = Duration::from_secs(10);
 
 /// What a transmission sets out with.
-pub struct Way {
-    pub line: Option<Rc<Line>>,
-    pub course: Rc<Course>,
+pub struct AttemptPlan {
+    pub client: Option<Rc<UpstreamClient>>,
+    pub attempt: Rc<AttemptState>,
     pub time_out: Time,
     pub stopped: oneshot::Receiver<Outcome>,
 }
@@ -36,13 +36,13 @@
         rpc: Rc<str>,
         tx: usize,
         request: Rc<Request>,
-        way: Way,
+        plan: AttemptPlan,
     ) {
         let sent = self.clock.now();
-        let course = Rc::clone(&way.course);
-        let made = self.make(&request, way);
+        let attempt = Rc::clone(&plan.attempt);
+        let made = self.make(&request, plan);
         let result = AssertUnwindSafe(made).catch_unwind().await.unwrap_or(Err(Outcome::Unknown));
-        if course.is_unwanted() {
+        if attempt.is_unwanted() {
             // Before it is booked: nothing further is to be sent.
             self.abandoned(&rpc);
         }
@@ -64,20 +64,20 @@
     async fn make(
         self: &Rc<Self>,
         request: &Request,
-        Way { line, course, time_out, stopped }: Way,
+        AttemptPlan { client, attempt, time_out, stopped }: AttemptPlan,
     ) -> Result<(Answer, Option<Rest>), Outcome> {
         // Left the list after it was drawn: nothing was sent.
-        let Some(line) = line else { return Err(Outcome::Moot) };
-        let (verb, uri, headers) = request.encode(line.address, time_out);
+        let Some(client) = client else { return Err(Outcome::Moot) };
+        let (verb, uri, headers) = request.encode(client.address, time_out);
         let body = match &request.upload {
             // What an earlier transmission took of it is nowhere any more: this one can't be made.
             Some(upload) if upload.gone.get() || upload.broken.get() => return Err(Outcome::Moot),
-            Some(upload) => Body::Coming(BoxBody::new(Sent::new(self, request, upload, &course))),
+            Some(upload) => Body::Coming(BoxBody::new(Sent::new(self, request, upload, &attempt))),
             None => Body::Whole(request.body.clone()),
         };
         let call = Call { verb, uri, headers, body, fresh: request.once };
         let result = {
-            let call = pin!(line.call(call, &course));
+            let call = pin!(client.call(call, &attempt));
             // Dropping the call at the end of this block closes its connection.
             match select(call, stopped).await {
                 Either::Left((result, _)) => Ok(result),
@@ -94,21 +94,21 @@
                 })
             }
             Ok(Err(broken)) => {
-                tracing::debug!("RPC {} at {}: {broken}", request.id, line.address);
+                tracing::debug!("RPC {} at {}: {broken}", request.id, client.address);
                 let caller_broke = request.upload.as_ref().is_some_and(|upload| upload.broken.get());
                 Err(match broken.reached {
-                    Reached::Nothing if course.is_unwanted() => Outcome::Cancelled,
+                    Reached::Nothing if attempt.is_unwanted() => Outcome::Cancelled,
                     // For want of connections here, of time or of the RPC: that says nothing of the upstream.
-                    Reached::Nothing | Reached::Connected if course.held_back() => Outcome::Moot,
+                    Reached::Nothing | Reached::Connected if attempt.held_back() => Outcome::Moot,
                     Reached::Nothing | Reached::Connected if caller_broke => Outcome::Moot,
                     // Turned away before it was there.
-                    Reached::Nothing | Reached::Connected if course.early.get() => Outcome::Exhausted,
+                    Reached::Nothing | Reached::Connected if attempt.early.get() => Outcome::Exhausted,
                     Reached::Nothing | Reached::Connected => Outcome::ConnectFailed,
                     Reached::Written | Reached::AnswerBegun => Outcome::Reset,
                 })
             }
             // Given up before its last byte was out: the upstream can't have begun it.
-            Err(Outcome::TimedOut) if course.reached() < Reached::Written => Err(Outcome::ConnectFailed),
+            Err(Outcome::TimedOut) if attempt.reached() < Reached::Written => Err(Outcome::ConnectFailed),
             // A caller's going says nothing of the upstream.
             Err(why) => Err(why),
         }
--- a/crates/fernroute-server/src/routing/switchboard.rs
+++ b/crates/fernroute-server/src/routing/switchboard.rs
@@ -10,9 +10,9 @@
 use crate::protocol::load::Gauges;
 use crate::protocol::ops::{Control, Figures};
 use crate::protocol::request::{Request, Shape};
-use crate::transport::client::{Client, Line};
+use crate::transport::client::{Client, UpstreamClient};
 use crate::transport::inbound::Visit;
-use crate::transport::outbound::Course;
+use crate::transport::outbound::AttemptState;
 use fernroute::desk::{Act, Desk};
 use fernroute::{BadTerm, Balancer, Outcome, Terms, Time};
 use fernroute_fleet::demand::Meter;
@@ -32,9 +32,9 @@
     /// None until the RPC's last byte has come, and once the answer has begun.
     pub time_out: Option<Key>,
     pub lasts: Time,
-    pub course: Rc<Course>,
+    pub attempt: Rc<AttemptState>,
     /// The way that it takes; none where its upstream had left the list.
-    pub line: Option<Rc<Line>>,
+    pub client: Option<Rc<UpstreamClient>>,
 }
 
 /// An RPC that waits for its final answer, or for the end of a transmission.
@@ -81,7 +81,7 @@
 }
 
 /// By id: what the list says of an upstream that serves, and the way to it.
-type Lines = BTreeMap<Rc<str>, (Entry, Rc<Line>)>;
+type Upstreams = BTreeMap<Rc<str>, (Entry, Rc<UpstreamClient>)>;
 
 pub struct Switchboard {
     pub clock: Clock,
@@ -90,7 +90,7 @@
     /// Emptied by the book: an answered RPC leaves with its last transmission.
     pub open: RefCell<BTreeMap<Rc<str>, Open>>,
     /// Emptied by the list.
-    pub lines: RefCell<Lines>,
+    pub upstreams: RefCell<Upstreams>,
     /// Discovery's version of the list, where it has told one.
     pub since: Cell<Option<u64>>,
     /// Discovery has told the list to this process.
@@ -138,7 +138,7 @@
             balancer: RefCell::new(balancer),
             desk,
             open: RefCell::default(),
-            lines: RefCell::default(),
+            upstreams: RefCell::default(),
             since: Cell::new(None),
             heard: Cell::new(false),
             timers: Timers::default(),
@@ -181,7 +181,7 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        self.phase.get().is_ready() && !self.lines.borrow().is_empty()
+        self.phase.get().is_ready() && !self.upstreams.borrow().is_empty()
     }
 
     /// Tells whether that made a difference.
@@ -286,22 +286,23 @@
     pub fn take_list(self: &Rc<Self>, list: &List, fresh: bool) {
         self.heard.set(self.heard.get() || fresh);
         {
-            let mut lines = self.lines.borrow_mut();
+            let mut upstreams = self.upstreams.borrow_mut();
             if list.full {
-                lines.retain(|id, _| list.entries.iter().any(|e| e.id == **id));
+                upstreams.retain(|id, _| list.entries.iter().any(|e| e.id == **id));
             }
             for entry in &list.entries {
                 let id = entry.id.as_str();
                 let Some(address) = entry.address.filter(|_| entry.state == State::Ready) else {
-                    lines.remove(id);
+                    upstreams.remove(id);
                     continue;
                 };
                 // One that started again, or elsewhere, gets no connection of before.
-                let same = lines.remove(id).filter(|(before, line)| {
-                    before.started_ms == entry.started_ms && line.address == address
+                let same = upstreams.remove(id).filter(|(before, client)| {
+                    before.started_ms == entry.started_ms && client.address == address
                 });
-                let line = same.map_or_else(|| Rc::new(self.client.line(address)), |(_, line)| line);
-                lines.insert(Rc::from(id), (entry.clone(), line));
+                let client =
+                    same.map_or_else(|| Rc::new(self.client.upstream(address)), |(_, client)| client);
+                upstreams.insert(Rc::from(id), (entry.clone(), client));
             }
         }
         self.call_off_to_those_that_left();
--- a/crates/fernroute-server/src/routing/upload.rs
+++ b/crates/fernroute-server/src/routing/upload.rs
@@ -3,7 +3,7 @@
 use super::switchboard::Switchboard;
 use super::windows::Window;
 use crate::protocol::request::{Request, Upload, MOST_BODY};
-use crate::transport::outbound::Course;
+use crate::transport::outbound::AttemptState;
 use actix_http::body::{BodySize, MessageBody};
 use bytes::Bytes;
 use futures_util::Stream as _;
@@ -25,7 +25,7 @@
 pub struct Sent {
     board: Rc<Switchboard>,
     rpc: Rc<str>,
-    course: Rc<Course>,
+    attempt: Rc<AttemptState>,
     first: Bytes,
     upload: Rc<Upload>,
     passed: u64,
@@ -36,11 +36,16 @@
 }
 
 impl Sent {
-    pub fn new(board: &Rc<Switchboard>, request: &Request, upload: &Rc<Upload>, course: &Rc<Course>) -> Self {
+    pub fn new(
+        board: &Rc<Switchboard>,
+        request: &Request,
+        upload: &Rc<Upload>,
+        attempt: &Rc<AttemptState>,
+    ) -> Self {
         Sent {
             board: Rc::clone(board),
             rpc: Rc::clone(&request.id),
-            course: Rc::clone(course),
+            attempt: Rc::clone(attempt),
             first: request.body.clone(),
             upload: Rc::clone(upload),
             passed: 0,
@@ -82,7 +87,7 @@
 
     /// The last byte has come; once what is passed on is written it may run.
     fn finish(&mut self) {
-        self.course.unfinished.set(false);
+        self.attempt.unfinished.set(false);
         self.board.whole(&self.rpc);
     }
 }
@@ -95,7 +100,7 @@
     }
 
     fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, io::Error>>> {
-        match self.course.poll_room(cx, self.window.piece()) {
+        match self.attempt.poll_room(cx, self.window.piece()) {
             Poll::Pending => return self.wait(cx, false),
             Poll::Ready(Err(why)) => return Poll::Ready(Some(Err(why))),
             Poll::Ready(Ok(())) => {}
--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -1,7 +1,7 @@
 //! Calls on upstreams. Nothing here sends twice, follows a redirect or gives up by itself.
 
-use super::outbound::{Course, Reached, COURSE};
-use super::seats::{Parked, Seats};
+use super::connections::{ConnectionTable, IdlePool};
+use super::outbound::{AttemptState, Reached, CURRENT_ATTEMPT};
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderMap, CONTENT_LENGTH};
 use actix_http::{Method, ResponseHead, Uri};
@@ -31,7 +31,7 @@
 
 /// What all calls share: the bounds on connections and answers.
 pub struct Client {
-    seats: Rc<Seats>,
+    connections: Rc<ConnectionTable>,
     connect_time_out: Duration,
     rest: Duration,
     idle: Duration,
@@ -44,7 +44,7 @@
 
 /// The way to one upstream, with connections of its own. Those that stand idle are closed with it: an upstream that
 /// comes to the address of another gets none that was made for the other.
-pub struct Line {
+pub struct UpstreamClient {
     pub address: SocketAddr,
     kept: awc::Client,
     fresh: awc::Client,
@@ -69,8 +69,8 @@
         // A call written as the other side closes ends as a reset that may have run: a fifth and a second
         // are far more than a call takes to cross.
         let idle = (keep * 4 / 5).min(keep.saturating_sub(Duration::from_secs(1)));
-        let seats = Rc::new(Seats::new(most, most_body));
-        Client { seats, connect_time_out, rest: REST, idle, most_body }
+        let connections = Rc::new(ConnectionTable::new(most, most_body));
+        Client { connections, connect_time_out, rest: REST, idle, most_body }
     }
 
     /// For one that is asked again at once, and whose answers are read for what they say.
@@ -78,25 +78,25 @@
         Client { rest: Duration::ZERO, ..self }
     }
 
-    pub fn line(&self, address: SocketAddr) -> Line {
-        let parked = Parked::new(&self.seats, self.rest, self.idle);
-        let (kept, fresh) = (self.pool(address, Some(parked)), self.pool(address, None));
-        Line { address, kept, fresh, most_body: self.most_body }
+    pub fn upstream(&self, address: SocketAddr) -> UpstreamClient {
+        let idle_pool = IdlePool::new(&self.connections, self.rest, self.idle);
+        let (kept, fresh) = (self.pool(address, Some(idle_pool)), self.pool(address, None));
+        UpstreamClient { address, kept, fresh, most_body: self.most_body }
     }
 
-    /// Connections are kept in `parked`, or nowhere; the library's own pool gets none that it could use again.
-    fn pool(&self, address: SocketAddr, parked: Option<Rc<Parked>>) -> awc::Client {
-        let for_new = Rc::clone(&self.seats);
+    /// Connections are kept in `idle_pool`, or nowhere; the library's own pool gets none that it could use again.
+    fn pool(&self, address: SocketAddr, idle_pool: Option<Rc<IdlePool>>) -> awc::Client {
+        let for_new = Rc::clone(&self.connections);
         let connect = fn_service(move |info: ConnectInfo<Uri>| {
-            let (seats, parked) = (Rc::clone(&for_new), parked.clone());
+            let (connections, idle_pool) = (Rc::clone(&for_new), idle_pool.clone());
             async move {
-                if !COURSE.try_with(|course| course.may_begin()).unwrap_or(true) {
+                if !CURRENT_ATTEMPT.try_with(|attempt| attempt.may_begin()).unwrap_or(true) {
                     // No connection is taken or made for it.
                     return Err(ConnectError::Io(io::Error::other("called off before it was connected")));
                 }
-                let stream = match &parked {
-                    Some(parked) => parked.connect(address).await,
-                    None => seats.connect(address, Weak::new()).await,
+                let stream = match &idle_pool {
+                    Some(idle_pool) => idle_pool.connect(address).await,
+                    None => connections.connect(address, Weak::new()).await,
                 };
                 Ok(Connection::new(info.request().clone(), stream.map_err(ConnectError::Io)?))
             }
@@ -116,15 +116,15 @@
     }
 
     pub fn connections(&self) -> usize {
-        self.seats.count()
+        self.connections.count()
     }
 
     pub fn set_most(&self, most: usize) {
-        self.seats.set_most(most);
+        self.connections.set_most(most);
     }
 
     pub fn sweep(&self) {
-        self.seats.sweep(self.idle);
+        self.connections.sweep(self.idle);
     }
 }
 
@@ -161,7 +161,7 @@
     left: usize,
     /// Its end or what broke it, met behind bytes that were handed on first.
     met: Option<Result<(), String>>,
-    course: Rc<Course>,
+    attempt: Rc<AttemptState>,
 }
 
 impl Answered {
@@ -180,10 +180,10 @@
     /// The next bytes, all that are there up to about `some`; none at its whole end. Many small pieces that are there
     /// come as one.
     pub async fn next(&mut self, some: usize) -> Result<Option<Bytes>, String> {
-        let course = Rc::clone(&self.course);
+        let attempt = Rc::clone(&self.attempt);
         let response = &mut self.response;
         let mut met = self.met.take();
-        let next = COURSE.scope(Rc::clone(&course), async move {
+        let next = CURRENT_ATTEMPT.scope(Rc::clone(&attempt), async move {
             let mut piece = BytesMut::new();
             while met.is_none() && piece.len() < some / 2 {
                 let more = if piece.is_empty() {
@@ -194,7 +194,7 @@
                 match more {
                     Some(Some(Ok(more))) => piece.extend_from_slice(&more),
                     Some(Some(Err(why))) => met = Some(Err(why.to_string())),
-                    Some(None) => met = Some(course.whole().map_err(|e| e.to_string())),
+                    Some(None) => met = Some(attempt.whole().map_err(|e| e.to_string())),
                     None => break,
                 }
             }
@@ -203,9 +203,9 @@
         let (piece, met) = next.await;
         if met.is_some() {
             // In the turn in which the end was met, though what came with it is still to be handed on. Guards against the
-            // library's pool, which has the connection from then on: another RPC would be sent on it, lose it as it is parked
+            // library's pool, which has the connection from then on: another RPC would be sent on it, lose it as it is put back
             // here later, and leave its answer to the one after that.
-            self.course.over();
+            self.attempt.over();
         }
         if piece.is_empty() {
             return met.unwrap_or(Ok(())).map(|()| None);
@@ -216,17 +216,17 @@
     }
 }
 
-impl Line {
+impl UpstreamClient {
     /// The whole answer, or its beginning. Dropping the future, or the rest, closes the connection.
-    pub async fn call(&self, call: Call, course: &Rc<Course>) -> Result<Answered, Broken> {
-        let result = COURSE.scope(Rc::clone(course), self.answer(call, course)).await;
+    pub async fn call(&self, call: Call, attempt: &Rc<AttemptState>) -> Result<Answered, Broken> {
+        let result = CURRENT_ATTEMPT.scope(Rc::clone(attempt), self.answer(call, attempt)).await;
         if !result.as_ref().is_ok_and(|answered| answered.rest.is_some()) {
-            course.over();
+            attempt.over();
         }
-        result.map_err(|why| Broken { reached: course.reached(), why })
+        result.map_err(|why| Broken { reached: attempt.reached(), why })
     }
 
-    async fn answer(&self, call: Call, course: &Rc<Course>) -> Result<Answered, String> {
+    async fn answer(&self, call: Call, attempt: &Rc<AttemptState>) -> Result<Answered, String> {
         let request = if call.fresh {
             self.fresh.request(call.verb.clone(), call.uri).force_close()
         } else {
@@ -239,7 +239,7 @@
             Body::Whole(body) if call.verb == Method::GET && body.is_empty() => request.send(),
             Body::Whole(body) => request.send_body(body),
             Body::Coming(body) => {
-                course.unfinished.set(true);
+                attempt.unfinished.set(true);
                 request.send_body(body)
             }
         };
@@ -263,7 +263,7 @@
             match next {
                 Some(chunk) => first.extend_from_slice(&chunk.map_err(|e| e.to_string())?),
                 None => {
-                    course.whole().map_err(|e| e.to_string())?;
+                    attempt.whole().map_err(|e| e.to_string())?;
                     return Ok(Answered { head, first: first.freeze(), rest: None });
                 }
             }
@@ -273,7 +273,7 @@
             }
         }
         let left = self.most_body.checked_sub(first.len()).ok_or("a body too large")?;
-        let rest = Rest { response, length, left, met: None, course: Rc::clone(course) };
+        let rest = Rest { response, length, left, met: None, attempt: Rc::clone(attempt) };
         Ok(Answered { head, first: first.freeze(), rest: Some(rest) })
     }
 }
--- a/crates/fernroute-server/src/transport/seats.rs
+++ b/crates/fernroute-server/src/transport/connections.rs
@@ -1,6 +1,6 @@
 //! Connections to upstreams: how many there are, who has them, and those that stand idle.
 
-use super::outbound::{Outbound, COURSE};
+use super::outbound::{Outbound, CURRENT_ATTEMPT};
 use super::{peek, without_delay};
 use actix_rt::net::TcpStream;
 use bytes::{Buf, BytesMut};
@@ -20,9 +20,9 @@
 /// Connections to one upstream that stand idle, the longest idle first. Emptied as they are used, by their ends, and with
 /// the line to the upstream.
 #[derive(Debug)]
-pub struct Parked {
-    seats: Rc<Seats>,
-    idle: RefCell<VecDeque<Rc<Seat>>>,
+pub struct IdlePool {
+    connections: Rc<ConnectionTable>,
+    idle: RefCell<VecDeque<Rc<UpstreamConnection>>>,
     /// They rest for so long first, and are used for so long.
     rest: Duration,
     keep: Duration,
@@ -34,10 +34,10 @@
 /// hold only so many connections. Where they are quicker a new one is made beside it.
 const LONG: f64 = 2.0;
 
-impl Parked {
-    pub fn new(seats: &Rc<Seats>, rest: Duration, keep: Duration) -> Rc<Self> {
-        Rc::new(Parked {
-            seats: Rc::clone(seats),
+impl IdlePool {
+    pub fn new(connections: &Rc<ConnectionTable>, rest: Duration, keep: Duration) -> Rc<Self> {
+        Rc::new(IdlePool {
+            connections: Rc::clone(connections),
             idle: RefCell::default(),
             rest,
             keep,
@@ -46,25 +46,25 @@
     }
 
     /// After an answer that took so long.
-    pub(super) fn park(self: &Rc<Self>, stream: TcpStream, took: Duration) {
+    pub(super) fn put_back(self: &Rc<Self>, stream: TcpStream, took: Duration) {
         /// Some ten answers.
         const RECENT: f64 = 0.1;
         self.usual.set(self.usual.get() + RECENT * (took.as_secs_f64() - self.usual.get()));
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|seat| seat.stream.borrow().is_some());
-        let seat = self.seats.enter(stream, Rc::downgrade(self));
-        seat.idle_since.set(Some(Instant::now()));
-        idle.push_back(seat);
+        idle.retain(|connection| connection.stream.borrow().is_some());
+        let connection = self.connections.enter(stream, Rc::downgrade(self));
+        connection.idle_since.set(Some(Instant::now()));
+        idle.push_back(connection);
     }
 
     /// The longest idle one that may be used, and how long it still rests; those that were kept too long are closed.
-    fn take(&self) -> Option<(Rc<Seat>, Duration)> {
+    fn take(&self) -> Option<(Rc<UpstreamConnection>, Duration)> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(seat) = idle.pop_front() {
+        while let Some(connection) = idle.pop_front() {
             // One that was closed to make room may be among them.
-            let age = seat.idle_since.get().map_or(self.keep, |since| since.elapsed());
-            if age < self.keep && seat.stream.borrow().is_some() {
-                return Some((seat, self.rest.saturating_sub(age)));
+            let age = connection.idle_since.get().map_or(self.keep, |since| since.elapsed());
+            if age < self.keep && connection.stream.borrow().is_some() {
+                return Some((connection, self.rest.saturating_sub(age)));
             }
         }
         None
@@ -73,41 +73,42 @@
     /// An idle connection, or a new one. One that rests is waited for; where that is long against what an RPC takes, beside a
     /// new one that is made.
     pub async fn connect(self: &Rc<Self>, address: SocketAddr) -> io::Result<Outbound> {
-        while let Some((seat, left)) = self.take() {
+        while let Some((connection, left)) = self.take() {
             let is_waited_out = self.usual.get() >= LONG * self.rest.as_secs_f64();
             if left.is_zero() || is_waited_out {
                 if !left.is_zero() {
                     sleep(left).await;
                 }
-                if seat.is_quiet() {
-                    return Ok(Outbound::of(seat));
+                if connection.is_quiet() {
+                    return Ok(Outbound::of(connection));
                 }
                 continue;
             }
-            let (rested, new) = (pin!(sleep(left)), pin!(self.seats.connect(address, Rc::downgrade(self))));
+            let (rested, new) =
+                (pin!(sleep(left)), pin!(self.connections.connect(address, Rc::downgrade(self))));
             return match select(rested, new).await {
-                Either::Left((_, _)) if seat.is_quiet() => Ok(Outbound::of(seat)),
+                Either::Left((_, _)) if connection.is_quiet() => Ok(Outbound::of(connection)),
                 Either::Left((_, new)) => new.await,
                 Either::Right((Ok(new), _)) => {
-                    self.idle.borrow_mut().push_front(seat);
+                    self.idle.borrow_mut().push_front(connection);
                     Ok(new)
                 }
                 Either::Right((Err(why), rested)) => {
                     rested.await;
-                    if seat.is_quiet() {
-                        return Ok(Outbound::of(seat));
+                    if connection.is_quiet() {
+                        return Ok(Outbound::of(connection));
                     }
                     Err(why)
                 }
             };
         }
-        self.seats.connect(address, Rc::downgrade(self)).await
+        self.connections.connect(address, Rc::downgrade(self)).await
     }
 }
 
 /// A connection's place in the table; it is closed by taking the stream out.
 #[derive(Debug)]
-pub(super) struct Seat {
+pub(super) struct UpstreamConnection {
     pub(super) stream: RefCell<Option<TcpStream>>,
     /// What the socket has not taken yet. The library may stop flushing a long body before its end, so all
     /// of it is taken here at once; flushing then writes it out.
@@ -116,11 +117,11 @@
     /// The answer on it has come whole, nothing behind it, and it says nothing of an end.
     pub(super) reusable: Cell<bool>,
     /// Where it stands between two RPCs, if it is kept.
-    pub(super) home: Weak<Parked>,
+    pub(super) home: Weak<IdlePool>,
     pub(super) most_body: u64,
 }
 
-impl Seat {
+impl UpstreamConnection {
     /// Nothing has come on it, and it has not ended.
     fn is_quiet(&self) -> bool {
         self.stream.borrow().as_ref().is_some_and(|stream| peek(stream) == Err(Errno::AGAIN))
@@ -152,8 +153,8 @@
 
 /// All connections to upstreams. Emptied as they are closed.
 #[derive(Debug)]
-pub struct Seats {
-    all: RefCell<Vec<Weak<Seat>>>,
+pub struct ConnectionTable {
+    all: RefCell<Vec<Weak<UpstreamConnection>>>,
     /// How many are being made.
     coming: Cell<usize>,
     most: Cell<usize>,
@@ -161,9 +162,9 @@
     most_body: u64,
 }
 
-impl Seats {
+impl ConnectionTable {
     pub fn new(most: usize, most_body: usize) -> Self {
-        Seats {
+        ConnectionTable {
             all: RefCell::default(),
             coming: Cell::new(0),
             most: Cell::new(most),
@@ -172,10 +173,10 @@
     }
 
     /// Connects, if there is room; at the limit the longest idle connection goes. It is kept at `home`, or nowhere.
-    pub async fn connect(&self, address: SocketAddr, home: Weak<Parked>) -> io::Result<Outbound> {
+    pub async fn connect(&self, address: SocketAddr, home: Weak<IdlePool>) -> io::Result<Outbound> {
         /// No descriptors left in this process or on this machine, no local port left.
         const OURS: [i32; 3] = [23, 24, 99];
-        let hold_back = || COURSE.try_with(|course| course.held_back.set(true));
+        let hold_back = || CURRENT_ATTEMPT.try_with(|attempt| attempt.held_back.set(true));
         if !self.make_room() {
             let _ = hold_back();
             return Err(io::Error::other("all connections are busy"));
@@ -193,8 +194,8 @@
         Ok(Outbound::new(self.enter(stream, home)))
     }
 
-    fn enter(&self, stream: TcpStream, home: Weak<Parked>) -> Rc<Seat> {
-        let seat = Rc::new(Seat {
+    fn enter(&self, stream: TcpStream, home: Weak<IdlePool>) -> Rc<UpstreamConnection> {
+        let connection = Rc::new(UpstreamConnection {
             stream: RefCell::new(Some(stream)),
             left: RefCell::default(),
             idle_since: Cell::new(None),
@@ -202,8 +203,8 @@
             home,
             most_body: self.most_body,
         });
-        self.all.borrow_mut().push(Rc::downgrade(&seat));
-        seat
+        self.all.borrow_mut().push(Rc::downgrade(&connection));
+        connection
     }
 
     /// How many there are, those that are being made with them.
@@ -211,7 +212,7 @@
         self.all
             .borrow()
             .iter()
-            .filter(|seat| seat.upgrade().is_some_and(|s| s.stream.borrow().is_some()))
+            .filter(|connection| connection.upgrade().is_some_and(|s| s.stream.borrow().is_some()))
             .count()
             + self.coming.get()
     }
@@ -240,16 +241,18 @@
     /// Closes what has stood idle for this long. The pool looks at a connection only when it wants one to
     /// the same address: without this, what upstreams closed would hold descriptors for good.
     pub fn sweep(&self, idle: Duration) {
-        for seat in self.all.borrow().iter().filter_map(Weak::upgrade) {
-            if seat.idle_since.get().is_some_and(|since| since.elapsed() >= idle) {
-                seat.stream.take();
+        for connection in self.all.borrow().iter().filter_map(Weak::upgrade) {
+            if connection.idle_since.get().is_some_and(|since| since.elapsed() >= idle) {
+                connection.stream.take();
             }
         }
         self.clear();
     }
 
     fn clear(&self) {
-        self.all.borrow_mut().retain(|seat| seat.upgrade().is_some_and(|s| s.stream.borrow().is_some()));
+        self.all
+            .borrow_mut()
+            .retain(|connection| connection.upgrade().is_some_and(|s| s.stream.borrow().is_some()));
     }
 }
 
--- a/crates/fernroute-server/src/transport/discovery.rs
+++ b/crates/fernroute-server/src/transport/discovery.rs
@@ -4,8 +4,8 @@
 //! (a silent call, a connection that does not come up, a list that stalls or trickles, one that is doubted)
 //! sums to less than the six seconds after which it counts as told. The sums stand in `docs/endings.md`.
 
-use super::client::{Body, Call, Client, Line};
-use super::outbound::{Course, Reached};
+use super::client::{Body, Call, Client, UpstreamClient};
+use super::outbound::{AttemptState, Reached};
 use crate::protocol::list::{self, List};
 use crate::protocol::names;
 use actix_http::header::HeaderMap;
@@ -64,13 +64,13 @@
 pub struct Watch {
     client: Client,
     agent: SocketAddr,
-    line: RefCell<Rc<Line>>,
+    agent_client: RefCell<Rc<UpstreamClient>>,
 }
 
 /// A call that is out.
 struct Asking {
     answer: LocalBoxFuture<'static, Result<List, String>>,
-    course: Rc<Course>,
+    attempt: Rc<AttemptState>,
     wait: Duration,
     begun: Instant,
     /// Since when it is seen to have a connection, and to be answered.
@@ -81,17 +81,17 @@
 impl Asking {
     fn look(&mut self) {
         let now = Instant::now();
-        if self.course.reached() >= Reached::Connected {
+        if self.attempt.reached() >= Reached::Connected {
             self.connected.get_or_insert(now);
         }
-        if self.course.heard_at().is_some() {
+        if self.attempt.heard_at().is_some() {
             self.answered.get_or_insert(now);
         }
     }
 
     /// Judged by progress; the client has a time-out of its own for the connection.
     fn is_silent(&self) -> bool {
-        let stalls = self.course.heard_at().is_some_and(|last| last.elapsed() >= STALL);
+        let stalls = self.attempt.heard_at().is_some_and(|last| last.elapsed() >= STALL);
         match (self.answered, self.connected) {
             (Some(from), _) => stalls || from.elapsed() >= LONGEST,
             (None, Some(from)) => from.elapsed() >= self.wait + GRACE,
@@ -190,13 +190,13 @@
         // The calls that may be out, and one connection that is dying.
         let client = Client::new(CONNECT_LONGEST, Duration::from_secs(10), MOST_CALLS + 1, MOST_LIST);
         let client = client.without_rest();
-        Watch { line: RefCell::new(Rc::new(client.line(agent))), agent, client }
+        Watch { agent_client: RefCell::new(Rc::new(client.upstream(agent))), agent, client }
     }
 
     /// Those that are kept are used no more. Guards against an agent that is back while the connections to
     /// what it was before are as silent as that, one after another.
     fn leave_connections(&self) {
-        self.line.replace(Rc::new(self.client.line(self.agent)));
+        self.agent_client.replace(Rc::new(self.client.upstream(self.agent)));
     }
 
     fn ask(&self, version: Option<u64>, wait: Duration) -> Asking {
@@ -208,10 +208,10 @@
             body: Body::Whole(Bytes::new()),
             fresh: false,
         };
-        let course = Rc::<Course>::default();
-        let (line, carried) = (Rc::clone(&self.line.borrow()), Rc::clone(&course));
+        let attempt = Rc::<AttemptState>::default();
+        let (agent_client, carried) = (Rc::clone(&self.agent_client.borrow()), Rc::clone(&attempt));
         let answer = async move {
-            let answered = line.call(call, &carried).await.map_err(|broken| broken.to_string())?;
+            let answered = agent_client.call(call, &carried).await.map_err(|broken| broken.to_string())?;
             let (head, body) = answered.whole().await?;
             if head.status != StatusCode::OK {
                 return Err(format!("status {}", head.status.as_u16()));
@@ -222,7 +222,7 @@
         // The whole list is there at once.
         let wait = if version.is_some() { wait } else { Duration::ZERO };
         let answer = answer.boxed_local();
-        Asking { answer, course, wait, begun: Instant::now(), connected: None, answered: None }
+        Asking { answer, attempt, wait, begun: Instant::now(), connected: None, answered: None }
     }
 
     /// Follows the list from this version on, for as long as the program runs. Where discovery answers only
--- a/crates/fernroute-server/src/transport/mod.rs
+++ b/crates/fernroute-server/src/transport/mod.rs
@@ -1,13 +1,13 @@
 //! Bytes and connections: the server towards callers, the client towards upstreams, the watch on discovery.
 
 pub mod client;
+pub mod connections;
 pub mod discovery;
 pub mod door;
 mod framing;
 pub mod handover;
 pub mod inbound;
 pub mod outbound;
-pub mod seats;
 pub mod server;
 
 use rustix::io::Errno;
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -1,8 +1,8 @@
 //! One connection to an upstream: how far a transmission on it has come, and where its answer ends.
 
+use super::connections::UpstreamConnection;
 use super::framing::Framing;
 use super::inbound::Visit;
-use super::seats::Seat;
 use actix_rt::net::{ActixStream, Ready};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
@@ -26,9 +26,9 @@
     AnswerBegun,
 }
 
-/// The course of one transmission, kept by the connection that carries it.
+/// How far one attempt has come, kept by the connection that carries it.
 #[derive(Debug, Default)]
-pub struct Course {
+pub struct AttemptState {
     reached: Cell<Reached>,
     /// The upstream ended the connection while it carried this transmission.
     cut: Cell<bool>,
@@ -39,7 +39,7 @@
     heard_at: Cell<Option<Instant>>,
     /// It never left, for want of connections here.
     pub(super) held_back: Cell<bool>,
-    seat: RefCell<Option<Rc<Seat>>>,
+    connection: RefCell<Option<Rc<UpstreamConnection>>>,
     /// Called off, or its upstream has left the list: it does not begin any more.
     barred: Cell<bool>,
     /// No byte of it leaves after this.
@@ -58,13 +58,13 @@
 
 tokio::task_local! {
     /// The transmission that the running task makes: tells a pooled connection whom it serves.
-    pub static COURSE: Rc<Course>;
+    pub static CURRENT_ATTEMPT: Rc<AttemptState>;
 }
 
-impl Course {
+impl AttemptState {
     /// Of an RPC of this caller's, counted there.
     pub fn of(caller: Option<Weak<Visit>>, written: &Rc<Cell<u64>>) -> Rc<Self> {
-        Rc::new(Course { caller, written: Rc::clone(written), ..Course::default() })
+        Rc::new(AttemptState { caller, written: Rc::clone(written), ..AttemptState::default() })
     }
 
     pub fn reached(&self) -> Reached {
@@ -136,29 +136,29 @@
     /// The connection, if it is kept, stands idle from now on; one that may still bring something of this
     /// answer is closed. Guards against a second copy or noise that the next RPC would take for its answer.
     pub fn over(&self) {
-        let Some(seat) = self.seat.take() else { return };
+        let Some(connection) = self.connection.take() else { return };
         // Out of the library's hands, whose pool would give it to the next RPC at once.
-        let Some(stream) = seat.stream.take() else { return };
+        let Some(stream) = connection.stream.take() else { return };
         // All of the RPC is out and all of the answer is in.
-        let is_done = seat.reusable.get() && seat.left.borrow().is_empty();
-        if let Some(home) = seat.home.upgrade().filter(|_| is_done) {
-            home.park(stream, self.begun_at.get().map_or(Duration::ZERO, |at| at.elapsed()));
+        let is_done = connection.reusable.get() && connection.left.borrow().is_empty();
+        if let Some(home) = connection.home.upgrade().filter(|_| is_done) {
+            home.put_back(stream, self.begun_at.get().map_or(Duration::ZERO, |at| at.elapsed()));
         }
     }
 
     /// Writes on what the connection has not taken yet: ready once no more than `window` of it is left. An answer that
     /// comes meanwhile, or an end, is an error.
     pub fn poll_room(&self, cx: &mut Context<'_>, window: usize) -> Poll<io::Result<()>> {
-        let Some(seat) = self.seat.borrow().clone() else { return Poll::Ready(Ok(())) };
+        let Some(connection) = self.connection.borrow().clone() else { return Poll::Ready(Ok(())) };
         let mut peeked = [MaybeUninit::uninit(); 1];
         let mut peeked = ReadBuf::uninit(&mut peeked);
-        if seat.with(|stream| stream.get_mut().poll_peek(cx, &mut peeked)).is_ready() {
+        if connection.with(|stream| stream.get_mut().poll_peek(cx, &mut peeked)).is_ready() {
             self.early.set(true);
             return Poll::Ready(Err(io::Error::other("an answer before the whole body")));
         }
         self.may_go_on()?;
-        match seat.write_left(cx) {
-            Poll::Pending if seat.left.borrow().len() > window => Poll::Pending,
+        match connection.write_left(cx) {
+            Poll::Pending if connection.left.borrow().len() > window => Poll::Pending,
             Poll::Ready(Err(why)) => Poll::Ready(Err(why)),
             _ => Poll::Ready(Ok(())),
         }
@@ -175,7 +175,7 @@
 /// The stream that the client library reads and writes.
 #[derive(Debug)]
 pub struct Outbound {
-    seat: Rc<Seat>,
+    connection: Rc<UpstreamConnection>,
     framing: Framing,
     /// What has come and is not handed on yet; the first `ready` bytes are the answer's.
     heard: BytesMut,
@@ -187,20 +187,20 @@
 
 impl Outbound {
     /// On a connection that stood idle.
-    pub(super) fn of(seat: Rc<Seat>) -> Self {
-        seat.idle_since.set(None);
-        Outbound::new(seat)
+    pub(super) fn of(connection: Rc<UpstreamConnection>) -> Self {
+        connection.idle_since.set(None);
+        Outbound::new(connection)
     }
 
-    pub(super) fn new(seat: Rc<Seat>) -> Self {
-        Outbound { seat, framing: Framing::default(), heard: BytesMut::new(), ready: 0 }
+    pub(super) fn new(connection: Rc<UpstreamConnection>) -> Self {
+        Outbound { connection, framing: Framing::default(), heard: BytesMut::new(), ready: 0 }
     }
 
     /// Takes in what has come; 0 bytes at the end of the connection.
     fn hear(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         self.heard.reserve(HEAR);
-        let (seat, heard) = (Rc::clone(&self.seat), &mut self.heard);
-        let mut stream = seat.stream.borrow_mut();
+        let (connection, heard) = (Rc::clone(&self.connection), &mut self.heard);
+        let mut stream = connection.stream.borrow_mut();
         match stream.as_mut() {
             Some(stream) => poll_read_buf(Pin::new(stream), cx, heard),
             None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
@@ -213,38 +213,43 @@
             if std::task::ready!(self.hear(cx))? == 0 {
                 // The library takes an answer in chunks that is cut short for a whole one.
                 let to_the_end = self.framing.ends_with_connection();
-                self.note(|course| {
-                    course.cut.set(true);
-                    course.to_the_end.set(to_the_end);
+                self.note(|attempt| {
+                    attempt.cut.set(true);
+                    attempt.to_the_end.set(to_the_end);
                 });
                 let end =
                     if self.framing.is_open_ended() { Ok(()) } else { Err(io::ErrorKind::UnexpectedEof) };
                 return Poll::Ready(end.map_err(io::Error::from));
             }
-            self.note(|course| {
-                course.heard_at.set(Some(Instant::now()));
-                course.come_to(Reached::AnswerBegun);
+            self.note(|attempt| {
+                attempt.heard_at.set(Some(Instant::now()));
+                attempt.come_to(Reached::AnswerBegun);
             });
-            self.ready = self.framing.count(&mut self.heard, self.seat.most_body)?;
+            self.ready = self.framing.count(&mut self.heard, self.connection.most_body)?;
         }
         // Whatever is behind a whole answer belongs to no other; nor does what is behind one whose end the
         // library finds.
         let more = self.framing.is_whole()
             && (self.heard.len() > self.ready || matches!(self.hear(cx), Poll::Ready(Ok(_) | Err(_))));
-        self.seat.reusable.set(self.framing.is_whole() && !more && !self.framing.closes());
+        self.connection.reusable.set(self.framing.is_whole() && !more && !self.framing.closes());
         Poll::Ready(Ok(()))
     }
 
     /// Whether the transmission of the running task may still write.
     fn may_go_on(&self) -> io::Result<()> {
-        COURSE.try_with(|course| course.may_go_on()).unwrap_or(Ok(()))
+        CURRENT_ATTEMPT.try_with(|attempt| attempt.may_go_on()).unwrap_or(Ok(()))
     }
 
     /// The transmission of the running task, once it has this connection.
-    fn note(&self, act: impl FnOnce(&Course)) {
-        let _ = COURSE.try_with(|course| {
-            if course.seat.borrow().as_ref().is_some_and(|seat| Rc::ptr_eq(seat, &self.seat)) {
-                act(course);
+    fn note(&self, act: impl FnOnce(&AttemptState)) {
+        let _ = CURRENT_ATTEMPT.try_with(|attempt| {
+            if attempt
+                .connection
+                .borrow()
+                .as_ref()
+                .is_some_and(|connection| Rc::ptr_eq(connection, &self.connection))
+            {
+                act(attempt);
             }
         });
     }
@@ -253,7 +258,7 @@
 /// Whoever else still knows of the connection, it is closed: a transmission that is given up must end there.
 impl Drop for Outbound {
     fn drop(&mut self) {
-        self.seat.stream.take();
+        self.connection.stream.take();
     }
 }
 
@@ -265,8 +270,8 @@
     ) -> Poll<io::Result<()>> {
         if self.ready == 0 {
             if self.framing.is_whole() {
-                // The library's pool asks whether it is still good; once parked it is not there any more.
-                return self.seat.with(|stream| stream.poll_read(cx, buf));
+                // The library's pool asks whether it is still good; once put back it is not there any more.
+                return self.connection.with(|stream| stream.poll_read(cx, buf));
             }
             std::task::ready!(self.listen(cx))?;
         }
@@ -283,54 +288,54 @@
 
 impl AsyncWrite for Outbound {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let barred = COURSE.try_with(|course| {
-            if course.reached() < Reached::Connected && !course.may_begin() {
+        let barred = CURRENT_ATTEMPT.try_with(|attempt| {
+            if attempt.reached() < Reached::Connected && !attempt.may_begin() {
                 return true;
             }
-            if course.reached() < Reached::Connected {
-                course.begun_at.set(Some(Instant::now()));
+            if attempt.reached() < Reached::Connected {
+                attempt.begun_at.set(Some(Instant::now()));
             }
-            course.seat.replace(Some(Rc::clone(&self.seat)));
-            course.come_to(Reached::Connected);
+            attempt.connection.replace(Some(Rc::clone(&self.connection)));
+            attempt.come_to(Reached::Connected);
             false
         });
         if barred.unwrap_or(false) {
             return Poll::Ready(Err(io::Error::other("called off before its first byte")));
         }
         self.may_go_on()?;
-        if let Poll::Ready(result) = self.seat.write_left(cx) {
+        if let Poll::Ready(result) = self.connection.write_left(cx) {
             result?;
-            let written = self.seat.with(|stream| stream.poll_write(cx, buf));
+            let written = self.connection.with(|stream| stream.poll_write(cx, buf));
             let n = if let Poll::Ready(n) = written { n? } else { 0 };
-            self.seat.left.borrow_mut().extend_from_slice(&buf[n..]);
+            self.connection.left.borrow_mut().extend_from_slice(&buf[n..]);
         } else {
-            self.seat.left.borrow_mut().extend_from_slice(buf);
+            self.connection.left.borrow_mut().extend_from_slice(buf);
         }
         Poll::Ready(Ok(buf.len()))
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.may_go_on()?;
-        std::task::ready!(self.seat.write_left(cx))?;
-        self.note(|course| {
-            if !course.unfinished.get() {
-                course.come_to(Reached::Written);
+        std::task::ready!(self.connection.write_left(cx))?;
+        self.note(|attempt| {
+            if !attempt.unfinished.get() {
+                attempt.come_to(Reached::Written);
             }
         });
-        self.seat.with(|stream| stream.poll_flush(cx))
+        self.connection.with(|stream| stream.poll_flush(cx))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.seat.with(|stream| stream.poll_shutdown(cx))
+        self.connection.with(|stream| stream.poll_shutdown(cx))
     }
 }
 
 impl ActixStream for Outbound {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        self.seat.with(|stream| ActixStream::poll_read_ready(&*stream, cx))
+        self.connection.with(|stream| ActixStream::poll_read_ready(&*stream, cx))
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        self.seat.with(|stream| ActixStream::poll_write_ready(&*stream, cx))
+        self.connection.with(|stream| ActixStream::poll_write_ready(&*stream, cx))
     }
 }
--- a/crates/fernroute-server/tests/attempts.rs
+++ b/crates/fernroute-server/tests/attempts.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use common::{balancer_at, connect, run, until};
 use fernroute_server::transport::client::{Body, Call, Client};
-use fernroute_server::transport::outbound::{Course, Reached};
+use fernroute_server::transport::outbound::{AttemptState, Reached};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -112,7 +112,7 @@
             let end = ENDS[chance.below(ENDS.len())];
             let up = upstream(reads, end);
             let client = Client::new(Duration::from_secs(1), Duration::from_secs(10), 4, 1 << 20);
-            let course = Course::of(None, &Rc::default());
+            let attempt = AttemptState::of(None, &Rc::default());
             let call = Call {
                 verb: Method::POST,
                 uri: format!("http://{}/pay", up.address),
@@ -122,9 +122,9 @@
             };
             // Given up at some moment, most often while it is being written.
             let given_up = Duration::from_micros(chance.below(20_000) as u64);
-            let line = client.line(up.address);
-            let ended = timeout(given_up, line.call(call, &course)).await;
-            let reached = course.reached();
+            let line = client.upstream(up.address);
+            let ended = timeout(given_up, line.call(call, &attempt)).await;
+            let reached = attempt.reached();
             drop(ended);
             // What had left by then comes still.
             let before = up.had.get();
--- a/crates/fernroute-server/tests/configuration.rs
+++ b/crates/fernroute-server/tests/configuration.rs
@@ -101,6 +101,7 @@
             shares_for,
             floors_for,
             configuration: version,
+            duties: None,
         });
         self.beats.borrow_mut().push(beat);
         json(serde_json::to_string(&said).expect("JSON"))
--- a/crates/fernroute-server/tests/connections.rs
+++ b/crates/fernroute-server/tests/connections.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use common::run;
 use fernroute_rig::http::{answer, Peer};
-use fernroute_server::transport::client::{Answered, Body, Broken, Call, Client, Line};
-use fernroute_server::transport::outbound::Course;
+use fernroute_server::transport::client::{Answered, Body, Broken, Call, Client, UpstreamClient};
+use fernroute_server::transport::outbound::AttemptState;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,14 +43,14 @@
     address
 }
 
-async fn call(line: &Line, path: &str) -> Result<Answered, Broken> {
+async fn call(line: &UpstreamClient, path: &str) -> Result<Answered, Broken> {
     let uri = format!("http://{}{path}", line.address);
     let body = Body::Whole(Bytes::new());
     let call = Call { verb: Method::POST, uri, headers: HeaderMap::new(), body, fresh: false };
-    line.call(call, &Course::of(None, &Rc::default())).await
+    line.call(call, &AttemptState::of(None, &Rc::default())).await
 }
 
-async fn body_of(line: &Line, path: &str) -> String {
+async fn body_of(line: &UpstreamClient, path: &str) -> String {
     let answered = call(line, path).await.unwrap_or_else(|why| panic!("{path}: {why}"));
     let (_, body) = answered.whole().await.expect("a whole answer");
     String::from_utf8_lossy(&body).into_owned()
@@ -63,7 +63,7 @@
 fn what_is_sent_while_the_end_of_a_long_answer_is_handed_on_gets_its_own_answer() {
     run(async {
         let client = Client::new(Duration::from_secs(1), Duration::from_secs(10), 8, 1 << 20);
-        let line = Rc::new(client.line(upstream().await));
+        let line = Rc::new(client.upstream(upstream().await));
         let answered = call(&line, "/long").await.unwrap_or_else(|why| panic!("{why}"));
         let mut rest = answered.rest.expect("a long answer has a rest");
         let mut came = answered.first.len();
@@ -91,7 +91,7 @@
 fn a_long_answer_whose_end_has_come_leaves_its_connection_to_the_next() {
     run(async {
         let client = Client::new(Duration::from_secs(1), Duration::from_secs(10), 8, 1 << 20);
-        let line = client.line(upstream().await);
+        let line = client.upstream(upstream().await);
         let answered = call(&line, "/long").await.unwrap_or_else(|why| panic!("{why}"));
         let mut rest = answered.rest.expect("a long answer has a rest");
         let mut came = answered.first.len();
--- a/crates/fernroute-server/tests/relay.rs
+++ b/crates/fernroute-server/tests/relay.rs
@@ -4,8 +4,8 @@
 
 use common::{ask, balancer, balancer_at, ok, read, rested, rpc, run, say, send, stand_in, until, Deed};
 use fernroute_server::protocol::answer::Final;
-use fernroute_server::transport::outbound::{Course, Reached, COURSE};
-use fernroute_server::transport::seats::Seats;
+use fernroute_server::transport::connections::ConnectionTable;
+use fernroute_server::transport::outbound::{AttemptState, Reached, CURRENT_ATTEMPT};
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
@@ -347,23 +347,23 @@
 fn a_body_counts_as_written_with_its_last_byte() {
     run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let course = Rc::<Course>::default();
+        let attempt = Rc::<AttemptState>::default();
         let body = vec![b'x'; 32 << 20];
         let write = async {
-            let mut out = Seats::new(1, 0)
+            let mut out = ConnectionTable::new(1, 0)
                 .connect(listener.local_addr().expect("an address"), Weak::new())
                 .await
                 .expect("room");
             assert_eq!(out.write(&body).await.expect("it takes bytes"), body.len());
             let early = tokio::time::timeout(Duration::from_millis(50), out.flush()).await;
-            assert!(early.is_err() && course.reached() == Reached::Connected);
+            assert!(early.is_err() && attempt.reached() == Reached::Connected);
             let (mut reader, _) = listener.accept().await.expect("a connection");
             let read = actix_rt::spawn(async move { reader.read_exact(&mut vec![0; 32 << 20]).await });
             out.flush().await.expect("it is read");
-            assert_eq!(course.reached(), Reached::Written);
+            assert_eq!(attempt.reached(), Reached::Written);
             read.await.expect("it reads").expect("all of it");
         };
-        COURSE.scope(Rc::clone(&course), write).await;
+        CURRENT_ATTEMPT.scope(Rc::clone(&attempt), write).await;
     });
 }
 
--- a/crates/fernroute-server/tests/repeats.rs
+++ b/crates/fernroute-server/tests/repeats.rs
@@ -9,7 +9,7 @@
 use fernroute_rig::http::answer;
 use fernroute_rig::stand_in::Held;
 use fernroute_server::transport::client::{Body, Call, Client};
-use fernroute_server::transport::outbound::{Course, Reached};
+use fernroute_server::transport::outbound::{AttemptState, Reached};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -80,16 +80,16 @@
                 taken
             });
             let client = Client::new(Duration::from_secs(1), Duration::from_secs(10), 8, BODY);
-            let course = Course::of(None, &Rc::default());
-            course.bar_after(left);
+            let attempt = AttemptState::of(None, &Rc::default());
+            attempt.bar_after(left);
             let body = Body::Whole(Bytes::from(vec![b'x'; BODY]));
             let uri = format!("http://{address}/put");
             let call = Call { verb: Method::POST, uri, headers: HeaderMap::new(), body, fresh: true };
-            let answered = client.line(address).call(call, &course).await;
+            let answered = client.upstream(address).call(call, &attempt).await;
             let taken = upstream.await.expect("the upstream ends");
             assert_eq!((answered.is_ok(), taken >= BODY), (is_whole, is_whole), "{taken} bytes");
             assert_eq!(
-                course.reached() >= Reached::Written,
+                attempt.reached() >= Reached::Written,
                 is_whole,
                 "it is known to be whole, or not to be"
             );
--- a/crates/fernroute-server/tests/sizes.rs
+++ b/crates/fernroute-server/tests/sizes.rs
@@ -28,9 +28,9 @@
         let none: [SocketAddr; 0] = [];
         let b = serve::start(common::station(&none, discovery.address, &[])).await.expect("it starts");
         until(|| b.board.standing().0 == MANY).await;
-        assert_eq!(b.board.lines.borrow().len(), MANY);
+        assert_eq!(b.board.upstreams.borrow().len(), MANY);
         discovery.tell(many("DRAINING").join(","));
-        until(|| b.board.lines.borrow().is_empty()).await;
+        until(|| b.board.upstreams.borrow().is_empty()).await;
     });
 }
 
@@ -41,7 +41,7 @@
         let none: [SocketAddr; 0] = [];
         let b = balancer_at(&none, &[]).await;
         b.board.take_list(&list(8, true, &many("SERVING")), true);
-        let lines = b.board.lines.borrow();
+        let lines = b.board.upstreams.borrow();
         let discovery = SocketAddr::from(([127, 0, 0, 1], 1));
         let known = Known::of(discovery, Some(8), lines.values().map(|(entry, _)| entry));
         let line = encode(&known);
--- a/crates/fernroute-server/tests/told.rs
+++ b/crates/fernroute-server/tests/told.rs
@@ -154,7 +154,7 @@
 }
 
 fn is_taken(b: &Running) -> bool {
-    let lines = b.board.lines.borrow();
+    let lines = b.board.upstreams.borrow();
     lines.contains_key("s-9") && !lines.contains_key("s-0")
 }
 
--- a/crates/fernroute-steward/src/commands/duties.rs
+++ b/crates/fernroute-steward/src/commands/duties.rs
@@ -91,11 +91,8 @@
     let mut out =
         format!("{}: {} leads, highest term {}\n\n", status.cluster, status.leader, status.highest_term);
     // Writing to a text does not fail.
-    let _ = writeln!(
-        out,
-        "{:<24} {:<24} {:>8} {:>10} {:>8}  {}",
-        "duty", "holder", "term", "held s", "left s", "note"
-    );
+    let _ =
+        writeln!(out, "{:<24} {:<24} {:>8} {:>10} {:>8}  note", "duty", "holder", "term", "held s", "left s");
     for line in &status.duties {
         let _ = writeln!(out, "{}", row(line));
     }
