--- a/crates/fernroute-server/tests/connections.rs
+++ b/crates/fernroute-server/tests/connections.rs
@@ -5,13 +5,15 @@
 use actix_http::header::HeaderMap;
 use actix_http::Method;
 use bytes::Bytes;
-use common::run;
+use common::{ask, balancer_at, entry, list, rpc, run};
 use fernroute_rig::http::{answer, Peer};
 use fernroute_server::transport::client::{Answered, Body, Broken, Call, Client, UpstreamClient};
 use fernroute_server::transport::outbound::AttemptState;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
 
 /// Longer than what is held of an answer before it is handed on, short enough that the machine takes it at once.
@@ -105,3 +107,111 @@
         assert_eq!(client.connections(), 1, "the one that is kept");
     });
 }
+
+/// Longer than what the machine holds of an answer that its caller takes slowly; its end comes with its last bytes.
+const SLOWLY_TAKEN: usize = 400_000;
+
+/// Slow callers, one after another at so many places.
+const PLACES: usize = 5;
+const EACH: usize = 8;
+
+/// What two upstreams had and did not turn away: the keys of RPCs that ran, by the upstream.
+type Ran = Rc<RefCell<[Vec<String>; 2]>>;
+
+/// One in a zone of its own: `/look/long` has a long answer, every other RPC is turned away at the one, and runs at the other.
+async fn zoned(n: usize, ran: Ran) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let count = Rc::new(Cell::new(0_usize));
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (ran, count) = (Rc::clone(&ran), Rc::clone(&count));
+            actix_rt::spawn(async move {
+                let mut connection = Peer::new(stream);
+                while let Ok(Some(message)) = connection.read().await {
+                    let said = if message.target == "/look/long" {
+                        answer(200, "", &"x".repeat(SLOWLY_TAKEN))
+                    } else {
+                        tokio::time::sleep(WORK / 3).await;
+                        count.set(count.get() + 1);
+                        let key = message.header("idempotency-key").unwrap_or_default().to_owned();
+                        if n == 0 && count.get().is_multiple_of(4) {
+                            answer(503, "Srv-Declined: 1\r\n", "")
+                        } else {
+                            ran.borrow_mut()[n].push(key.clone());
+                            answer(200, "", &key)
+                        }
+                    };
+                    let _ = connection.write(&said).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Reads a long answer in small steps, at so many bytes each millisecond.
+async fn take_slowly(balancer: SocketAddr, step: usize) {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(16 * 1024).expect("a size");
+    let mut stream = socket.connect(balancer).await.expect("it accepts");
+    let asked = rpc("GET", "/look/long", "Connection: close\r\n");
+    stream.write_all(asked.as_bytes()).await.expect("it is read");
+    let mut piece = vec![0; step];
+    let mut came = 0;
+    while let Ok(bytes) = stream.read(&mut piece).await {
+        if bytes == 0 {
+            break;
+        }
+        came += bytes;
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    assert!(came >= SLOWLY_TAKEN, "a whole answer");
+}
+
+/// Guards against the effect twice: where the connection goes to another RPC while the end of a long answer is handed on, an RPC
+/// that ran is told that it was turned away, as another one was, and runs again outside the group that drops its repeats.
+#[test]
+fn what_ran_beside_slow_callers_of_long_answers_is_not_sent_again_for_the_answer_of_another() {
+    run(async {
+        let ran: Ran = Rc::default();
+        let at = [zoned(0, Rc::clone(&ran)).await, zoned(1, Rc::clone(&ran)).await];
+        let b = balancer_at(&at, &[(r#""group":"all""#, r#""group":"zone""#)]).await;
+        let zones = [entry("s-0", at[0], "z", "SERVING"), entry("s-1", at[1], "y", "SERVING")];
+        b.board.take_list(&list(8, true, &zones), true);
+        // Accepted connections have the same: with the usual megabytes a slow caller holds up the end of few answers.
+        let listener = b.server.listener().expect("it listens");
+        rustix::net::sockopt::set_socket_send_buffer_size(&listener, 16 * 1024).expect("a size");
+        let place = |place: usize| {
+            let address = b.address;
+            actix_rt::spawn(async move {
+                for _ in 0..EACH {
+                    take_slowly(address, 1_500 + 500 * place).await;
+                }
+            })
+        };
+        let slow: Vec<_> = (0..PLACES).map(place).collect();
+        let mut others = Vec::new();
+        let mut n = 0;
+        while !slow.iter().all(|task| task.is_finished()) {
+            n += 1;
+            let (address, key) = (b.address, format!("k{n}"));
+            others.push(actix_rt::spawn(async move {
+                let headers = format!("Idempotency-Key: {key}\r\nContent-Length: 0\r\nConnection: close\r\n");
+                let said = ask(address, rpc("POST", "/put", &headers)).await;
+                assert!(
+                    said.status() != 200 || said.body == key.as_bytes(),
+                    "{key} has the answer of another"
+                );
+            }));
+            tokio::time::sleep(Duration::from_millis(3)).await;
+        }
+        for other in others {
+            other.await.expect("its own answer");
+        }
+        let [one, two] = &*ran.borrow();
+        let both: Vec<&String> = one.iter().filter(|key| two.contains(key)).collect();
+        assert!(both.is_empty(), "{both:?} ran twice, in two groups");
+        assert!(one.len() > 10, "{} ran at the one", one.len());
+    });
+}
