--- a/crates/fernroute-steward/src/door.rs
+++ b/crates/fernroute-steward/src/door.rs
@@ -25,7 +25,7 @@
 const HEAD: Duration = Duration::from_secs(5);
 
 /// A message of a member: its name, what it wants of 1,024 budgets with the longest names, and as many duties.
-const MOST_BEAT: usize = 256 << 10;
+pub const MOST_BEAT: usize = 256 << 10;
 
 /// The longest content as JSON, every character of it escaped, and what stands round it.
 const MOST_PUT: usize = 6 * MOST_CONTENT + MOST_BEAT;
--- a/crates/fernroute-steward/tests/fleet.rs
+++ b/crates/fernroute-steward/tests/fleet.rs
@@ -4,6 +4,7 @@
 
 use common::{beat_until, near_all, run, until, Asks, Stewards, WHOLE};
 use fernroute_fleet::message::BEAT;
+use fernroute_steward::door::MOST_BEAT;
 use fernroute_steward::keep::Status;
 use std::process::Command;
 
@@ -120,7 +121,7 @@
             (BEAT, envelope("other", 1, "{}"), 409, "this is the cluster c"),
             (BEAT, envelope("c", 1, "{}"), 400, "name"),
             (BEAT, envelope("c", 1, beat), 400, "invalid"),
-            (BEAT, "x".repeat(70_000), 413, "over"),
+            (BEAT, "x".repeat(MOST_BEAT + 1), 413, "over"),
             ("/-/vote", envelope("c", 1, "{}"), 409, "this is the steward"),
             ("/-/none", String::new(), 404, "nothing"),
         ] {
