--- a/crates/fernroute-server/tests/connections.rs
+++ b/crates/fernroute-server/tests/connections.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use common::{ask, balancer_at, entry, list, rpc, run};
 use fernroute_rig::http::{answer, Peer};
-use fernroute_server::transport::client::{Answered, Body, Broken, Call, Client, UpstreamClient};
+use fernroute_server::transport::client::{Answered, Body, Broken, Call, Client, Rest, UpstreamClient};
 use fernroute_server::transport::outbound::AttemptState;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -58,6 +58,19 @@
     String::from_utf8_lossy(&body).into_owned()
 }
 
+/// A long answer of which all bytes are taken, its end with the last of them.
+async fn long_answer(line: &UpstreamClient) -> Rest {
+    let answered = call(line, "/long").await.unwrap_or_else(|why| panic!("{why}"));
+    let mut rest = answered.rest.expect("a long answer has a rest");
+    let mut came = answered.first.len();
+    while came < LONG {
+        // What is there, its end with it.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        came += rest.next(2 * LONG).await.expect("more of it").expect("more of it").len();
+    }
+    rest
+}
+
 /// Guards against one RPC's answer given to another, and against what follows from it: an RPC that is sent again since the
 /// answer to another one says that it was turned away. The end of a long answer comes with its last bytes; while a slow
 /// caller takes these, other RPCs are sent to the same upstream.
@@ -66,14 +79,7 @@
     run(async {
         let client = Client::new(Duration::from_secs(1), Duration::from_secs(10), 8, 1 << 20);
         let line = Rc::new(client.upstream(upstream().await));
-        let answered = call(&line, "/long").await.unwrap_or_else(|why| panic!("{why}"));
-        let mut rest = answered.rest.expect("a long answer has a rest");
-        let mut came = answered.first.len();
-        while came < LONG {
-            // What is there, its end with it.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            came += rest.next(2 * LONG).await.expect("more of it").expect("more of it").len();
-        }
+        let mut rest = long_answer(&line).await;
         let second = actix_rt::spawn({
             let line = Rc::clone(&line);
             async move { body_of(&line, "/second").await }
@@ -94,14 +100,7 @@
     run(async {
         let client = Client::new(Duration::from_secs(1), Duration::from_secs(10), 8, 1 << 20);
         let line = client.upstream(upstream().await);
-        let answered = call(&line, "/long").await.unwrap_or_else(|why| panic!("{why}"));
-        let mut rest = answered.rest.expect("a long answer has a rest");
-        let mut came = answered.first.len();
-        while came < LONG {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            came += rest.next(2 * LONG).await.expect("more of it").expect("more of it").len();
-        }
-        drop(rest);
+        drop(long_answer(&line).await);
         tokio::time::sleep(WORK / 5).await;
         assert_eq!(body_of(&line, "/next").await, "/next");
         assert_eq!(client.connections(), 1, "the one that is kept");
