An attempt that has left whole counts as written, also when its time is over by the flush

Found on rereading the bar on a repeat's last byte: poll_flush asked for the time also where nothing was left to write. An attempt whose bytes had all left in time, flushed after it, ended as Moot: said never to have run. A repeat alone has such a time, and the attempt before it may have run, so no rule hung on it; its answer was lost. The test fails without the mend.

--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -315,7 +315,10 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.may_go_on()?;
+        // Where all has left there is nothing to bar: guards against an attempt that is whole and passes for one that is not.
+        if !self.connection.left.borrow().is_empty() {
+            self.may_go_on()?;
+        }
         std::task::ready!(self.connection.write_left(cx))?;
         self.note(|attempt| {
             if !attempt.unfinished.get() {
--- a/crates/fernroute-server/tests/repeats.rs
+++ b/crates/fernroute-server/tests/repeats.rs
@@ -9,8 +9,9 @@
 use fernroute_rig::http::answer;
 use fernroute_rig::stand_in::Held;
 use fernroute_server::transport::client::{Body, Call, Client};
-use fernroute_server::transport::outbound::{AttemptState, Reached};
-use std::rc::Rc;
+use fernroute_server::transport::connections::ConnectionTable;
+use fernroute_server::transport::outbound::{AttemptState, Reached, CURRENT_ATTEMPT};
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
@@ -96,3 +97,25 @@
         });
     }
 }
+
+/// Guards against an attempt that is whole at its upstream and passes for one that is not: all of it left in time, and the time
+/// was over when that was to be noted.
+#[test]
+fn an_attempt_that_has_left_whole_in_time_counts_as_written_when_its_time_is_over() {
+    const LEFT: Duration = Duration::from_millis(100);
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let attempt = Rc::<AttemptState>::default();
+        attempt.bar_after(LEFT);
+        let write = async {
+            let table = ConnectionTable::new(1, 0);
+            let address = listener.local_addr().expect("an address");
+            let mut out = table.connect(address, Weak::new()).await.expect("room");
+            assert_eq!(out.write(b"all of it").await.expect("it takes bytes"), 9);
+            tokio::time::sleep(2 * LEFT).await;
+            out.flush().await.expect("nothing is left to bar");
+            assert_eq!(attempt.reached(), Reached::Written);
+        };
+        CURRENT_ATTEMPT.scope(Rc::clone(&attempt), write).await;
+    });
+}
