Placement of duties copies no table of candidates for each duty; an unused look is gone

Found on rereading: a copy of all candidates was made for each duty that is given out, where one of them may have to be left out.

--- a/crates/fernroute-fleet/src/duties/holder.rs
+++ b/crates/fernroute-fleet/src/duties/holder.rs
@@ -165,8 +165,4 @@
     pub fn resume(&mut self) {
         self.eligible = true;
     }
-
-    pub fn is_eligible(&self) -> bool {
-        self.eligible
-    }
 }
--- a/crates/fernroute-fleet/src/duties/leader.rs
+++ b/crates/fernroute-fleet/src/duties/leader.rs
@@ -239,8 +239,10 @@
             if duty.holder.is_some() && !ending.contains_key(name.as_str()) {
                 continue;
             }
-            let others = self.without_released(&held, name, table, &ending);
-            let Some(candidate) = choose(name, &others) else { continue };
+            let is_taken =
+                matches!(ending.get(name.as_str()), Some(EndReason::Operator | EndReason::Unanswered));
+            let before = duty.holder.as_ref().filter(|_| is_taken).map(|holder| holder.candidate);
+            let Some(candidate) = choose_another(name, &mut held, before) else { continue };
             let Some(known) = self.known.get(&candidate) else { continue };
             held.entry(candidate).and_modify(|count| *count += 1);
             grants.push(Grant { duty: name.clone(), candidate, name: known.name.clone() });
@@ -248,22 +250,6 @@
         grants
     }
 
-    /// Of a duty that was taken from a member, that member is a candidate only where it is the only one.
-    fn without_released(
-        &self,
-        held: &BTreeMap<Candidate, usize>,
-        duty: &str,
-        table: &Table,
-        ending: &BTreeMap<&str, EndReason>,
-    ) -> BTreeMap<Candidate, usize> {
-        let mut others = held.clone();
-        let is_taken = matches!(ending.get(duty), Some(EndReason::Operator | EndReason::Unanswered));
-        if is_taken && others.len() > 1 {
-            table.holder(duty).map(|holder| others.remove(&holder.candidate));
-        }
-        others
-    }
-
     /// Who may be given a duty: who says so, and was heard of within half of a lease. Guards against a duty that is given to
     /// a member that has just died.
     fn eligible(&self, now: Time) -> BTreeMap<Candidate, usize> {
@@ -289,3 +275,15 @@
         }
     }
 }
+
+/// Of a duty that was taken from a member, that member is a candidate only where it is the only one.
+fn choose_another(
+    duty: &str,
+    held: &mut BTreeMap<Candidate, usize>,
+    before: Option<Candidate>,
+) -> Option<Candidate> {
+    let others = before.filter(|_| held.len() > 1).and_then(|before| held.remove_entry(&before));
+    let chosen = choose(duty, held);
+    held.extend(others);
+    chosen
+}
