Review: the balancer's port comes from below those that the system gives away

Change: ports from 15,000 to 29,999 that can be bound; discovery answers its own path alone; a case brings its settings.

--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -55,6 +55,7 @@
         servers,
         memory_mb: MEMORY_MB,
         sockets: SOCKETS,
+        settings: BOGOTA_MAIN,
     });
     let mut balancer = start_balancer(&root, &folder, &deployment)?;
     record.say(&format!("balancer ready, {} kB resident", balancer.resident_kb().unwrap_or(0)));
@@ -87,7 +88,7 @@
         if !killed && resident_kb > MEMORY_MB * 1024 {
             killed = true;
             record.say(&format!("platform: {resident_kb} kB resident, the limit is {MEMORY_MB} MB: killed"));
-            balancer.signal("KILL");
+            let _ = balancer.child.kill();
         }
         if let Some(status) = balancer.has_ended().filter(|_| !killed) {
             record.say(&format!("the balancer ended by itself: {status}"));
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -82,6 +82,7 @@
         servers,
         memory_mb: 192,
         sockets: 1024,
+        settings: BOGOTA_MAIN,
     });
     let mut balancer = start_balancer(&root, &folder, &deployment)?;
     if request(&deployment, "first", 1 << 20, &record) {
@@ -114,7 +115,10 @@
         return Ok(BROKEN);
     }
     let lost = lost.load(Ordering::SeqCst);
-    record.say(&format!("{lost} of {} requests were sent whole and not answered by their time", ROUNDS * CLIENTS));
+    record.say(&format!(
+        "{lost} of {} requests were sent whole and not answered by their time",
+        ROUNDS * CLIENTS
+    ));
     Ok(if lost > 0 { BROKEN } else { HELD })
 }
 
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -54,8 +54,17 @@
     Some(line.split_once('"')?.1.rsplit_once('"')?.0.to_owned())
 }
 
+/// A free port below those that the system gives to listeners and connections without a port of their own: nobody else
+/// takes it before the balancer does.
 pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map(|a| a.port()).unwrap_or(0)
+    let mut number = std::process::id() as u64 ^ Instant::now().elapsed().as_nanos() as u64;
+    loop {
+        number = number.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let port = 15_000 + (number >> 33) as u16 % 15_000;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// A process that the case started; killed when dropped.
@@ -89,10 +98,6 @@
         self.child.id()
     }
 
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.id().to_string()).status();
-    }
-
     pub fn has_ended(&mut self) -> Option<String> {
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
     }
@@ -152,6 +157,10 @@
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some((start, _)) = read_head(&mut reader)? {
+        if !start.contains("/api/targets") {
+            writer.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")?;
+            continue;
+        }
         let body = match start.split_once("wait=") {
             None => format!("{{\"version\":1,\"full\":true,\"servers\":[{servers}]}}"),
             Some((_, wait)) => {
@@ -277,6 +286,16 @@
     Ok(Answer { status, body: String::from_utf8_lossy(&body).into_owned() })
 }
 
+/// The settings of a small deployment, with the classes and limits of the site `bogota-main`.
+pub const BOGOTA_MAIN: &str = r#""n-instances":1,"me":0,"layer":0,"zone":"bog-1","zones":["bog-1"],"quantum-s":0.005,
+  "methods":[
+   {"name":"feed-fetch","effect":"read_like","soft-deadline-s":2.5,"hard-deadline-s":6.0,"gain":1.0},
+   {"name":"episode-publish","effect":"idempotency_key","group":"cell","window-s":10.0,"soft-deadline-s":2.5,"hard-deadline-s":6.0,"gain":8.0},
+   {"name":"payout-run","effect":"non_idempotent","soft-deadline-s":2.5,"hard-deadline-s":6.0,"gain":5.0}],
+  "feedback":{"names":["avg_ms","err_rps","cpu"]},"membership-mode":"automatic",
+  "ceilings":{"max-transmissions":6,"cancel":true,"second-copies":true,"probes":true,"retry-after":true,"max-retry-after-s":2.0,"connect-timeout-s":0.25,"keepalive-s":30},
+  "contract":{"answer-slack-s":0.5,"drain-grace-s":0.3,"cold-from":0.32,"warm-within-s":8.7,"tip-multiple":2.5,"overload-for-s":3}"#;
+
 /// The balancer's configuration, as the deployment page describes it.
 pub struct Deployment {
     pub listen: SocketAddr,
@@ -284,6 +303,8 @@
     pub servers: String,
     pub memory_mb: u64,
     pub sockets: u64,
+    /// JSON of the settings, without the outer braces.
+    pub settings: &'static str,
 }
 
 impl Deployment {
@@ -293,21 +314,15 @@
             r#"{{"name":"n0","listen":"{}","discovery":"{}","seed":"{:016x}",
  "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},
  "known":{{"version":1,"full":true,"servers":[{}]}},
- "settings":{{"n-instances":1,"me":0,"layer":0,"zone":"bog-1","zones":["bog-1"],"quantum-s":0.005,
-  "methods":[
-   {{"name":"feed-fetch","effect":"read_like","soft-deadline-s":2.5,"hard-deadline-s":6.0,"gain":1.0}},
-   {{"name":"episode-publish","effect":"idempotency_key","group":"cell","window-s":10.0,"soft-deadline-s":2.5,"hard-deadline-s":6.0,"gain":8.0}},
-   {{"name":"payout-run","effect":"non_idempotent","soft-deadline-s":2.5,"hard-deadline-s":6.0,"gain":5.0}}],
-  "feedback":{{"names":["avg_ms","err_rps","cpu"]}},"membership-mode":"automatic",
-  "ceilings":{{"max-transmissions":6,"cancel":true,"second-copies":true,"probes":true,"retry-after":true,"max-retry-after-s":2.0,"connect-timeout-s":0.25,"keepalive-s":30}},
-  "contract":{{"answer-slack-s":0.5,"drain-grace-s":0.3,"cold-from":0.32,"warm-within-s":8.7,"tip-multiple":2.5,"overload-for-s":3}}}}}}
+ "settings":{{{}}}}}
 "#,
             self.listen,
             self.discovery,
-            std::process::id() as u64 * 0x9e37_79b9_7f4a_7c15 % 0xffff_ffff_ffff,
+            (std::process::id() as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15),
             self.memory_mb,
             self.sockets,
             self.servers,
+            self.settings,
         );
         std::fs::write(&path, text)?;
         Ok(path)
@@ -328,7 +343,8 @@
 pub fn start_balancer(root: &Path, folder: &Path, deployment: &Deployment) -> io::Result<Process> {
     let command = deploy_command(root, "run").ok_or(io::Error::other("no `run` in the deploy file"))?;
     let config = deployment.write(folder)?;
-    let variables = [("NODE_CONFIG", config.to_str().unwrap_or("")), ("TMPDIR", folder.to_str().unwrap_or(""))];
+    let variables =
+        [("NODE_CONFIG", config.to_str().unwrap_or("")), ("TMPDIR", folder.to_str().unwrap_or(""))];
     let process = Process::start(root, folder, &command, &variables, "balancer.log")?;
     let until = Instant::now() + Duration::from_secs(30);
     while Instant::now() < until {
