Count a long body's deadline from when its last byte may have been sent

Cause: the deadline began when the balancer read the last byte. While the upstream does not read, neither does the balancer; the rest lies in the sockets, and only UPSTREAM_STALL_TIMEOUT (5 s) ended the wait. Likewise the deadlines began again where the upstream read late and never answered.

Change: a body keeps the latest moment at which its last byte was certainly not sent (head received; all passed on and the socket empty; the rest longer than the sockets hold). A wait for the upstream ends 20 ms before the caller's time from there, and deadlines and the attempt's time-out count from there, also when the byte is read later. Time spent waiting for memory is taken off. The outcome stays that of the evidence: nothing whose last byte was not written counts as run, a body that has left in part is not sent again.

--- a/crates/fernroute-server/src/protocol/request.rs
+++ b/crates/fernroute-server/src/protocol/request.rs
@@ -3,6 +3,7 @@
 use super::names;
 use crate::memory::rpc::RpcMemory;
 use crate::memory::window::Window;
+use crate::transport::inbound::CallerConnection;
 use crate::transport::input_gate::InputGate;
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{Method, Payload, RequestHead, StatusCode, Uri};
@@ -11,7 +12,8 @@
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
 
 /// A body of up to this size is buffered whole, so that it can be sent again. Larger ones are streamed.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
@@ -62,6 +64,15 @@
     pub memory: Option<Rc<RpcMemory>>,
 }
 
+/// How long a caller waits.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerTime {
+    /// When the head of its request was received.
+    pub received_at: Instant,
+    /// How long it waits for the answer from its last byte on.
+    pub left: Duration,
+}
+
 /// A streamed body.
 pub struct Upload {
     /// Its beginning, kept until more of it has been forwarded.
@@ -74,6 +85,13 @@
     pub payload: RefCell<Payload>,
     /// Allows the library to read more of it.
     pub input: Rc<InputGate>,
+    /// The connection that it comes on.
+    caller: Weak<CallerConnection>,
+    /// The last byte was sent after this moment. The caller's time counts from the last byte, which may have been sent long
+    /// before it is read.
+    last_byte_after: Cell<Instant>,
+    /// How long the caller waits for the answer.
+    time_left: Duration,
     /// The body's declared length, if any.
     pub length: Option<u64>,
     /// Some of it has been forwarded and is no longer in memory.
@@ -92,14 +110,23 @@
 }
 
 impl Upload {
-    /// `input` is the gate of the connection that the body comes on.
-    pub fn new(payload: Payload, length: Option<u64>, input: Rc<InputGate>, window: Rc<Window>) -> Self {
+    /// `caller` is the connection that the body comes on, and `received_at` when its head was received.
+    pub fn new(
+        payload: Payload,
+        length: Option<u64>,
+        caller: &Rc<CallerConnection>,
+        window: Rc<Window>,
+        time: CallerTime,
+    ) -> Self {
         Upload {
+            caller: Rc::downgrade(caller),
+            last_byte_after: Cell::new(time.received_at),
+            time_left: time.left,
+            input: Rc::clone(caller.input_gate()),
             start: RefCell::default(),
             start_memory: Cell::new(0),
             window,
             payload: RefCell::new(payload),
-            input,
             length,
             consumed: Cell::new(false),
             completed_at: Cell::new(None),
@@ -128,6 +155,35 @@
         }
     }
 
+    /// More of the body was found to be missing when everything that had been received was passed on.
+    pub fn found_incomplete(&self) {
+        self.advance_last_byte(self.input.drained_at());
+    }
+
+    /// `bytes` have been passed on, and no more can be for the moment. If the rest is more than fits into the sockets on the way,
+    /// the last byte has not been sent.
+    pub fn found_stalled(&self, bytes: u64) {
+        let Some(caller) = self.caller.upgrade() else { return };
+        let is_rest_longer = |length: u64| length.saturating_sub(bytes) > caller.max_bytes_in_flight() as u64;
+        if self.length.is_some_and(is_rest_longer) {
+            self.advance_last_byte(Instant::now());
+        }
+    }
+
+    fn advance_last_byte(&self, after: Instant) {
+        self.last_byte_after.set(self.last_byte_after.get().max(after));
+    }
+
+    /// The earliest moment at which the last byte may have been sent.
+    pub fn last_byte_after(&self) -> Instant {
+        self.last_byte_after.get()
+    }
+
+    /// When the caller stops waiting for the answer, if it has sent its last byte as early as it may have.
+    pub fn deadline(&self) -> Instant {
+        self.last_byte_after.get() + self.time_left
+    }
+
     /// Whether another attempt can send the body from its beginning.
     pub fn can_be_sent(&self) -> bool {
         !self.consumed.get() && !self.failed.get()
--- a/crates/fernroute-server/src/routing/read_body.rs
+++ b/crates/fernroute-server/src/routing/read_body.rs
@@ -8,7 +8,7 @@
 use crate::memory::rpc::RpcMemory;
 use crate::memory::window::{Window, Windows};
 use crate::memory::{COPIES_OF_KEPT_BODY, SMALL_MESSAGE_BYTES};
-use crate::protocol::request::{InvalidRequest, Upload, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
+use crate::protocol::request::{CallerTime, InvalidRequest, Upload, MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use crate::transport::inbound::CallerConnection;
 use crate::transport::input_gate::MAX_INPUT_STEP_BYTES;
 use actix_http::{Payload, StatusCode};
@@ -18,6 +18,7 @@
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
 /// The body exceeds the limit for all bodies.
@@ -38,6 +39,8 @@
     pub upload: Option<Rc<Upload>>,
     /// The memory of the RPC.
     pub memory: Option<Rc<RpcMemory>>,
+    /// How long the request has waited for memory.
+    pub waited: Duration,
 }
 
 /// Why a body can't be received.
@@ -60,31 +63,39 @@
     if length.is_some_and(|length| length > MAX_BODY_BYTES) {
         return Err(BodyError::Invalid(TOO_LARGE));
     }
-    let mut reader = BodyReader { payload, caller, received: BytesMut::new() };
+    let time = CallerTime { received_at: Instant::now(), left: duration(time_left) };
+    let mut reader = BodyReader { payload, caller, received: BytesMut::new(), time };
     let is_whole = reader.read_received()?;
     if is_whole || length.is_some_and(|length| length <= SMALL_MESSAGE_BYTES as u64) {
         let has_body = !is_whole || !reader.received.is_empty();
         let memory = RpcMemory::reserve_short(windows.budget(), has_body);
-        let memory = wait_for_memory(caller, time_left, memory).await?;
+        let Granted { memory, waited } = wait_for_memory(caller, time_left, memory).await?;
         reader.read(SMALL_MESSAGE_BYTES, SMALL_MESSAGE_BYTES).await?;
-        return Ok(Body { bytes: reader.received.freeze(), upload: None, memory: Some(memory) });
+        return Ok(Body { bytes: reader.received.freeze(), upload: None, memory: Some(memory), waited });
     }
     if length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64) {
-        let window = wait_for_memory(caller, time_left, windows.open_for_request()).await?;
-        return Ok(reader.into_upload(length, window, 0));
+        let granted = wait_for_memory(caller, time_left, windows.open_for_request()).await?;
+        return Ok(reader.into_upload(length, granted, 0));
     }
     let kept = length.map_or(MAX_BUFFERED_BODY_BYTES, |length| length as usize);
     let kept_memory = COPIES_OF_KEPT_BODY * kept;
     let Some(window) = windows.try_open_for_request(kept_memory) else {
-        let window = wait_for_memory(caller, time_left, windows.open_for_request()).await?;
-        return Ok(reader.into_upload(length, window, 0));
+        let granted = wait_for_memory(caller, time_left, windows.open_for_request()).await?;
+        return Ok(reader.into_upload(length, granted, 0));
     };
     reader.received.reserve(kept.saturating_sub(reader.received.len()));
     if reader.read(MAX_BUFFERED_BODY_BYTES, MAX_INPUT_STEP_BYTES).await? {
         let memory = Some(RpcMemory::of_window(window));
-        return Ok(Body { bytes: reader.received.freeze(), upload: None, memory });
+        return Ok(Body { bytes: reader.received.freeze(), memory, ..Body::default() });
     }
-    Ok(reader.into_upload(length, window, kept_memory))
+    let granted = Granted { memory: window, waited: Duration::ZERO };
+    Ok(reader.into_upload(length, granted, kept_memory))
+}
+
+/// Memory that had to be waited for.
+struct Granted<M> {
+    memory: M,
+    waited: Duration,
 }
 
 /// Waits for memory within the time that a caller waits for its answer. Nothing is read from the caller meanwhile.
@@ -92,16 +103,19 @@
     caller: &Rc<CallerConnection>,
     time_left: Time,
     reservation: impl Future<Output = M>,
-) -> Result<M, BodyError> {
+) -> Result<Granted<M>, BodyError> {
     let _pause = caller.pause_request();
+    let started = Instant::now();
     let wait = timeout(duration(time_left / WAIT_DIVISOR), reservation);
-    wait.await.map_err(|_| BodyError::NoMemory)
+    let memory = wait.await.map_err(|_| BodyError::NoMemory)?;
+    Ok(Granted { memory, waited: started.elapsed() })
 }
 
 struct BodyReader<'a> {
     payload: Payload,
-    caller: &'a CallerConnection,
+    caller: &'a Rc<CallerConnection>,
     received: BytesMut,
+    time: CallerTime,
 }
 
 impl BodyReader<'_> {
@@ -136,14 +150,15 @@
         .await
     }
 
-    fn into_upload(self, length: Option<u64>, window: Rc<Window>, kept_memory: usize) -> Body {
-        let input = Rc::clone(self.caller.input_gate());
-        let upload = Upload::new(self.payload, length, input, Rc::clone(&window))
+    fn into_upload(self, length: Option<u64>, granted: Granted<Rc<Window>>, kept_memory: usize) -> Body {
+        let Granted { memory: window, waited } = granted;
+        let upload = Upload::new(self.payload, length, self.caller, Rc::clone(&window), self.time)
             .with_start(self.received.freeze(), kept_memory);
         Body {
             bytes: Bytes::new(),
             upload: Some(Rc::new(upload)),
             memory: Some(RpcMemory::of_window(window)),
+            waited,
         }
     }
 }
--- a/crates/fernroute-server/src/routing/receive.rs
+++ b/crates/fernroute-server/src/routing/receive.rs
@@ -1,5 +1,6 @@
 //! Receives messages from callers, and rejects those that are not valid RPCs.
 
+use super::clock;
 use super::dispatcher::Dispatcher;
 use super::read_body::{self, Body, BodyError, TOO_LARGE};
 use super::relay;
@@ -64,6 +65,7 @@
         return pending().await;
     }
     let upload = body.upload.clone();
+    request.time_left = request.time_left.saturating_sub(clock::tenths(body.waited));
     (request.body, request.upload, request.memory) = (body.bytes, body.upload, body.memory);
     let mut answer = match dispatcher.admit(request, Some(caller)).await {
         Ok(answer) => answer,
--- a/crates/fernroute-server/src/routing/route.rs
+++ b/crates/fernroute-server/src/routing/route.rs
@@ -1,6 +1,6 @@
 //! Starts the task of an attempt on the selected upstream: its address, number and timer.
 
-use super::clock::duration;
+use super::clock::{self, duration};
 use super::dispatcher::{Dispatcher, OpenAttempt};
 use super::send::AttemptPlan;
 use super::timers::TimerEvent;
@@ -49,18 +49,23 @@
 
     /// The last byte of a streamed request has been received: starts the timeouts of its attempts.
     pub(super) fn request_complete(self: &Rc<Self>, rpc: &Rc<str>) {
+        let mut last_byte_at = self.clock.now();
         if let Some(entry) = self.open.borrow_mut().get_mut(rpc) {
             let Some(upload) = entry.request.upload.as_ref().filter(|u| u.completed_at.get().is_none())
             else {
                 return;
             };
-            upload.completed_at.set(Some(self.clock.now()));
+            let now = self.clock.now();
+            upload.completed_at.set(Some(now));
+            // The caller's time has been running since it sent the last byte.
+            let waited = clock::tenths(upload.last_byte_after().elapsed());
+            last_byte_at = now.saturating_sub(waited);
             for (number, out) in entry.attempts.iter_mut().filter(|(_, out)| out.stop.is_some()) {
                 let event = TimerEvent::AttemptTimeout { rpc: Rc::clone(rpc), number: *number };
-                out.timer = Some(self.timers.set(out.timeout, event));
+                out.timer = Some(self.timers.set(out.timeout.saturating_sub(waited), event));
             }
         }
-        self.decide(None, |b, now| b.rpc_fully_received(now, rpc));
+        self.decide(None, |b, _| b.rpc_fully_received(last_byte_at, rpc));
     }
 
     /// Stops a running attempt; its own task reports the outcome.
--- a/crates/fernroute-server/src/routing/upload.rs
+++ b/crates/fernroute-server/src/routing/upload.rs
@@ -17,10 +17,12 @@
 /// How long a caller may pause within a body. Even a very slow connection delivers some data each second.
 const CALLER_STALL_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// How long an upstream may stop reading a body, because it is full or stalled. The caller is answered after that, well
-/// before its own timeout.
+/// How long an upstream may stop reading a body, because it is full or stalled, if its caller waits as long.
 const UPSTREAM_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The caller is answered this much before it stops waiting.
+const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
 pub struct UploadBody {
     dispatcher: Rc<Dispatcher>,
     rpc: Rc<str>,
@@ -31,6 +33,8 @@
     bytes_passed: u64,
     /// Expires when no data has moved for the stall timeout.
     stall_timer: Pin<Box<Sleep>>,
+    /// Data has moved since the timer was started.
+    has_progressed: bool,
     /// Whether the caller, not the upstream, is being waited for.
     waits_for_caller: bool,
 }
@@ -50,13 +54,15 @@
             upload: Rc::clone(upload),
             bytes_passed: 0,
             stall_timer: Box::pin(sleep(UPSTREAM_STALL_TIMEOUT)),
+            has_progressed: true,
             waits_for_caller: false,
         }
     }
 
     /// Waits for the caller to send or for the upstream to read. Returns an error once the stall timeout has expired.
     fn wait(&mut self, cx: &mut Context<'_>, for_caller: bool) -> Poll<Option<Result<Bytes, io::Error>>> {
-        if std::mem::replace(&mut self.waits_for_caller, for_caller) != for_caller {
+        let has_changed = std::mem::replace(&mut self.waits_for_caller, for_caller) != for_caller;
+        if has_changed || std::mem::take(&mut self.has_progressed) {
             self.restart_stall_timer(for_caller);
         }
         std::task::ready!(self.stall_timer.as_mut().poll(cx));
@@ -66,13 +72,22 @@
         Poll::Ready(Some(Err(io::Error::new(io::ErrorKind::TimedOut, reason))))
     }
 
+    /// While the upstream does not read, nothing is read from the caller, who may have sent its last byte: the wait ends with
+    /// the caller's time.
     fn restart_stall_timer(&mut self, for_caller: bool) {
-        let time = if for_caller { CALLER_STALL_TIMEOUT } else { UPSTREAM_STALL_TIMEOUT };
-        self.stall_timer.as_mut().reset(Instant::now() + time);
+        let now = Instant::now();
+        let expires = if for_caller {
+            now + CALLER_STALL_TIMEOUT
+        } else {
+            self.upload.found_stalled(self.bytes_passed);
+            let deadline = Instant::from_std(self.upload.deadline());
+            (now + UPSTREAM_STALL_TIMEOUT).min(deadline.checked_sub(ANSWER_MARGIN).unwrap_or(now))
+        };
+        self.stall_timer.as_mut().reset(expires);
     }
 
     fn pass(&mut self, bytes: Bytes) -> Poll<Option<Result<Bytes, io::Error>>> {
-        self.restart_stall_timer(self.waits_for_caller);
+        self.has_progressed = true;
         self.bytes_passed += bytes.len() as u64;
         if self.bytes_passed > MAX_BODY_BYTES {
             self.upload.failed.set(true);
@@ -117,6 +132,7 @@
         let next = Pin::new(&mut *self.upload.payload.borrow_mut()).poll_next(cx);
         match next {
             Poll::Pending => {
+                self.upload.found_incomplete();
                 self.upload.input.allow(chunk_size);
                 self.wait(cx, true)
             }
--- a/crates/fernroute-server/src/transport/inbound.rs
+++ b/crates/fernroute-server/src/transport/inbound.rs
@@ -7,6 +7,7 @@
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use futures_util::FutureExt as _;
 use rustix::io::Errno;
+use rustix::net::sockopt::socket_recv_buffer_size;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -28,6 +29,9 @@
 /// disconnected.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The largest send buffer of a caller's socket, the default of Linux.
+const MAX_SEND_BUFFER_BYTES: usize = 4 << 20;
+
 /// State of a caller's connection, shared by the server, the stream and the open requests.
 #[derive(Debug)]
 pub struct CallerConnection {
@@ -296,10 +300,24 @@
             read_ahead.take(limit, buf);
             return Poll::Ready(Ok(()));
         }
-        self.with(|stream| {
+        let read = self.with(|stream| {
             let mut limited = stream.get_mut().take(limit as u64);
             Pin::new(&mut limited).poll_read(cx, buf)
-        })
+        });
+        if read.is_pending() {
+            self.input_gate.record_drained();
+        }
+        read
+    }
+
+    /// How many bytes the caller may have sent that the library has not got: those in the sockets on both sides, and those that
+    /// were read ahead.
+    pub fn max_bytes_in_flight(&self) -> usize {
+        let receive_buffer = match &*self.stream.borrow() {
+            Some(stream) => socket_recv_buffer_size(stream).unwrap_or(usize::MAX / 2),
+            None => 0,
+        };
+        receive_buffer + MAX_SEND_BUFFER_BYTES + ReadAhead::MAX_BYTES
     }
 
     /// Reads what the library may not have yet, to see whether the caller has closed the connection behind it.
--- a/crates/fernroute-server/src/transport/input_gate.rs
+++ b/crates/fernroute-server/src/transport/input_gate.rs
@@ -10,6 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::task::{Context, Waker};
+use std::time::Instant;
 
 /// A long head is in memory this many times: in the library's buffer, which grows by doubling, and in the attempt's.
 const COPIES_OF_HEAD: usize = 3;
@@ -42,6 +43,8 @@
     refused: Cell<bool>,
     /// Wakes the task that waits for permission.
     waker: RefCell<Option<Waker>>,
+    /// When a read last found nothing more: all that the caller had sent before has been given to the library.
+    drained_at: Cell<Instant>,
     /// For a head that is not small. Returned when its request has ended.
     head: RefCell<Option<Reservation>>,
     /// None on connections without a limit.
@@ -60,6 +63,7 @@
             used_up: Cell::new(false),
             refused: Cell::new(false),
             waker: RefCell::default(),
+            drained_at: Cell::new(Instant::now()),
             head: RefCell::default(),
             budget: budget.cloned(),
             _reservation: budget.map(|budget| budget.reserve_connection(CALLER_CONNECTION_BYTES)),
@@ -92,6 +96,16 @@
         self.allowed.set(self.allowed.get().saturating_sub(bytes));
     }
 
+    /// A read has found nothing more.
+    pub fn record_drained(&self) {
+        self.drained_at.set(Instant::now());
+    }
+
+    /// When a read last found nothing more.
+    pub fn drained_at(&self) -> Instant {
+        self.drained_at.get()
+    }
+
     /// Allows up to `bytes` more of a body. Called when all that was read of it has been taken from the library.
     pub fn allow(&self, bytes: usize) {
         self.allowed.set(bytes.min(MAX_INPUT_STEP_BYTES));
--- a/crates/fernroute-server/src/transport/read_ahead.rs
+++ b/crates/fernroute-server/src/transport/read_ahead.rs
@@ -23,6 +23,9 @@
     /// The size of a block.
     pub const BLOCK_BYTES: usize = 32 * 1024;
 
+    /// How many bytes may be read ahead.
+    pub const MAX_BYTES: usize = MAX_BLOCKS * Self::BLOCK_BYTES;
+
     pub fn is_empty(&self) -> bool {
         self.blocks.is_empty()
     }
--- a/crates/fernroute/src/balancer.rs
+++ b/crates/fernroute/src/balancer.rs
@@ -651,10 +651,11 @@
         self.close(&Id::from(id));
     }
 
-    /// The last byte of an RPC arrived that was forwarded while it was still being received: its deadlines count from now.
-    pub fn rpc_fully_received(&mut self, now: Time, id: &str) {
+    /// The last byte of an RPC arrived that was forwarded while it was still being received. Its deadlines count from `sent_at`,
+    /// the earliest time at which its caller may have sent that byte.
+    pub fn rpc_fully_received(&mut self, sent_at: Time, id: &str) {
         if let Some(rpc) = self.rpcs.get_mut(id) {
-            rpc.restart_deadlines(now);
+            rpc.restart_deadlines(sent_at);
         }
     }
 
--- a/crates/fernroute/src/rpcs.rs
+++ b/crates/fernroute/src/rpcs.rs
@@ -42,9 +42,10 @@
         self.attempts.iter().find(|attempt| !attempt.outcome.is_some_and(Outcome::never_ran))
     }
 
-    /// Moves all deadlines by the time between the first and the last byte.
-    pub(crate) fn restart_deadlines(&mut self, now: Time) {
-        let delay = now - std::mem::replace(&mut self.arrived_at, now);
+    /// Moves all deadlines by the time between the first and the last byte, which was sent at `sent_at`.
+    pub(crate) fn restart_deadlines(&mut self, sent_at: Time) {
+        let delay = sent_at.saturating_sub(self.arrived_at);
+        self.arrived_at += delay;
         self.soft_deadline += delay;
         self.hard_deadline += delay;
         self.response_deadline += delay;
