Stream a held answer through the window that it already has

What could happen: an answer of more than 64 KiB whose beginning was held had a window, and waited for a second one before it was passed on: its memory had been handed over, and the attempt no longer knew of the first. Several such answers could wait for each other until their attempts timed out. Found by reading the change; not seen in a run of the balancer.

Change: the attempt keeps its window, and holding returns the memory directly (no state that is taken out later, no size that could grow in steps).

Evidence: held_answer_is_streamed_through_its_own_window.

--- a/crates/fernroute-server/src/transport/client.rs
+++ b/crates/fernroute-server/src/transport/client.rs
@@ -277,7 +277,8 @@
         };
         let is_short = length.is_some_and(|n| n <= MAX_BUFFERED_ANSWER as u64);
         let mut body_start = BytesMut::new();
-        let mut has_memory = false;
+        let mut memory = None;
+        let mut is_held = false;
         let mut held_until: Option<Instant> = None;
         loop {
             let next = match held_until {
@@ -291,14 +292,12 @@
                 Some(chunk) => {
                     let chunk = chunk.map_err(|e| e.to_string())?;
                     body_start.extend_from_slice(&chunk);
-                    if body_start.len() > SMALL_MESSAGE_BYTES && !has_memory {
+                    if body_start.len() > SMALL_MESSAGE_BYTES && !is_held {
                         let kept =
                             length.map_or(MAX_BUFFERED_ANSWER, |n| MAX_BUFFERED_ANSWER.min(n as usize));
-                        has_memory = attempt.try_hold_answer(kept);
-                        if !has_memory {
-                            // The answer is passed on in small parts.
-                            break;
-                        }
+                        // Without memory the answer is passed on in small parts.
+                        let Ok(held) = attempt.try_hold_answer(kept) else { break };
+                        (memory, is_held) = (held, true);
                         body_start.reserve((kept + READ_BYTES).saturating_sub(body_start.len()));
                     }
                 }
@@ -308,7 +307,7 @@
                         head,
                         body_start: body_start.freeze(),
                         remaining: None,
-                        memory: attempt.take_held_answer(),
+                        memory,
                     });
                 }
             }
@@ -326,7 +325,6 @@
             end: None,
             attempt: Rc::clone(attempt),
         };
-        let memory = attempt.take_held_answer();
         Ok(UpstreamAnswer { head, body_start: body_start.freeze(), remaining: Some(remaining), memory })
     }
 }
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -8,7 +8,7 @@
 use crate::memory::window::Window;
 use actix_rt::net::{ActixStream, Ready};
 use bytes::BytesMut;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -57,7 +57,7 @@
     /// The upstream answered before it had received the whole body.
     pub answered_early: Cell<bool>,
     /// The memory for the answer; `None` for the balancer's own requests, whose answers are not limited.
-    answer_memory: RefCell<Option<Rc<AnswerMemory>>>,
+    answer_memory: OnceCell<AnswerMemory>,
     /// Number of attempts whose last byte has been written, over all attempts.
     written_attempts: Rc<Cell<u64>>,
 }
@@ -81,19 +81,18 @@
         self.progress.get()
     }
 
-    /// Reserves the answer in `memory`.
+    /// Reserves the answer in `memory`. Called once, before the attempt begins.
     pub fn set_answer_memory(&self, memory: AnswerMemory) {
-        self.answer_memory.replace(Some(Rc::new(memory)));
+        let _ = self.answer_memory.set(memory);
     }
 
-    /// Whether `bytes` of the answer may be held in all before it is passed on.
-    pub fn try_hold_answer(&self, bytes: usize) -> bool {
-        self.answer_memory.borrow().as_ref().is_none_or(|memory| memory.try_hold(bytes))
-    }
-
-    /// Hands over the memory of the held part of the answer.
-    pub fn take_held_answer(&self) -> Option<HeldAnswer> {
-        self.answer_memory.borrow().as_ref().and_then(|memory| memory.take_held())
+    /// Reserves memory to hold `bytes` of the answer before it is passed on. None where answers are not limited.
+    ///
+    /// # Errors
+    /// When there is no room.
+    pub fn try_hold_answer(&self, bytes: usize) -> Result<Option<HeldAnswer>, OutOfMemory> {
+        let Some(memory) = self.answer_memory.get() else { return Ok(None) };
+        memory.try_hold(bytes).map(Some).ok_or(OutOfMemory)
     }
 
     /// The window for a streamed answer, once there is memory for it.
@@ -101,8 +100,7 @@
     /// # Errors
     /// When others need the memory that the attempt holds meanwhile, or it has none.
     pub async fn answer_window(&self) -> Result<Rc<Window>, OutOfMemory> {
-        let memory = self.answer_memory.borrow().clone().ok_or(OutOfMemory)?;
-        memory.window().await
+        self.answer_memory.get().ok_or(OutOfMemory)?.window().await
     }
 
     /// Limits how many bytes of the answer are read at a time.
--- a/crates/fernroute-server/tests/memory_budget.rs
+++ b/crates/fernroute-server/tests/memory_budget.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::run;
+use fernroute_server::memory::answer::AnswerMemory;
 use fernroute_server::memory::budget::{max_caller_connections, MemoryBudget, Purpose};
 use fernroute_server::memory::window::{Windows, CHUNKS_PER_BODY};
 use fernroute_server::memory::CALLER_CONNECTION_BYTES;
@@ -163,3 +164,23 @@
     // A third of the most descriptors that deployments have are clients' connections with requests.
     assert!(connections.len() >= 1024 / 3, "{}", connections.len());
 }
+
+/// An answer of this size is held whole.
+const HELD_ANSWER_BYTES: usize = 64 << 10;
+
+/// Guards against an answer that waits for a second window while it holds the first: several could wait for each other.
+#[test]
+fn held_answer_is_streamed_through_its_own_window() {
+    run(async {
+        let windows = Windows::new(MemoryBudget::new(8 * MIB, 0));
+        let memory = AnswerMemory::reserve(&windows, None).await;
+        let _held = memory.try_hold(HELD_ANSWER_BYTES).expect("there is room");
+        let mut others = Vec::new();
+        while let Some(window) = windows.open_for_request().now_or_never() {
+            others.push(window);
+        }
+        let held_before = windows.budget().held();
+        assert!(memory.window().now_or_never().is_some());
+        assert_eq!(windows.budget().held(), held_before);
+    });
+}
