Count the attempt after one that exchanged its memory for a window

What could happen: an RPC returns its memory for a short attempt when its answer gets a window. Found by reading the change.

Change: the RPC lends only what it has; otherwise the attempt reserves.

--- a/crates/fernroute-server/src/memory/rpc.rs
+++ b/crates/fernroute-server/src/memory/rpc.rs
@@ -36,6 +36,13 @@
         self.short.take();
     }
 
+    /// Lends the memory for one attempt at a time, if there is any left.
+    fn lend(self: &Rc<Self>) -> Option<AttemptMemory> {
+        let has_memory = self.window.is_some() || self.short.borrow().is_some();
+        let is_free = has_memory && !self.is_lent.replace(true);
+        is_free.then(|| AttemptMemory::Lent(Rc::clone(self)))
+    }
+
     /// The window of a long request.
     pub fn window(&self) -> Option<&Rc<Window>> {
         self.window.as_ref()
@@ -52,16 +59,15 @@
 }
 
 impl AttemptMemory {
-    /// The memory for an attempt of this RPC. Waits only if another attempt of the RPC is running.
+    /// The memory for an attempt of this RPC. Waits only if another attempt of the RPC is running, or the RPC has returned its
+    /// memory for an answer that failed.
     pub async fn reserve(budget: &Rc<MemoryBudget>, rpc: Option<&Rc<RpcMemory>>) -> Self {
-        if let Some(rpc) = rpc.filter(|rpc| !rpc.is_lent.replace(true)) {
-            return AttemptMemory::Lent(Rc::clone(rpc));
+        if let Some(lent) = rpc.and_then(|rpc| rpc.lend()) {
+            return lent;
         }
         AttemptMemory::Own(budget.reserve(Purpose::Short, ATTEMPT_BYTES).await)
     }
-}
 
-impl AttemptMemory {
     /// Returns the memory of a short RPC, whose answer has a window now.
     pub fn release_short(&self) {
         match self {
--- a/crates/fernroute-server/tests/memory_budget.rs
+++ b/crates/fernroute-server/tests/memory_budget.rs
@@ -5,8 +5,9 @@
 use common::run;
 use fernroute_server::memory::answer::AnswerMemory;
 use fernroute_server::memory::budget::{max_caller_connections, MemoryBudget, Purpose};
+use fernroute_server::memory::rpc::RpcMemory;
 use fernroute_server::memory::window::{Windows, CHUNKS_PER_BODY};
-use fernroute_server::memory::CALLER_CONNECTION_BYTES;
+use fernroute_server::memory::{ATTEMPT_BYTES, CALLER_CONNECTION_BYTES};
 use futures_util::FutureExt as _;
 use proptest::prelude::*;
 use std::rc::Rc;
@@ -184,3 +185,18 @@
         assert_eq!(windows.budget().held(), held_before);
     });
 }
+
+/// Guards against an attempt whose memory is not counted because an earlier one, whose answer failed, had exchanged it for a
+/// window.
+#[test]
+fn attempt_after_a_failed_long_answer_is_counted() {
+    run(async {
+        let windows = Windows::new(MemoryBudget::new(8 * MIB, 0));
+        let rpc = RpcMemory::reserve_short(windows.budget(), false).await;
+        let first = AnswerMemory::reserve(&windows, Some(&rpc)).await;
+        drop(first.try_hold(HELD_ANSWER_BYTES).expect("there is room"));
+        drop(first);
+        let _second = AnswerMemory::reserve(&windows, Some(&rpc)).await;
+        assert_eq!(windows.budget().held(), ATTEMPT_BYTES);
+    });
+}
