Let the next one in when a waiter for memory leaves the queue

What could happen: requests wait for memory in order, and ask for different amounts. If the first gave up (its caller left, or its time was over), those behind it, for whom there was room, went on waiting until somebody returned memory, with everything stalled up to their own time limit. Found by reading.

Change: leaving the queue grants what there is room for. The wait begins with the same call in place of a copy of its last part.

Evidence: next_in_the_queue_is_granted_when_the_first_leaves; a trial of it against the code before failed.

--- a/crates/fernroute-server/src/memory/budget.rs
+++ b/crates/fernroute-server/src/memory/budget.rs
@@ -175,11 +175,11 @@
         if !account.has_waiters() && self.has_room(purpose, bytes) {
             return Ok(self.take(purpose, bytes));
         }
+        // Declared first: it runs once the place in the queue is given up.
+        let _grant_others = GrantOnDrop(self);
         let (granted, reservation) = oneshot::channel();
         account.waiters.borrow_mut().push_back(Waiter { bytes, granted, yields });
-        if self.short.has_waiters() {
-            self.end_yielding_waiter();
-        }
+        self.grant();
         reservation.await.map_err(|_| OutOfMemory)
     }
 
@@ -240,7 +240,8 @@
         self.grant();
     }
 
-    /// Grants the reservations at the front of the queues for which there is room.
+    /// Grants the reservations at the front of the queues for which there is room. If short RPCs still wait, one of those that
+    /// yield gives up.
     fn grant(self: &Rc<Self>) {
         for purpose in [Purpose::Short, Purpose::Long] {
             while let Some(waiter) = self.next_waiter_with_room(purpose) {
@@ -263,6 +264,15 @@
     }
 }
 
+/// Whoever leaves the queue may have kept those behind waiting.
+struct GrantOnDrop<'a>(&'a Rc<MemoryBudget>);
+
+impl Drop for GrantOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.grant();
+    }
+}
+
 /// Reserved bytes, returned when dropped.
 #[derive(Debug)]
 pub struct Reservation {
--- a/crates/fernroute-server/tests/memory_budget.rs
+++ b/crates/fernroute-server/tests/memory_budget.rs
@@ -79,6 +79,20 @@
     });
 }
 
+/// Guards against memory that nobody gets: who leaves the front of the queue may have been the only one without room.
+#[test]
+fn next_in_the_queue_is_granted_when_the_first_leaves() {
+    run(async {
+        let budget = MemoryBudget::new(PROCESS_BYTES, 0);
+        let _some = budget.reserve(Purpose::Long, 1000).await;
+        let mut first = Box::pin(budget.reserve(Purpose::Long, 900));
+        let mut second = Box::pin(budget.reserve(Purpose::Long, 100));
+        assert!((&mut first).now_or_never().is_none() && (&mut second).now_or_never().is_none());
+        drop(first);
+        assert!(second.now_or_never().is_some());
+    });
+}
+
 /// Guards against long messages that leave no memory to short RPCs, and against short RPCs that leave none to long messages:
 /// they would wait for each other where their answers are long.
 #[test]
