End as many waits of long answers as a short RPC needs, not more

What could happen: while a short RPC waited for memory, each return of any memory, even of nothing with each chunk of a stream, ended the wait of one more long answer, although one that gives up returns enough. The attempts of the others failed for nothing.

Change: a short RPC that begins to wait ends as many waits as hold what it needs, and a long answer does not begin to wait while one waits.

--- a/crates/fernroute-server/src/memory/budget.rs
+++ b/crates/fernroute-server/src/memory/budget.rs
@@ -7,7 +7,7 @@
 //! a long one gives up as soon as other short RPCs need it. *Optional* reservations never wait: where they fail, a
 //! message is passed on in smaller parts. They leave room for the others, and fail while somebody waits.
 
-use super::CALLER_CONNECTION_BYTES;
+use super::{ATTEMPT_BYTES, CALLER_CONNECTION_BYTES};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -175,18 +175,25 @@
         if !account.has_waiters() && self.has_room(purpose, bytes) {
             return Ok(self.take(purpose, bytes));
         }
+        if yields && self.short.has_waiters() {
+            return Err(OutOfMemory);
+        }
         // Declared first: it runs once the place in the queue is given up.
         let _grant_others = GrantOnDrop(self);
         let (granted, reservation) = oneshot::channel();
         account.waiters.borrow_mut().push_back(Waiter { bytes, granted, yields });
-        self.grant();
+        if purpose == Purpose::Short {
+            self.end_yielding_waiters(bytes);
+        }
         reservation.await.map_err(|_| OutOfMemory)
     }
 
-    /// Ends the wait of the one who has waited least of those who yield.
-    fn end_yielding_waiter(&self) {
+    /// Ends the waits of as many as hold `bytes` meanwhile, of those who yield: first of those who have waited least.
+    fn end_yielding_waiters(&self, bytes: usize) {
         let mut waiters = self.long.waiters.borrow_mut();
-        if let Some(last) = waiters.iter().rposition(|waiter| waiter.yields && !waiter.granted.is_closed()) {
+        for _ in 0..bytes.div_ceil(ATTEMPT_BYTES) {
+            let last = waiters.iter().rposition(|waiter| waiter.yields && !waiter.granted.is_closed());
+            let Some(last) = last else { return };
             waiters.remove(last);
         }
     }
@@ -240,8 +247,7 @@
         self.grant();
     }
 
-    /// Grants the reservations at the front of the queues for which there is room. If short RPCs still wait, one of those that
-    /// yield gives up.
+    /// Grants the reservations at the front of the queues for which there is room.
     fn grant(self: &Rc<Self>) {
         for purpose in [Purpose::Short, Purpose::Long] {
             while let Some(waiter) = self.next_waiter_with_room(purpose) {
@@ -249,9 +255,6 @@
                 let _ = waiter.granted.send(self.take(purpose, waiter.bytes));
             }
         }
-        if self.short.has_waiters() {
-            self.end_yielding_waiter();
-        }
     }
 
     fn next_waiter_with_room(&self, purpose: Purpose) -> Option<Waiter> {
--- a/crates/fernroute-server/tests/memory_budget.rs
+++ b/crates/fernroute-server/tests/memory_budget.rs
@@ -180,6 +180,34 @@
     assert!(connections.len() >= 1024 / 3, "{}", connections.len());
 }
 
+/// Guards against answers that are given up in vain: one that gives up returns enough for one short RPC.
+#[test]
+fn as_many_long_answers_give_up_as_short_rpcs_need() {
+    run(async {
+        let budget = MemoryBudget::new(MIB, 0);
+        let mut long = vec![budget.reserve(Purpose::Long, budget.limit() / 8).await];
+        let mut short = Vec::new();
+        while let Some(reservation) = budget.reserve(Purpose::Short, ATTEMPT_BYTES).now_or_never() {
+            short.push(reservation);
+        }
+        while let Some(reservation) = budget.reserve(Purpose::Long, 1024).now_or_never() {
+            long.push(reservation);
+        }
+        let mut answers = [0, 1, 2].map(|_| Box::pin(budget.reserve_yielding(2 * ATTEMPT_BYTES)));
+        assert!(answers.iter_mut().all(|answer| answer.now_or_never().is_none()));
+        let mut waiting = Box::pin(budget.reserve(Purpose::Short, ATTEMPT_BYTES));
+        assert!((&mut waiting).now_or_never().is_none());
+        // Little is returned, which changes nothing for those who wait.
+        drop(long.pop());
+        let ends = answers.each_mut().map(|answer| answer.now_or_never().map(|end| end.is_err()));
+        assert_eq!(ends, [None, None, Some(true)]);
+        // Another answer does not begin to wait meanwhile.
+        assert!(budget.reserve_yielding(2 * ATTEMPT_BYTES).now_or_never().is_some_and(|end| end.is_err()));
+        drop(short.pop());
+        assert!(waiting.now_or_never().is_some());
+    });
+}
+
 /// An answer of this size is held whole.
 const HELD_ANSWER_BYTES: usize = 64 << 10;
 
