Read ahead only while a request is open, not before its head is decoded

What was seen: failed_upload_ends_early hung in 1 of 14 and, beside others of its kind, 2 of 96 runs (a caller that leaves in its long body was counted nowhere: taken 2, left 0).

Cause: where the first read ended within a body, the pause in which the library decodes the head was treated like the wait of an open RPC, so up to 256 KiB were read ahead, sometimes to the end of the connection. The RPC was then dropped before it was accepted.

Change: that pause is a case of its own, and nothing is read in it.

--- a/crates/fernroute-server/src/transport/inbound.rs
+++ b/crates/fernroute-server/src/transport/inbound.rs
@@ -417,6 +417,10 @@
                 connection.poll_read_ahead(cx);
                 return Poll::Pending;
             }
+            Permission::Decode => {
+                connection.input_drained.set(false);
+                return Poll::Pending;
+            }
             Permission::Refused => {
                 connection.force_close();
                 return Poll::Pending;
--- a/crates/fernroute-server/src/transport/input_gate.rs
+++ b/crates/fernroute-server/src/transport/input_gate.rs
@@ -25,6 +25,8 @@
     Granted(usize),
     /// Wait: the task is woken when more may be read.
     Wait,
+    /// Read nothing before the library has decoded what it has: the task is woken for that.
+    Decode,
     /// There is no memory for the rest of the head.
     Refused,
 }
@@ -85,7 +87,7 @@
         if !self.used_up.replace(true) {
             // What has been read may contain a whole head that is not decoded yet.
             cx.waker().wake_by_ref();
-            return Permission::Wait;
+            return Permission::Decode;
         }
         self.used_up.set(false);
         self.extend_head()
--- a/crates/fernroute-server/tests/caller_departures.rs
+++ b/crates/fernroute-server/tests/caller_departures.rs
@@ -278,6 +278,28 @@
     }
 }
 
+/// Guards against callers that are counted nowhere because the balancer reads to the end of their connection before it accepts
+/// the RPC whose head lies before that end.
+#[test]
+fn callers_of_long_rpcs_that_leave_at_once_are_counted() {
+    const CALLERS: u64 = 20;
+    /// More than the sockets on the way pass on unread, and less than what is read ahead.
+    const BODY_BYTES: usize = 200_000;
+    run(async {
+        let up = start_stub(|_, _| Reply::NoReply).await;
+        let b = balancer(&[&up], &[]).await;
+        let more = format!("Idempotency-Key: k\r\nContent-Length: {BODY_BYTES}\r\n");
+        for left in 1..=CALLERS {
+            // Without a turn of the event loop: everything is in the sockets before the balancer reads.
+            let mut caller = std::net::TcpStream::connect(b.address).expect("connect to the balancer");
+            let request = rpc_head("POST", "/put", &more) + &"x".repeat(BODY_BYTES);
+            std::io::Write::write_all(&mut caller, request.as_bytes()).expect("write the request");
+            drop(caller);
+            wait_until(|| b.dispatcher.metrics().left == left && b.dispatcher.open.borrow().is_empty()).await;
+        }
+    });
+}
+
 /// Guards against an RPC that runs on for seconds after its caller has left: an end of the connection behind unread bytes must be
 /// detected even while no attempt starts.
 #[test]
