--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -42,7 +42,10 @@
                 all.push((Instant::now(), id));
                 all.len()
             };
-            case.note(&format!("{id} gets attempt {number} of {rpc}, {} ms left", request.header("req-deadline-ms")));
+            case.note(&format!(
+                "{id} gets attempt {number} of {rpc}, {} ms left",
+                request.header("req-deadline-ms")
+            ));
             let reply = if number == 1 {
                 thread::sleep(QUEUED);
                 answer("503 Service Unavailable", "Srv-Declined: 1\r\n", "")
@@ -70,7 +73,9 @@
     case.wait_until_ready(listen);
     let mut left = Vec::new();
     for number in 0..CLIENTS {
-        let Some(mut connection) = Connection::open(listen) else { case.cannot_run("the balancer accepts nobody") };
+        let Some(mut connection) = Connection::open(listen) else {
+            case.cannot_run("the balancer accepts nobody")
+        };
         let rpc = format!("c{number}");
         connection.send(
             format!(
@@ -91,7 +96,9 @@
         }
         thread::sleep(QUEUED / 4);
         drop(connection);
-        case.note(&format!("{rpc} has sent its request and {sent} bytes behind it, and has closed its connection"));
+        case.note(&format!(
+            "{rpc} has sent its request and {sent} bytes behind it, and has closed its connection"
+        ));
         left.push((rpc, Instant::now()));
         pause(400);
     }
@@ -102,7 +109,9 @@
         let Some(all) = attempts.get(rpc) else { case.cannot_run("a request reached no upstream") };
         for (begun, upstream) in all.iter().filter(|(begun, _)| *begun > *closed + GONE) {
             let after = (*begun - *closed).as_millis();
-            breaks.push(format!("payout-run {rpc} reached {upstream} {after} ms after its client had closed its connection"));
+            breaks.push(format!(
+                "payout-run {rpc} reached {upstream} {after} ms after its client had closed its connection"
+            ));
         }
     }
     case.end(&breaks, &format!("{} clients have left", left.len()));
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -80,7 +80,8 @@
 
 fn main() {
     let case = Case::start(7);
-    let entries: Vec<String> = ["s-1", "s-2", "s-3", "s-4"].map(|id| list_entry(id, upstream(), "bog-1")).to_vec();
+    let entries: Vec<String> =
+        ["s-1", "s-2", "s-3", "s-4"].map(|id| list_entry(id, upstream(), "bog-1")).to_vec();
     let known = list(&entries);
     let agent = discovery(entries);
     let (listen, ops) = (free_address(), [free_address(), free_address()]);
@@ -104,7 +105,10 @@
         peak_alone = resident_kib(old).max(peak_alone);
         pause(20);
     }
-    case.note(&format!("one process: {peak_alone} KiB at the most, {} answers begun", served.load(Ordering::SeqCst)));
+    case.note(&format!(
+        "one process: {peak_alone} KiB at the most, {} answers begun",
+        served.load(Ordering::SeqCst)
+    ));
     if peak_alone > MEMORY_MB << 10 {
         case.cannot_run("one process alone takes more than its memory");
     }
--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -7,8 +7,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{channel, Sender};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -73,7 +73,10 @@
         for line in breaks {
             self.note(&format!("BROKEN {line}"));
         }
-        self.finish(i32::from(!breaks.is_empty()), &format!("{summary}; breaks of the rule: {}", breaks.len()))
+        self.finish(
+            i32::from(!breaks.is_empty()),
+            &format!("{summary}; breaks of the rule: {}", breaks.len()),
+        )
     }
 
     pub fn cannot_run(&self, why: &str) -> ! {
@@ -467,7 +470,11 @@
 
 /// An upstream that answers at once.
 pub fn quick_upstream() -> SocketAddr {
-    serve(|mut connection| while connection.read().is_some() && connection.send(&answer("200 OK", "", "looked")) {})
+    serve(
+        |mut connection| {
+            while connection.read().is_some() && connection.send(&answer("200 OK", "", "looked")) {}
+        },
+    )
 }
 
 /// The term under which a balancer says that it holds the duty.
