--- a/crates/fernroute-server/src/routing/receive.rs
+++ b/crates/fernroute-server/src/routing/receive.rs
@@ -60,7 +60,8 @@
         (Err(error), _) | (_, Err(BodyError::Invalid(error))) => return reject(&error, caller),
     };
     if caller.has_disconnected() {
-        // The caller has disconnected; closing the connection drops this future.
+        // Counted as abandoned. Closing the connection drops this future.
+        drop(dispatcher.counters.accept(&request.method));
         caller.handle_disconnect();
         return pending().await;
     }
--- a/crates/fernroute-server/src/routing/send.rs
+++ b/crates/fernroute-server/src/routing/send.rs
@@ -9,6 +9,7 @@
 use crate::protocol::request::Request;
 use crate::transport::client::{AnswerStream, Body, UpstreamClient, UpstreamRequest};
 use crate::transport::outbound::{AttemptProgress, AttemptState};
+use crate::transport::presence::Presence;
 use actix_http::body::BoxBody;
 use fernroute::{Outcome, Time};
 use futures_util::future::{select, Either};
@@ -64,9 +65,14 @@
         let attempt = Rc::clone(&plan.attempt);
         let sending = self.send(&request, plan);
         let result = AssertUnwindSafe(sending).catch_unwind().await.unwrap_or(Err(Outcome::Unknown));
-        if attempt.is_caller_gone() {
-            // Before the outcome is reported, so that the balancer starts no further attempt.
-            self.abandon(&rpc);
+        // Before the outcome is reported, so that the balancer starts no further attempt.
+        match attempt.caller_presence() {
+            Presence::Connected => {}
+            Presence::Disconnected => self.abandon(&rpc),
+            Presence::Unknown => {
+                tracing::debug!("RPC {rpc}: its caller may have left unseen, it gets no further attempt");
+                self.decide(Some(&rpc), |b, _| b.forbid_attempts(&rpc));
+            }
         }
         // The upstream can work on a streamed request only from its last byte on.
         let completed_at = request.upload.as_ref().and_then(|upload| upload.completed_at.get());
@@ -128,7 +134,9 @@
                 tracing::debug!("RPC {} at {}: {error}", request.id, client.address);
                 let upload_failed = request.upload.as_ref().is_some_and(|upload| upload.failed.get());
                 Err(match error.progress {
-                    AttemptProgress::NotStarted if attempt.is_caller_gone() => Outcome::Cancelled,
+                    AttemptProgress::NotStarted if attempt.caller_presence() == Presence::Disconnected => {
+                        Outcome::Cancelled
+                    }
                     // No free connection, no time left or the RPC has ended: says nothing about the upstream.
                     AttemptProgress::NotStarted | AttemptProgress::Connected if attempt.held_back() => {
                         Outcome::NotSent
--- a/crates/fernroute-server/src/transport/inbound.rs
+++ b/crates/fernroute-server/src/transport/inbound.rs
@@ -1,34 +1,24 @@
 //! A caller's connection: whether a request is open on it, and when it may be closed.
 
-use super::input_gate::{InputGate, Permission};
-use super::peek;
+use super::input_gate::InputGate;
 use super::read_ahead::ReadAhead;
 use crate::memory::budget::MemoryBudget;
-use actix_rt::net::{ActixStream, Ready, TcpStream};
-use futures_util::FutureExt as _;
-use rustix::io::Errno;
+use actix_rt::net::TcpStream;
 use rustix::net::sockopt::socket_recv_buffer_size;
+use rustix::net::RecvFlags;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, Interest, ReadBuf};
+use tokio::io::{AsyncRead as _, AsyncReadExt as _, ReadBuf};
 use tokio::sync::Notify;
 use tokio_util::io::poll_read_buf;
 
-/// The HTTP library reads until nothing is left. After this many bytes it yields, so that other connections get their turn
-/// and what was read is handled.
-const MAX_READ_PER_TURN: usize = 16 * 1024;
-
 /// The first request follows its connection in much less than this, even on a busy machine.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(200);
 
-/// How long the result of a disconnect check is reused. An attempt must not begin more than 100 ms after its caller has
-/// disconnected.
-const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The largest send buffer of a caller's socket, the default of Linux.
 const MAX_SEND_BUFFER_BYTES: usize = 4 << 20;
 
@@ -38,7 +28,7 @@
     /// `None` once it is closed, or only the server uses it.
     pub(super) stream: RefCell<Option<TcpStream>>,
     /// How much the library may read.
-    input_gate: Rc<InputGate>,
+    pub(super) input_gate: Rc<InputGate>,
     /// What has been read and the library may not have yet.
     read_ahead: RefCell<ReadAhead>,
     /// Number of RPCs whose answer is not ready yet.
@@ -46,21 +36,21 @@
     /// A head has been received, and its body is being received.
     receiving_body: Cell<bool>,
     /// Bytes of an incomplete request have been received.
-    partial_request: Cell<bool>,
+    pub(super) partial_request: Cell<bool>,
     /// Bytes of an answer have not been sent, because the caller has not read enough.
-    unsent_answer: Cell<bool>,
+    pub(super) unsent_answer: Cell<bool>,
     /// A request has been received, valid or not.
     received_request: Cell<bool>,
     /// Since when it has been idle, or receiving a request.
-    state_since: Cell<Instant>,
+    pub(super) state_since: Cell<Instant>,
     /// When bytes were last received.
-    last_received_at: Cell<Instant>,
+    pub(super) last_received_at: Cell<Instant>,
     /// Bytes read in the current turn of the library.
-    read_in_turn: Cell<usize>,
+    pub(super) read_in_turn: Cell<usize>,
     /// The library's last read found the socket empty.
-    input_drained: Cell<bool>,
-    /// When the caller was last found to be connected.
-    last_connected_at: Cell<Option<Instant>>,
+    pub(super) input_drained: Cell<bool>,
+    /// When the caller was last seen to be connected; `None` if it may have disconnected before its connection was accepted.
+    pub(super) last_seen_at: Cell<Option<Instant>>,
     close_when_idle: Cell<bool>,
     /// It is to be closed to make room for another.
     evicted: Cell<bool>,
@@ -90,7 +80,7 @@
             last_received_at: Cell::new(Instant::now()),
             read_in_turn: Cell::new(0),
             input_drained: Cell::new(false),
-            last_connected_at: Cell::new(None),
+            last_seen_at: Cell::new(None),
             close_when_idle: Cell::new(false),
             evicted: Cell::new(false),
             request_expired: Cell::new(false),
@@ -103,10 +93,12 @@
 }
 
 impl CallerConnection {
-    /// What is read from the connection is reserved in `budget`.
-    pub fn new(stream: TcpStream, budget: &Rc<MemoryBudget>) -> Rc<Self> {
+    /// What is read from the connection is reserved in `budget`. `connected_at` is when its caller is known to have connected,
+    /// if it is.
+    pub fn new(stream: TcpStream, budget: &Rc<MemoryBudget>, connected_at: Option<Instant>) -> Rc<Self> {
         Rc::new(CallerConnection {
             stream: RefCell::new(Some(stream)),
+            last_seen_at: Cell::new(connected_at),
             input_gate: InputGate::new(Some(budget)),
             ..CallerConnection::default()
         })
@@ -129,10 +121,15 @@
     }
 
     /// No request is open: all that has been read since the last one belongs to the next head.
-    fn is_between_requests(&self) -> bool {
+    pub(super) fn is_between_requests(&self) -> bool {
         self.open_requests.get() == 0 && !self.receiving_body.get() && !self.unsent_answer.get()
     }
 
+    /// An RPC on it has no answer yet.
+    pub(super) fn has_open_request(&self) -> bool {
+        self.open_requests.get() > 0
+    }
+
     pub fn is_idle(&self) -> bool {
         self.open_requests.get() == 0 && !self.partial_request.get() && !self.unsent_answer.get()
     }
@@ -222,7 +219,7 @@
         }
     }
 
-    fn may_close(&self) -> bool {
+    pub(super) fn may_close(&self) -> bool {
         self.close_when_idle.get() && self.is_idle() && !self.expects_first_request()
     }
 
@@ -245,43 +242,6 @@
         self.close_after_answer.set(true);
     }
 
-    /// A stream that is gone counts as closed by the caller.
-    fn peek(&self) -> Result<usize, Errno> {
-        self.stream.borrow().as_ref().map_or(Ok(0), peek)
-    }
-
-    /// Whether the caller has closed the connection, or its sending side. Also detects this behind bytes that are not being
-    /// read, such as a body whose upstream is slow, or requests behind an open RPC.
-    pub fn has_disconnected(&self) -> bool {
-        let disconnected = match self.peek() {
-            Ok(0) => true,
-            Ok(_) => self.is_read_closed(),
-            Err(error) => [Errno::CONNRESET, Errno::PIPE, Errno::TIMEDOUT].contains(&error),
-        };
-        self.last_connected_at.set((!disconnected).then(Instant::now));
-        disconnected
-    }
-
-    /// The same for an attempt that is about to begin. Guards against an attempt whose caller has disconnected: the close
-    /// event may be handled one event-loop turn later, or lie behind unread bytes.
-    pub fn has_disconnected_cached(&self) -> bool {
-        self.last_connected_at.get().is_none_or(|at| at.elapsed() >= DISCONNECT_CHECK_INTERVAL)
-            && self.has_disconnected()
-    }
-
-    /// The same for a connection with an open RPC from which the library does not read. Guards against long work for a caller
-    /// that has disconnected.
-    pub fn has_disconnected_unread(&self) -> bool {
-        self.open_requests.get() > 0 && !self.input_drained.get() && self.has_disconnected()
-    }
-
-    /// The runtime has received the close event, even if unread bytes precede it.
-    fn is_read_closed(&self) -> bool {
-        let stream = self.stream.borrow();
-        let ready = stream.as_ref().and_then(|stream| stream.ready(Interest::READABLE).now_or_never());
-        ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
-    }
-
     /// The caller has disconnected: ends the connection and everything open on it. The library may never read up to the end.
     pub fn handle_disconnect(&self) {
         self.close_after_answer();
@@ -294,7 +254,12 @@
     }
 
     /// Reads up to `limit` bytes, first those that have been read ahead.
-    fn poll_read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>, limit: usize) -> Poll<io::Result<()>> {
+    pub(super) fn poll_read(
+        &self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+        limit: usize,
+    ) -> Poll<io::Result<()>> {
         let mut read_ahead = self.read_ahead.borrow_mut();
         if !read_ahead.is_empty() {
             read_ahead.take(limit, buf);
@@ -321,7 +286,7 @@
     }
 
     /// Reads what the library may not have yet, to see whether the caller has closed the connection behind it.
-    fn poll_read_ahead(&self, cx: &mut Context<'_>) {
+    pub(super) fn poll_read_ahead(&self, cx: &mut Context<'_>) {
         let Some(budget) = self.input_gate.budget() else { return };
         let mut read_ahead = self.read_ahead.borrow_mut();
         while let Some(block) = read_ahead.block(budget) {
@@ -333,7 +298,7 @@
             match read {
                 Poll::Ready(Ok(bytes)) if bytes > 0 => self.last_received_at.set(Instant::now()),
                 Poll::Ready(_) => {
-                    if self.open_requests.get() > 0 {
+                    if self.has_open_request() {
                         self.handle_disconnect();
                     }
                     break;
@@ -344,6 +309,26 @@
         read_ahead.trim();
     }
 
+    /// The same at once, for a check of the caller. The library's task is woken by the event for these bytes.
+    pub(super) fn read_ahead_now(&self) {
+        let Some(budget) = self.input_gate.budget() else { return };
+        let stream = self.stream.borrow();
+        let Some(stream) = &*stream else { return };
+        let mut read_ahead = self.read_ahead.borrow_mut();
+        while let Some(block) = read_ahead.block(budget) {
+            let length = block.len();
+            block.resize(ReadAhead::BLOCK_BYTES, 0);
+            let received = rustix::net::recv(stream, &mut block[length..], RecvFlags::DONTWAIT);
+            let received = received.map_or(0, |(_, bytes)| bytes);
+            block.truncate(length + received);
+            if received == 0 {
+                break;
+            }
+            self.last_received_at.set(Instant::now());
+        }
+        read_ahead.trim();
+    }
+
     /// A request has been received. It counts as open until the returned guard is dropped, when its answer is ready.
     pub fn begin_request(self: &Rc<Self>) -> RequestGuard {
         self.receiving_body.set(false);
@@ -360,7 +345,7 @@
         PauseGuard(Rc::clone(self))
     }
 
-    fn with<T>(
+    pub(super) fn with<T>(
         &self,
         operation: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
@@ -391,102 +376,3 @@
         self.0.record_progress();
     }
 }
-
-/// The stream that the HTTP library reads from and writes to.
-#[derive(Debug)]
-pub struct InboundStream {
-    pub connection: Rc<CallerConnection>,
-}
-
-impl AsyncRead for InboundStream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let connection = &self.connection;
-        if connection.closes_after_answer() {
-            return Poll::Pending;
-        }
-        if connection.read_in_turn.get() >= MAX_READ_PER_TURN {
-            connection.read_in_turn.set(0);
-            cx.waker().wake_by_ref();
-            return Poll::Pending;
-        }
-        let permission = connection.input_gate.poll_permission(cx, connection.is_between_requests());
-        let allowed = match permission {
-            Permission::Granted(bytes) => bytes,
-            Permission::Wait => {
-                connection.input_drained.set(false);
-                connection.poll_read_ahead(cx);
-                return Poll::Pending;
-            }
-            Permission::Decode => {
-                connection.input_drained.set(false);
-                return Poll::Pending;
-            }
-            Permission::Refused => {
-                connection.force_close();
-                return Poll::Pending;
-            }
-        };
-        let before = buf.filled().len();
-        let read = connection.poll_read(cx, buf, allowed);
-        connection.input_gate.record_read(buf.filled().len() - before);
-        match &read {
-            Poll::Ready(_) => {
-                connection.read_in_turn.set(connection.read_in_turn.get() + buf.filled().len() - before)
-            }
-            Poll::Pending => connection.read_in_turn.set(0),
-        }
-        connection.input_drained.set(read.is_pending());
-        match &read {
-            Poll::Ready(Ok(())) if buf.filled().len() > before => {
-                if connection.is_idle() {
-                    connection.state_since.set(Instant::now());
-                }
-                connection.last_received_at.set(Instant::now());
-                connection.partial_request.set(true);
-            }
-            // The readable event is still to come, and the library reads then.
-            Poll::Pending if connection.may_close() && connection.has_unread_input() => {}
-            // The socket is empty, so nothing is lost by closing here.
-            Poll::Pending if connection.may_close() => return Poll::Ready(Ok(())),
-            _ => {}
-        }
-        read
-    }
-}
-
-impl AsyncWrite for InboundStream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = self.connection.with(|stream| stream.poll_write(cx, buf));
-        if !self.connection.unsent_answer.replace(true) || written.is_ready() {
-            self.connection.record_progress();
-        }
-        written
-    }
-
-    /// The library flushes after it has written everything.
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = self.connection.with(|stream| stream.poll_flush(cx));
-        if self.connection.unsent_answer.replace(false) {
-            // Wakes the task that waits for the connection to be idle.
-            self.connection.wake.notify_one();
-        }
-        if self.connection.closes_after_answer() && flushed.is_ready() {
-            self.connection.force_close();
-        }
-        flushed
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.connection.with(|stream| stream.poll_shutdown(cx))
-    }
-}
-
-impl ActixStream for InboundStream {
-    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        self.connection.with(|stream| ActixStream::poll_read_ready(&*stream, cx))
-    }
-
-    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        self.connection.with(|stream| ActixStream::poll_write_ready(&*stream, cx))
-    }
-}
--- a/crates/fernroute-server/src/transport/outbound.rs
+++ b/crates/fernroute-server/src/transport/outbound.rs
@@ -2,6 +2,7 @@
 
 use super::framing::Framing;
 use super::inbound::CallerConnection;
+use super::presence::Presence;
 use super::upstream_connections::UpstreamConnection;
 use crate::memory::answer::{AnswerMemory, HeldAnswer};
 use crate::memory::budget::OutOfMemory;
@@ -50,8 +51,8 @@
     write_deadline: Cell<Option<Instant>>,
     /// The connection of the caller whose RPC this is; `None` for the balancer's own requests.
     caller: Option<Weak<CallerConnection>>,
-    /// The caller had disconnected before the first byte was written.
-    caller_gone: Cell<bool>,
+    /// What was known of the caller when the first byte was to be written.
+    caller_presence: Cell<Presence>,
     /// More of the body is to come: the last byte has not been written.
     pub body_incomplete: Cell<bool>,
     /// The upstream answered before it had received the whole body.
@@ -153,23 +154,25 @@
         Err(io::Error::other("write deadline passed before the last byte of the request"))
     }
 
-    /// Whether the attempt was not started because its caller had disconnected.
-    pub fn is_caller_gone(&self) -> bool {
-        self.caller_gone.get()
+    /// What was known of the caller when the attempt was to begin. It has begun only if the caller was connected.
+    pub fn caller_presence(&self) -> Presence {
+        self.caller_presence.get()
     }
 
     /// Whether the first byte may be written now. Examines the caller's socket itself, because its close event may be
-    /// handled one event-loop turn later, and turns can be long.
+    /// handled one event-loop turn later, and turns can be long. Nothing begins for a caller that may have been gone for long.
     pub(super) fn may_start(&self) -> bool {
         if let Some(caller) = &self.caller {
             let connection = caller.upgrade();
-            if connection.as_ref().is_none_or(|connection| connection.has_disconnected_cached()) {
-                self.caller_gone.set(true);
+            let presence = connection.as_ref().map_or(Presence::Disconnected, |c| c.presence_for_attempt());
+            if presence == Presence::Disconnected {
                 connection.iter().for_each(|connection| connection.handle_disconnect());
             }
+            self.caller_presence.set(presence);
         }
-        let may_start =
-            self.is_before_write_deadline() && !self.start_prevented.get() && !self.caller_gone.get();
+        let may_start = self.is_before_write_deadline()
+            && !self.start_prevented.get()
+            && self.caller_presence.get() == Presence::Connected;
         self.held_back.set(self.held_back.get() || !may_start);
         may_start
     }
--- a/crates/fernroute-server/src/transport/server.rs
+++ b/crates/fernroute-server/src/transport/server.rs
@@ -1,6 +1,7 @@
 //! The server for callers: accepts connections, limits their number and closes them.
 
-use super::inbound::{CallerConnection, InboundStream};
+use super::inbound::CallerConnection;
+use super::inbound_stream::InboundStream;
 use super::set_nodelay;
 use crate::memory::budget::MemoryBudget;
 use actix_http::body::BoxBody;
@@ -17,7 +18,7 @@
 use std::os::fd::{AsFd as _, OwnedFd};
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -131,19 +132,27 @@
         };
         let service = Rc::new(service);
         let mut failing = false;
+        // Whether the kernel's queue has been empty since this task last waited for something else: who is in it has just connected.
+        let is_queue_fresh = Cell::new(false);
         loop {
+            let connected_at = || is_queue_fresh.get().then(Instant::now);
             if self.closed.get() {
                 for stream in self.queued_connections() {
-                    self.spawn_connection(&service, stream);
+                    self.spawn_connection(&service, stream, connected_at());
                 }
                 return self.close();
             }
             if !self.accepting.get() || self.listener.borrow().is_none() {
+                is_queue_fresh.set(false);
                 self.accept_changed.notified().await;
                 continue;
             }
             let stream = std::future::poll_fn(|cx| match &*self.listener.borrow() {
-                Some(listener) => listener.poll_accept(cx).map(Some),
+                Some(listener) => {
+                    let accepted = listener.poll_accept(cx);
+                    is_queue_fresh.set(is_queue_fresh.get() || accepted.is_pending());
+                    accepted.map(Some)
+                }
                 None => std::task::Poll::Ready(None),
             });
             let accepted = match select(pin!(stream), pin!(self.accept_changed.notified())).await {
@@ -154,8 +163,10 @@
                 None => {}
                 Some(Ok((stream, _))) => {
                     failing = false;
-                    self.make_room().await;
-                    self.spawn_connection(&service, stream);
+                    let connected_at = connected_at();
+                    let has_waited = self.make_room().await;
+                    is_queue_fresh.set(is_queue_fresh.get() && !has_waited);
+                    self.spawn_connection(&service, stream, connected_at);
                 }
                 Some(Err(error)) => {
                     // Logged once for a series of failures: there can be a hundred a second.
@@ -163,6 +174,7 @@
                         tracing::warn!("accept: {error}");
                     }
                     self.handle_accept_error(&error);
+                    is_queue_fresh.set(false);
                     actix_rt::time::sleep(Duration::from_millis(10)).await;
                 }
             }
@@ -184,13 +196,13 @@
     }
 
     /// Registers a connection in the same turn in which it is accepted, so that shutdown waits for it, and starts its task.
-    fn spawn_connection<S>(self: &Rc<Self>, service: &Rc<S>, stream: TcpStream)
+    fn spawn_connection<S>(self: &Rc<Self>, service: &Rc<S>, stream: TcpStream, connected_at: Option<Instant>)
     where
         S: Service<(InboundStream, Option<SocketAddr>)> + 'static,
         S::Error: Display,
     {
         set_nodelay(&stream);
-        let connection = self.insert(stream);
+        let connection = self.insert(stream, connected_at);
         actix_rt::spawn(Rc::clone(self).serve_connection(Rc::clone(service), connection));
     }
 
@@ -242,8 +254,8 @@
         let _ = select(drain, pin!(timeout(LINGER, connection.eviction.notified()))).await;
     }
 
-    fn insert(&self, stream: TcpStream) -> Rc<CallerConnection> {
-        let connection = CallerConnection::new(stream, &self.memory);
+    fn insert(&self, stream: TcpStream, connected_at: Option<Instant>) -> Rc<CallerConnection> {
+        let connection = CallerConnection::new(stream, &self.memory, connected_at);
         if self.closing_idle.get() {
             connection.close_when_idle();
         }
@@ -252,12 +264,15 @@
     }
 
     /// Waits for room for an accepted connection. At the limit, evicts the longest idle connection, or the first to become
-    /// idle. During shutdown there is always room for connections already in the queue.
-    async fn make_room(&self) {
+    /// idle. During shutdown there is always room for connections already in the queue. Returns whether it had to wait.
+    async fn make_room(&self) -> bool {
+        let mut has_waited = false;
         while self.connections.borrow().len() >= self.max_connections.get() && !self.closed.get() {
             self.evict_idle(1);
             let _ = timeout(EVICTION_INTERVAL, self.ended.notified()).await;
+            has_waited = true;
         }
+        has_waited
     }
 
     /// Handles a failed accept. If this process has no descriptors left, its limit for connections was too high, and is
@@ -421,7 +436,7 @@
             let service = http_service(handle).new_service(()).await;
             let Ok(service) = service else { panic!("cannot start the HTTP service for callers") };
             let memory = MemoryBudget::new(1 << 20, 1);
-            Server::new(Some(listener), 1, &memory).spawn_connection(&Rc::new(service), stream);
+            Server::new(Some(listener), 1, &memory).spawn_connection(&Rc::new(service), stream, None);
             caller_end.set_nonblocking(true).expect("set non-blocking");
             let mut caller_end = tokio::net::UnixStream::from_std(caller_end).expect("register the stream");
             caller_end.write_all(b"GET / HTTP/1.1\r\nHost: n0\r\n\r\n").await.expect("write the request");
--- a/crates/fernroute/src/attempts.rs
+++ b/crates/fernroute/src/attempts.rs
@@ -44,7 +44,7 @@
 /// accepts attempts, and where an earlier attempt may have run, the method's idempotency allows a repeat there.
 pub(crate) fn is_permitted(rpc: &Rpc, upstream: &Upstream, settings: &ValidatedSettings, now: Time) -> bool {
     let is_exhausted = rpc.is_in_flight() || rpc.attempts.len() >= settings.max_attempts;
-    let is_over = rpc.answered || now >= rpc.hard_deadline;
+    let is_over = rpc.answered || rpc.attempts_forbidden || now >= rpc.hard_deadline;
     if is_over || is_exhausted || !upstream.accepts_attempts(&settings.slow_start, now) {
         return false;
     }
--- a/crates/fernroute/src/balancer.rs
+++ b/crates/fernroute/src/balancer.rs
@@ -409,7 +409,8 @@
         let mean = rpc.method.latency().mean;
         let cost = if rpc.first_that_may_have_run().is_none() { COST_AFTER_REJECTION } else { 1.0 };
         // The operators require that a retry is sent only if the time left exceeds its expected latency.
-        if !self.retry_tokens.covers(cost)
+        if rpc.attempts_forbidden
+            || !self.retry_tokens.covers(cost)
             || self.now as f64 + mean > rpc.response_deadline as f64
             || !self.shared_budgets.request_retry(self.now)
         {
@@ -505,6 +506,7 @@
             response_deadline,
             answered: false,
             queued: false,
+            attempts_forbidden: false,
             attempts: Vec::new(),
         };
         self.rpcs.insert(id.clone(), rpc);
@@ -651,6 +653,14 @@
         self.close(&Id::from(id));
     }
 
+    /// It can't be known whether the caller still waits: no further attempt is sent for the RPC, which gets its final answer once no
+    /// attempt is in flight.
+    pub fn forbid_attempts(&mut self, id: &str) {
+        if let Some(rpc) = self.rpcs.get_mut(id) {
+            rpc.attempts_forbidden = true;
+        }
+    }
+
     /// The last byte of an RPC arrived that was forwarded while it was still being received. Its deadlines count from `sent_at`,
     /// the earliest time at which its caller may have sent that byte.
     pub fn rpc_fully_received(&mut self, sent_at: Time, id: &str) {
--- a/crates/fernroute/src/rpcs.rs
+++ b/crates/fernroute/src/rpcs.rs
@@ -27,6 +27,8 @@
     pub(crate) answered: bool,
     /// Whether it waits until an upstream may take it.
     pub(crate) queued: bool,
+    /// Whether no further attempt may be sent, whatever its method allows.
+    pub(crate) attempts_forbidden: bool,
     /// In the order of sending.
     pub(crate) attempts: Vec<Attempt>,
 }
--- a/crates/fernroute/tests/failures.rs
+++ b/crates/fernroute/tests/failures.rs
@@ -731,6 +731,23 @@
     }
 }
 
+/// Guards against a further attempt where it can't be known whether the caller still waits, and against an RPC without a final answer.
+#[test]
+fn forbidden_attempts_end_an_rpc_by_what_the_earlier_ones_have_shown() {
+    for (outcome, is_rejected) in
+        [(Outcome::NotSent, true), (Outcome::Rejected, true), (Outcome::Reset, false)]
+    {
+        let (mut balancer, host) = balancer_with(6, &[]);
+        send_rpc(&mut balancer, &host, START, "unseen", "m2").expect("it is sent");
+        balancer.forbid_attempts("unseen");
+        balancer.attempt_ended(START + 100, "unseen", 0, outcome, 100, false, &[]);
+        let recorded = host.0.borrow();
+        assert_eq!(recorded.sent.len(), 1, "{outcome:?}");
+        let ends = (recorded.rejected.len(), recorded.failed.len());
+        assert_eq!(ends, if is_rejected { (1, 0) } else { (0, 1) }, "{outcome:?}");
+    }
+}
+
 /// Guards against wrong numbers for operators: of upstreams that the endpoint list names, and of those that get no RPCs.
 #[test]
 fn upstream_counts_include_listed_and_avoided() {
