--- a/crates/fernroute-server/src/memory/budget.rs
+++ b/crates/fernroute-server/src/memory/budget.rs
@@ -14,7 +14,7 @@
 use thiserror::Error;
 use tokio::sync::oneshot;
 
-/// One part in this many of the process's memory limit is for the program itself and its endpoint list, the rest for messages.
+/// One part in this many of the balancer's memory limit is for the program itself and its endpoint list, the rest for messages.
 const PROGRAM_DIVISOR: usize = 4;
 
 /// One part in this many of what connections leave is not available to optional reservations.
@@ -26,14 +26,14 @@
 /// Callers' connections take one part in this many of the budget at most.
 const CONNECTIONS_DIVISOR: usize = 2;
 
-/// The part of a process's memory limit that is for messages, in bytes.
-pub fn message_memory(process_memory: usize) -> usize {
-    process_memory - process_memory / PROGRAM_DIVISOR
+/// The part of a balancer's memory limit that is for messages, in bytes.
+pub fn message_memory(balancer_memory: usize) -> usize {
+    balancer_memory - balancer_memory / PROGRAM_DIVISOR
 }
 
-/// How many callers' connections may be open in a process with this memory limit.
-pub fn max_caller_connections(process_memory: usize) -> usize {
-    message_memory(process_memory) / CONNECTIONS_DIVISOR / CALLER_CONNECTION_BYTES
+/// How many callers' connections may be open in a process whose messages may take this many bytes.
+pub fn max_caller_connections(message_memory: usize) -> usize {
+    message_memory / CONNECTIONS_DIVISOR / CALLER_CONNECTION_BYTES
 }
 
 /// What memory is reserved for.
@@ -99,10 +99,10 @@
 }
 
 impl MemoryBudget {
-    /// `process_memory` is the memory limit of the process in bytes, `max_callers` how many connections callers may open.
-    pub fn new(process_memory: usize, max_callers: usize) -> Rc<Self> {
+    /// `balancer_memory` is the memory limit of the balancer in bytes, `max_callers` how many connections callers may open.
+    pub fn new(balancer_memory: usize, max_callers: usize) -> Rc<Self> {
         Rc::new(MemoryBudget {
-            limit: Cell::new(message_memory(process_memory)),
+            limit: Cell::new(message_memory(balancer_memory)),
             set_aside: Cell::new(max_callers * CALLER_CONNECTION_BYTES),
             peak: Cell::new(0),
             connections: Account::default(),
@@ -111,9 +111,9 @@
         })
     }
 
-    /// Changes the limits while another process of this balancer uses a part of the memory.
-    pub fn set_limits(self: &Rc<Self>, process_memory: usize, max_callers: usize) {
-        self.limit.set(message_memory(process_memory));
+    /// Changes the limits while another process of this balancer uses a part of the memory: messages may take `limit` bytes.
+    pub fn set_limits(self: &Rc<Self>, limit: usize, max_callers: usize) {
+        self.limit.set(limit);
         self.set_aside.set(max_callers * CALLER_CONNECTION_BYTES);
         self.grant();
     }
--- a/crates/fernroute-server/src/program/descriptor_quota.rs
+++ b/crates/fernroute-server/src/program/descriptor_quota.rs
@@ -52,16 +52,17 @@
         ConnectionLimits { callers: connections * 3 / 5, upstreams: connections * 2 / 5 }
     }
 
-    /// The connection limits of a process of a balancer that may use `memory_bytes`: callers' connections take a part of its
-    /// memory at most.
-    pub fn connection_limits_within(&self, memory_bytes: usize) -> ConnectionLimits {
+    /// The connection limits of a process whose messages may take `message_memory` bytes: callers' connections take a part of
+    /// these at most.
+    pub fn connection_limits_within(&self, message_memory: usize) -> ConnectionLimits {
         let by_descriptors = self.connection_limits();
-        let by_memory = max_caller_connections(self.memory(memory_bytes)).max(1);
+        let by_memory = max_caller_connections(message_memory).max(1);
         let callers = by_descriptors.callers.min(by_memory);
         ConnectionLimits { callers, ..by_descriptors }
     }
 
-    /// This process's part of the balancer's memory, in bytes and in proportion to its descriptors.
+    /// A part of the balancer's memory, in bytes and in proportion to this process's descriptors: what it takes beside a
+    /// predecessor of an earlier version, which does not say what it leaves.
     pub fn memory(&self, total_bytes: usize) -> usize {
         (total_bytes as u64 * self.assigned as u64 / self.total.max(1) as u64) as usize
     }
--- a/crates/fernroute-server/src/program/predecessor.rs
+++ b/crates/fernroute-server/src/program/predecessor.rs
@@ -61,6 +61,8 @@
     pub list: HandoverList,
     /// How many descriptors this process may have open at the start.
     pub descriptors: usize,
+    /// How many bytes this process may have at the start, its program included. Earlier versions do not tell.
+    pub memory: Option<usize>,
     /// Half of its part of the fleet's budgets, if handed over; taken when this process starts.
     pub member: Option<ReceivedHandover>,
 }
@@ -145,9 +147,9 @@
     let requested_at = Instant::now();
     connection.send(&SuccessorMessage::take()).await?;
     let Some((message, socket)) = connection.receive().await? else { return Err(HandoverError::Closed) };
-    let (list, descriptors, handover, socket) = match (message, socket) {
-        (PredecessorMessage::Given { list, descriptors, member, .. }, Some(socket)) => {
-            (list, descriptors, member, socket)
+    let (list, descriptors, memory, handover, socket) = match (message, socket) {
+        (PredecessorMessage::Given { list, descriptors, memory, member, .. }, Some(socket)) => {
+            (list, descriptors, memory, member, socket)
         }
         (PredecessorMessage::Refused { ending: true, .. }, _) => return Ok(HandoverReply::ShuttingDown),
         (PredecessorMessage::Refused { why, .. }, _) => return Ok(HandoverReply::Rejected { reason: why }),
@@ -155,7 +157,8 @@
     };
     let listener = Some(into_listener(socket, listen)?);
     let member = handover.map(|handover| ReceivedHandover { handover, requested_at });
-    Ok(HandoverReply::Given(Box::new(ServingPredecessor { connection, listener, list, descriptors, member })))
+    let serving = ServingPredecessor { connection, listener, list, descriptors, memory, member };
+    Ok(HandoverReply::Given(Box::new(serving)))
 }
 
 /// Converts the socket into a listener, after checking that it has this address.
--- a/crates/fernroute-server/src/program/running.rs
+++ b/crates/fernroute-server/src/program/running.rs
@@ -4,6 +4,8 @@
 use super::descriptor_quota::DescriptorQuota;
 use super::fleet::FleetMember;
 use super::instance::SettingError;
+use super::memory_quota::MemoryQuota;
+use super::process_memory;
 use super::start_error::StartError;
 use crate::protocol::handover::HandoverList;
 use crate::routing::dispatcher::Dispatcher;
@@ -38,8 +40,8 @@
     pub(super) listen: SocketAddr,
     /// Written through [`RunningInstance::update_quota`].
     pub(super) quota: Cell<DescriptorQuota>,
-    /// The balancer's memory over all its processes, in bytes.
-    pub(super) memory_bytes: usize,
+    /// Written through [`RunningInstance::update_memory_quota`].
+    pub(super) memory_quota: Cell<MemoryQuota>,
     /// The address of discovery. Written when a watch starts.
     pub(super) discovery: Cell<SocketAddr>,
     /// Whether the decisions start each poll of the endpoint list. Written with new settings.
@@ -152,11 +154,34 @@
         let mut quota = self.quota.get();
         change(&mut quota);
         self.quota.set(quota);
-        let limits = quota.connection_limits_within(self.memory_bytes);
+        self.apply_quotas();
+    }
+
+    /// The memory quota of this process.
+    pub fn memory_quota(&self) -> MemoryQuota {
+        self.memory_quota.get()
+    }
+
+    /// Changes the memory quota of this process. What messages hold beyond it is kept until they end.
+    pub fn update_memory_quota(&self, change: impl FnOnce(&mut MemoryQuota)) {
+        let mut quota = self.memory_quota.get();
+        change(&mut quota);
+        self.memory_quota.set(quota);
+        self.apply_quotas();
+    }
+
+    fn apply_quotas(&self) {
+        let message_limit = self.memory_quota.get().message_limit();
+        let limits = self.quota.get().connection_limits_within(message_limit);
         self.server.set_max_connections(limits.callers);
         self.dispatcher.client.set_max_connections(limits.upstreams);
-        let memory = quota.memory(self.memory_bytes);
-        self.dispatcher.windows.budget().set_limits(memory, limits.callers);
+        self.dispatcher.windows.budget().set_limits(message_limit, limits.callers);
+    }
+
+    /// What this process has resident, in bytes; where the system does not tell, what it may have at the most.
+    pub fn resident_bytes(&self) -> usize {
+        let estimate = || self.memory_quota.get().program() + self.dispatcher.windows.budget().peak();
+        process_memory::resident_bytes().unwrap_or_else(estimate)
     }
 }
 
--- a/crates/fernroute-server/src/program/serve.rs
+++ b/crates/fernroute-server/src/program/serve.rs
@@ -5,10 +5,12 @@
 //! successor becomes ready. SIGTERM moves it to *draining* ([`super::shutdown`]), which lasts until the program ends.
 
 use super::configuration::{self, ConfigurationTask};
-use super::descriptor_quota::DescriptorQuota;
+use super::descriptor_quota::{ConnectionLimits, DescriptorQuota};
 use super::fleet::{self, MembershipOptions};
 use super::instance::{InstanceConfig, SettingError};
+use super::memory_quota::MemoryQuota;
 use super::predecessor::{self, Predecessor};
+use super::process_memory;
 use super::reload::{self, ActiveConfiguration};
 use super::running::{decisions_start_polls, LISTEN_BACKLOG};
 use super::{ops, shutdown, upgrade};
@@ -126,8 +128,8 @@
     configuration: Option<Rc<ConfigurationTask>>,
 ) -> Result<RunningInstance, StartError> {
     let serves_at_once = matches!(predecessor, Predecessor::Absent) && configuration.is_none();
-    let quota = initial_quota(&instance, predecessor);
-    let dispatcher = new_dispatcher(&instance, quota)?;
+    let quotas = initial_quotas(&instance, predecessor);
+    let dispatcher = new_dispatcher(&instance, &quotas)?;
     if !serves_at_once {
         dispatcher.update_phase(|phase, _| phase.start_waiting());
     }
@@ -135,7 +137,7 @@
     if let Some(list) = &instance.endpoint_list {
         dispatcher.apply_list(list, false);
     }
-    let running = open_sockets(&instance, predecessor, dispatcher, quota).await?;
+    let running = open_sockets(&instance, predecessor, dispatcher, &quotas).await?;
     running.server.set_accepting(serves_at_once);
     spawn_tasks(&running.dispatcher, &running.server);
     if let Some(ops_address) = running.ops_address {
@@ -143,6 +145,8 @@
     }
     running.watch_endpoints(instance.discovery, instance.list_version);
     join_fleet(&running, &instance, predecessor, configuration)?;
+    let program = running.resident_bytes();
+    running.update_memory_quota(|quota| quota.set_program(program));
     if serves_at_once {
         running.log_serving();
     }
@@ -155,7 +159,7 @@
     instance: &InstanceConfig,
     predecessor: &mut Predecessor,
     dispatcher: Rc<Dispatcher>,
-    quota: DescriptorQuota,
+    quotas: &Quotas,
 ) -> Result<RunningInstance, StartError> {
     let listen_error = |source| StartError::Listen { address: instance.listen, source };
     let socket = open_caller_socket(instance.listen, predecessor).map_err(listen_error)?;
@@ -165,7 +169,7 @@
         CallerSocket::Bound(bound) => (None, Some(bound)),
     };
     let memory = dispatcher.windows.budget();
-    let limits = quota.connection_limits_within(instance.memory_bytes);
+    let limits = quotas.connection_limits();
     let server = Server::new(listener, limits.callers, memory);
     let ops_address = match instance.ops {
         Some(address) => Some(ops::open(address, &dispatcher, &server).await?),
@@ -179,8 +183,8 @@
         bound_socket: Cell::new(bound_socket),
         name: instance.name.clone(),
         listen: instance.listen,
-        quota: Cell::new(quota),
-        memory_bytes: instance.memory_bytes,
+        quota: Cell::new(quotas.descriptors),
+        memory_quota: Cell::new(quotas.memory),
         discovery: Cell::new(instance.discovery),
         decisions_start_polls: Cell::new(decisions_start_polls(&instance.settings)),
         endpoint_watch: RefCell::default(),
@@ -188,13 +192,29 @@
     })
 }
 
-/// The quota at the start: all that the file and the system allow, or what a predecessor leaves.
-fn initial_quota(instance: &InstanceConfig, predecessor: &Predecessor) -> DescriptorQuota {
-    let mut quota = DescriptorQuota::new(allowed_descriptors(instance.descriptors), instance.ops.is_some());
+/// What a process may use at its start.
+struct Quotas {
+    descriptors: DescriptorQuota,
+    memory: MemoryQuota,
+}
+
+impl Quotas {
+    fn connection_limits(&self) -> ConnectionLimits {
+        self.descriptors.connection_limits_within(self.memory.message_limit())
+    }
+}
+
+/// The quotas at the start: all that the file and the system allow, or what a predecessor leaves.
+fn initial_quotas(instance: &InstanceConfig, predecessor: &Predecessor) -> Quotas {
+    let mut descriptors =
+        DescriptorQuota::new(allowed_descriptors(instance.descriptors), instance.ops.is_some());
+    let mut memory = MemoryQuota::new(instance.memory_bytes);
     if let Some(serving) = predecessor.serving() {
-        quota.assigned = serving.descriptors.min(quota.total);
+        descriptors.assigned = serving.descriptors.min(descriptors.total);
+        memory.set_told(serving.memory, descriptors.memory(memory.total()));
+        memory.set_program(process_memory::resident_bytes().unwrap_or(0));
     }
-    quota
+    Quotas { descriptors, memory }
 }
 
 /// How many descriptors this process may have open: the configured number, limited to what the system allows. Otherwise the
@@ -207,9 +227,10 @@
     configured.min(system_limit)
 }
 
-fn new_dispatcher(instance: &InstanceConfig, quota: DescriptorQuota) -> Result<Rc<Dispatcher>, SettingError> {
-    let limits = quota.connection_limits_within(instance.memory_bytes);
-    let memory = MemoryBudget::new(quota.memory(instance.memory_bytes), limits.callers);
+fn new_dispatcher(instance: &InstanceConfig, quotas: &Quotas) -> Result<Rc<Dispatcher>, SettingError> {
+    let limits = quotas.connection_limits();
+    let memory = MemoryBudget::new(instance.memory_bytes, limits.callers);
+    memory.set_limits(quotas.memory.message_limit(), limits.callers);
     Dispatcher::new(&instance.settings, instance.seed, limits.upstreams, memory).map_err(SettingError)
 }
 
--- a/crates/fernroute-server/src/program/successor.rs
+++ b/crates/fernroute-server/src/program/successor.rs
@@ -72,6 +72,7 @@
 /// Takes back what was given to a successor.
 fn reclaim(running: &RunningInstance) {
     running.update_quota(|quota| quota.reclaim());
+    running.update_memory_quota(|quota| quota.successor_ended());
     if let Some(member) = running.fleet_member() {
         member.resume_after_failed_upgrade();
     }
@@ -143,29 +144,47 @@
     }
 }
 
-/// Shrinks the quota of this process and builds the handover message for the successor.
+/// Shrinks the quotas of this process and builds the handover message for the successor.
 fn prepare_handover(running: &RunningInstance) -> PredecessorMessage {
     running.update_quota(|quota| quota.shrink_for_successor(running.connections()));
-    let descriptors = running.quota().available_to_successor(running.connections());
-    tracing::info!("a successor connected, it gets {descriptors} descriptors");
+    let free = release(running);
+    tracing::info!("a successor connected, it gets {} descriptors", free.descriptors);
+    tracing::debug!("the successor gets {} bytes of memory", free.memory);
     let handover = running.fleet_member().and_then(|member| member.hand_over());
-    PredecessorMessage::given(running.endpoint_list(), descriptors, handover)
+    PredecessorMessage::given(running.endpoint_list(), free.descriptors, Some(free.memory), handover)
 }
 
-/// Reports free descriptors to the successor as connections end, until none is open or the successor has ended.
+/// What this process leaves to a successor.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct FreeResources {
+    descriptors: usize,
+    /// In bytes, for the successor's program and its messages.
+    memory: usize,
+}
+
+/// Gives up the memory that this process has returned to the system, and tells what a successor may use now.
+fn release(running: &RunningInstance) -> FreeResources {
+    let resident = running.resident_bytes();
+    running.update_memory_quota(|quota| quota.keep_for_successor(resident));
+    FreeResources {
+        descriptors: running.quota().available_to_successor(running.connections()),
+        memory: running.memory_quota().available_to_successor(resident),
+    }
+}
+
+/// Reports free descriptors and memory to the successor as connections end, until none is open or the successor has ended.
 async fn report_until_drained(running: &RunningInstance, mut connection: HandoverConnection) -> DrainEnd {
     if connection.send(&PredecessorMessage::Yours).await.is_err() {
         return DrainEnd::SuccessorEnded;
     }
-    let mut reported = 0;
+    let mut reported = FreeResources::default();
     while running.server.connections() > 0 {
-        let descriptors = running.quota().available_to_successor(running.connections());
-        if descriptors != reported
-            && connection.send(&PredecessorMessage::Left { descriptors }).await.is_err()
-        {
+        let free = release(running);
+        let message = PredecessorMessage::Left { descriptors: free.descriptors, memory: Some(free.memory) };
+        if free != reported && connection.send(&message).await.is_err() {
             return DrainEnd::SuccessorEnded;
         }
-        reported = descriptors;
+        reported = free;
         if let Ok(Ok(None) | Err(_)) =
             timeout(REPORT_INTERVAL, connection.receive::<SuccessorMessage>()).await
         {
--- a/crates/fernroute-server/src/program/upgrade.rs
+++ b/crates/fernroute-server/src/program/upgrade.rs
@@ -161,8 +161,10 @@
 ) {
     while let Ok(Some((message, _))) = connection.receive::<PredecessorMessage>().await {
         match message {
-            PredecessorMessage::Left { descriptors } => {
-                running.update_quota(|quota| quota.assigned = descriptors)
+            PredecessorMessage::Left { descriptors, memory } => {
+                running.update_quota(|quota| quota.assigned = descriptors);
+                let share = running.quota().memory(running.memory_quota().total());
+                running.update_memory_quota(|quota| quota.set_told(memory, share));
             }
             PredecessorMessage::Yours => may_hand_over.notify_one(),
             other => tracing::warn!("unexpected message from the old process: {other:?}"),
@@ -173,9 +175,10 @@
     may_hand_over.notify_one();
 }
 
-/// Takes over the descriptors and the part of the fleet's budgets of a predecessor that has ended.
+/// Takes over the descriptors, the memory and the part of the fleet's budgets of a predecessor that has ended.
 fn reclaim_from_predecessor(running: &RunningInstance) {
     running.update_quota(|quota| quota.reclaim());
+    running.update_memory_quota(|quota| quota.predecessor_ended());
     if let Some(member) = running.fleet_member() {
         member.predecessor_ended();
     }
--- a/crates/fernroute-server/src/protocol/handover.rs
+++ b/crates/fernroute-server/src/protocol/handover.rs
@@ -28,6 +28,9 @@
         version: u32,
         list: HandoverList,
         descriptors: usize,
+        /// How many bytes the successor may take, its program included. Earlier versions do not send it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        memory: Option<usize>,
         /// Half of the fleet budgets that this process holds, if it belongs to a fleet. Earlier versions do not send it.
         #[serde(default)]
         member: Option<MemberHandover>,
@@ -39,8 +42,13 @@
         #[serde(default)]
         ending: bool,
     },
-    /// The number of descriptors for the successor, as connections close.
-    Left { descriptors: usize },
+    /// What the successor may use, as connections close and memory is returned.
+    Left {
+        descriptors: usize,
+        /// As in `Given`.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        memory: Option<usize>,
+    },
     /// From now on only the successor accepts connections, and it serves the next upgrade.
     Yours,
 }
@@ -78,8 +86,13 @@
 }
 
 impl PredecessorMessage {
-    pub fn given(list: HandoverList, descriptors: usize, member: Option<MemberHandover>) -> Self {
-        PredecessorMessage::Given { version: VERSION, list, descriptors, member }
+    pub fn given(
+        list: HandoverList,
+        descriptors: usize,
+        memory: Option<usize>,
+        member: Option<MemberHandover>,
+    ) -> Self {
+        PredecessorMessage::Given { version: VERSION, list, descriptors, memory, member }
     }
 }
 
@@ -144,7 +157,7 @@
         };
         let entries = [entry("a", State::Ready), entry("b", State::Draining), entry("c", State::Removed)];
         let sent = HandoverList::of(SocketAddr::from(([127, 0, 0, 1], 8500)), Some(41), entries.iter());
-        let line = encode(&PredecessorMessage::given(sent, 100, None));
+        let line = encode(&PredecessorMessage::given(sent, 100, None, None));
         let Ok(PredecessorMessage::Given { list, descriptors: 100, .. }) = decode(&line) else {
             panic!("unexpected message")
         };
--- a/crates/fernroute-test-support/src/process.rs
+++ b/crates/fernroute-test-support/src/process.rs
@@ -114,6 +114,13 @@
         self.status_kb("VmRSS:")
     }
 
+    /// The resident memory in kB, with its part of the pages that it shares; 0 once the process has ended.
+    pub fn proportional_memory_kb(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/smaps_rollup", self.id())).unwrap_or_default();
+        let value = text.lines().find_map(|line| line.strip_prefix("Pss:"));
+        value.and_then(|value| value.trim().strip_suffix("kB")?.trim().parse().ok()).unwrap_or(0)
+    }
+
     /// The largest resident memory since the start, in kB.
     pub fn peak_memory_kb(&self) -> u64 {
         self.status_kb("VmHWM:")
