Know an id that may still run, without its caller and in both processes

After a 502 an id ran again as well.

Cause: an id was known as long as its RPC was open. That ends when its caller leaves, while the upstream may run what it has. The other process knew nothing.

The processes of an upgrade tell each other their ids: a field "run_once" in "given" and "left", and a message of the new process that only a process gets that has sent this field. The pins of the messages are unchanged, new lines added.

--- a/crates/fernroute-server/src/program/mod.rs
+++ b/crates/fernroute-server/src/program/mod.rs
@@ -18,6 +18,7 @@
 pub mod reload;
 pub mod running;
 pub mod serve;
+mod shared_ids;
 pub mod shutdown;
 mod start_error;
 mod successor;
--- a/crates/fernroute-server/src/program/predecessor.rs
+++ b/crates/fernroute-server/src/program/predecessor.rs
@@ -2,7 +2,7 @@
 
 use super::fleet::ReceivedHandover;
 use super::start_error::StartError;
-use crate::protocol::handover::{HandoverList, PredecessorMessage, SuccessorMessage};
+use crate::protocol::handover::{HandedId, HandoverList, PredecessorMessage, SuccessorMessage};
 use crate::transport::handover::{socket_path as handover_path, HandoverConnection};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -63,6 +63,8 @@
     pub descriptors: usize,
     /// How many bytes this process may have at the start, its program included. Earlier versions do not tell.
     pub memory: Option<usize>,
+    /// The ids of RPCs that may still run there; taken when this process starts. Earlier versions do not tell.
+    pub run_once: Option<Vec<HandedId>>,
     /// Half of its part of the fleet's budgets, if handed over; taken when this process starts.
     pub member: Option<ReceivedHandover>,
 }
@@ -147,9 +149,9 @@
     let requested_at = Instant::now();
     connection.send(&SuccessorMessage::take()).await?;
     let Some((message, socket)) = connection.receive().await? else { return Err(HandoverError::Closed) };
-    let (list, descriptors, memory, handover, socket) = match (message, socket) {
-        (PredecessorMessage::Given { list, descriptors, memory, member, .. }, Some(socket)) => {
-            (list, descriptors, memory, member, socket)
+    let (list, descriptors, memory, run_once, handover, socket) = match (message, socket) {
+        (PredecessorMessage::Given { list, descriptors, memory, run_once, member, .. }, Some(socket)) => {
+            (list, descriptors, memory, run_once, member, socket)
         }
         (PredecessorMessage::Refused { ending: true, .. }, _) => return Ok(HandoverReply::ShuttingDown),
         (PredecessorMessage::Refused { why, .. }, _) => return Ok(HandoverReply::Rejected { reason: why }),
@@ -157,7 +159,7 @@
     };
     let listener = Some(into_listener(socket, listen)?);
     let member = handover.map(|handover| ReceivedHandover { handover, requested_at });
-    let serving = ServingPredecessor { connection, listener, list, descriptors, memory, member };
+    let serving = ServingPredecessor { connection, listener, list, descriptors, memory, run_once, member };
     Ok(HandoverReply::Given(Box::new(serving)))
 }
 
--- a/crates/fernroute-server/src/program/successor.rs
+++ b/crates/fernroute-server/src/program/successor.rs
@@ -7,11 +7,13 @@
 
 use super::predecessor::REPLY_TIMEOUT;
 use super::running::RunningInstance;
-use crate::protocol::handover::{PredecessorMessage, SuccessorMessage};
+use super::shared_ids::SharedIds;
+use crate::protocol::handover::{LeftResources, PredecessorMessage, SuccessorMessage};
 use crate::transport::handover::{HandoverConnection, HandoverListener};
 use futures_util::future::{select, Either};
 use std::pin::pin;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 use tokio::time::timeout;
 
 /// The interval between reports of free descriptors to the successor.
@@ -30,17 +32,18 @@
 }
 
 /// Waits for successors until one of them is ready, then drains while it serves.
-pub(super) async fn serve_successors(running: &RunningInstance, listener: HandoverListener) -> DrainEnd {
+pub(super) async fn serve_successors(running: &Rc<RunningInstance>, listener: HandoverListener) -> DrainEnd {
     loop {
         let connection = accept(&listener).await;
-        if let Some(connection) = hand_over_exclusively(running, &listener, connection).await {
+        let ids = SharedIds::subscribe(running);
+        if let Some(connection) = hand_over_exclusively(running, &listener, connection, &ids).await {
             running.dispatcher.update_phase(|phase, now| phase.hand_over(now));
             running.server.set_accepting(false);
             running.update_quota(|quota| quota.handed_over = true);
             tracing::info!("a successor serves");
             // The successor opens the handover socket for the next one.
             drop(listener);
-            return drain_for_successor(running, connection).await;
+            return drain_for_successor(running, connection, &ids).await;
         }
         reclaim(running);
     }
@@ -58,8 +61,12 @@
     }
 }
 
-async fn drain_for_successor(running: &RunningInstance, connection: HandoverConnection) -> DrainEnd {
-    let end = report_until_drained(running, connection).await;
+async fn drain_for_successor(
+    running: &RunningInstance,
+    connection: HandoverConnection,
+    ids: &SharedIds,
+) -> DrainEnd {
+    let end = report_until_drained(running, connection, ids).await;
     if end == DrainEnd::SuccessorEnded {
         tracing::warn!("the successor has ended, serving again");
         running.dispatcher.update_phase(|phase, _| phase.cancel_hand_over());
@@ -83,9 +90,10 @@
     running: &RunningInstance,
     listener: &HandoverListener,
     connection: HandoverConnection,
+    ids: &SharedIds,
 ) -> Option<HandoverConnection> {
     let reject_others = pin!(reject_others(listener));
-    match select(pin!(hand_over(running, connection)), reject_others).await {
+    match select(pin!(hand_over(running, connection, ids)), reject_others).await {
         Either::Left((ready, _)) => ready,
         Either::Right(((), _)) => None,
     }
@@ -114,6 +122,7 @@
 async fn hand_over(
     running: &RunningInstance,
     mut connection: HandoverConnection,
+    ids: &SharedIds,
 ) -> Option<HandoverConnection> {
     let version_is_known = match timeout(REPLY_TIMEOUT, connection.receive::<SuccessorMessage>()).await {
         Ok(Ok(Some((message @ SuccessorMessage::Take { .. }, _)))) => message.is_supported_version(),
@@ -130,7 +139,7 @@
         reject(connection, "this process is ending", true).await;
         return None;
     };
-    let message = prepare_handover(running);
+    let message = prepare_handover(running, ids);
     match timeout(REPLY_TIMEOUT, connection.send_with_socket(&message, socket)).await {
         Ok(Ok(())) => {}
         _ => return None,
@@ -145,13 +154,15 @@
 }
 
 /// Shrinks the quotas of this process and builds the handover message for the successor.
-fn prepare_handover(running: &RunningInstance) -> PredecessorMessage {
+fn prepare_handover(running: &RunningInstance, ids: &SharedIds) -> PredecessorMessage {
     running.update_quota(|quota| quota.shrink_for_successor(running.connections()));
     let free = release(running);
     tracing::info!("a successor connected, it gets {} descriptors", free.descriptors);
     tracing::debug!("the successor gets {} bytes of memory", free.memory);
     let handover = running.fleet_member().and_then(|member| member.hand_over());
-    PredecessorMessage::given(running.endpoint_list(), free.descriptors, Some(free.memory), handover)
+    let left =
+        LeftResources { descriptors: free.descriptors, memory: Some(free.memory), run_once: Some(ids.all()) };
+    PredecessorMessage::given(running.endpoint_list(), left, handover)
 }
 
 /// What this process leaves to a successor.
@@ -172,24 +183,47 @@
     }
 }
 
-/// Reports free descriptors and memory to the successor as connections end, until none is open or the successor has ended.
-async fn report_until_drained(running: &RunningInstance, mut connection: HandoverConnection) -> DrainEnd {
+/// Reports free descriptors, memory and ids to the successor as they change, until no connection is open or the successor has ended.
+async fn report_until_drained(
+    running: &RunningInstance,
+    mut connection: HandoverConnection,
+    ids: &SharedIds,
+) -> DrainEnd {
     if connection.send(&PredecessorMessage::Yours).await.is_err() {
         return DrainEnd::SuccessorEnded;
     }
     let mut reported = FreeResources::default();
+    let (mut free, mut released_at) = (release(running), Instant::now());
     while running.server.connections() > 0 {
-        let free = release(running);
-        let message = PredecessorMessage::Left { descriptors: free.descriptors, memory: Some(free.memory) };
-        if free != reported && connection.send(&message).await.is_err() {
+        if released_at.elapsed() >= REPORT_INTERVAL {
+            (free, released_at) = (release(running), Instant::now());
+        }
+        let run_once = ids.take_changes();
+        let has_news = free != reported || !run_once.is_empty();
+        let FreeResources { descriptors, memory } = free;
+        let message = PredecessorMessage::Left { descriptors, memory: Some(memory), run_once };
+        if has_news && connection.send(&message).await.is_err() {
             return DrainEnd::SuccessorEnded;
         }
         reported = free;
-        if let Ok(Ok(None) | Err(_)) =
-            timeout(REPORT_INTERVAL, connection.receive::<SuccessorMessage>()).await
-        {
+        if wait_for_news(&connection, ids).await == Some(DrainEnd::SuccessorEnded) {
             return DrainEnd::SuccessorEnded;
         }
     }
     DrainEnd::Complete
 }
+
+/// Waits until there are ids to report or the next report is due. Returns the end of the successor, if it has ended.
+async fn wait_for_news(connection: &HandoverConnection, ids: &SharedIds) -> Option<DrainEnd> {
+    let (received, changed) = (pin!(connection.receive::<SuccessorMessage>()), pin!(ids.changed()));
+    match timeout(REPORT_INTERVAL, select(received, changed)).await {
+        Ok(Either::Left((Ok(Some((message, _))), _))) => {
+            if let SuccessorMessage::RunOnce { ids: told } = message {
+                ids.apply(&told);
+            }
+            None
+        }
+        Ok(Either::Left((Ok(None) | Err(_), _))) => Some(DrainEnd::SuccessorEnded),
+        Ok(Either::Right(_)) | Err(_) => None,
+    }
+}
--- a/crates/fernroute-server/src/program/upgrade.rs
+++ b/crates/fernroute-server/src/program/upgrade.rs
@@ -7,8 +7,9 @@
 //! back what it handed over.
 
 use super::configuration::ConfigurationTask;
-use super::predecessor::Predecessor;
+use super::predecessor::{Predecessor, ServingPredecessor};
 use super::running::RunningInstance;
+use super::shared_ids::SharedIds;
 use super::start_error::StartError;
 use super::successor::{serve_successors, DrainEnd};
 use crate::protocol::handover::{PredecessorMessage, SuccessorMessage};
@@ -87,7 +88,7 @@
             join(configuration_current, wait_for_discovery(running)).await;
             start_serving_unless_stopping(running).await
         }
-        Predecessor::Serving(serving) => take_over(running, serving.connection, configuration_current).await,
+        Predecessor::Serving(serving) => take_over(running, *serving, configuration_current).await,
     }
 }
 
@@ -111,9 +112,13 @@
 /// Takes over from a predecessor that serves. Returns once the next successor may connect to this process.
 async fn take_over(
     running: &Rc<RunningInstance>,
-    mut connection: HandoverConnection,
+    predecessor: ServingPredecessor,
     configuration_current: impl Future<Output = ()>,
 ) -> Result<(), StartError> {
+    let mut ids = SharedIds::subscribe(running);
+    ids.can_send = predecessor.run_once.is_some();
+    ids.apply(&predecessor.run_once.unwrap_or_default());
+    let mut connection = predecessor.connection;
     let descriptors = running.quota().assigned;
     tracing::info!("taking over from the process that serves, {descriptors} descriptors at the start");
     wait_until_prepared(running, &connection, configuration_current).await;
@@ -128,7 +133,7 @@
         return Ok(());
     }
     let may_hand_over = Rc::new(Notify::new());
-    actix_rt::spawn(follow_predecessor(Rc::clone(running), connection, Rc::clone(&may_hand_over)));
+    actix_rt::spawn(follow_predecessor(Rc::clone(running), connection, ids, Rc::clone(&may_hand_over)));
     may_hand_over.notified().await;
     Ok(())
 }
@@ -156,12 +161,24 @@
 /// Follows the predecessor's drain until that process ends.
 async fn follow_predecessor(
     running: Rc<RunningInstance>,
-    connection: HandoverConnection,
+    mut connection: HandoverConnection,
+    ids: SharedIds,
     may_hand_over: Rc<Notify>,
 ) {
-    while let Ok(Some((message, _))) = connection.receive::<PredecessorMessage>().await {
+    loop {
+        let received = match select(pin!(connection.receive()), pin!(ids.changed())).await {
+            Either::Left((received, _)) => Some(received),
+            Either::Right(((), _)) => None,
+        };
+        let Some(received) = received else {
+            // A process that has ended is seen at the next message.
+            let _ = connection.send(&SuccessorMessage::RunOnce { ids: ids.take_changes() }).await;
+            continue;
+        };
+        let Ok(Some((message, _))) = received else { break };
         match message {
-            PredecessorMessage::Left { descriptors, memory } => {
+            PredecessorMessage::Left { descriptors, memory, run_once } => {
+                ids.apply(&run_once);
                 running.update_quota(|quota| quota.assigned = descriptors);
                 let share = running.quota().memory(running.memory_quota().total());
                 running.update_memory_quota(|quota| quota.set_told(memory, share));
@@ -185,7 +202,7 @@
 }
 
 /// Waits until a successor has taken over. Opens the handover socket again after each successor that failed.
-async fn hand_over_to_successor(running: &RunningInstance) -> Result<(), HandoverSocketError> {
+async fn hand_over_to_successor(running: &Rc<RunningInstance>) -> Result<(), HandoverSocketError> {
     loop {
         let path = running.handover_path()?;
         let listener = match HandoverListener::open(&path).await {
--- a/crates/fernroute-server/src/protocol/handover.rs
+++ b/crates/fernroute-server/src/protocol/handover.rs
@@ -1,9 +1,12 @@
 //! The messages between the old and the new process of a balancer during an upgrade, one line of JSON each.
 
 use super::list::{Entry, List, State};
+use crate::routing::run_once_ids::RunOnceId;
+use fernroute::Time;
 use fernroute_fleet::member::MemberHandover;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// The version of these messages. It is checked before any other field, as the other process may be of another version.
 const VERSION: u32 = 1;
@@ -11,12 +14,43 @@
 /// Fits a list of about ten thousand upstreams.
 pub const MAX_LINE_BYTES: usize = 4 << 20;
 
-/// Sent by the successor: `Take` first, `Ready` when it can serve.
+/// Sent by the successor: `Take` first, `Ready` when it can serve, then ids until the old process ends.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SuccessorMessage {
-    Take { version: u32 },
+    Take {
+        version: u32,
+    },
     Ready,
+    /// Ids that have changed in this process. Sent only to a process that has sent `run_once` in `Given`.
+    RunOnce {
+        ids: Vec<HandedId>,
+    },
+}
+
+/// The id of an RPC that must not run more than once and may still run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedId {
+    pub id: String,
+    /// For how long it is known; 0 once it has ended.
+    pub left_ms: u64,
+}
+
+const TENTHS_PER_MS: Time = 10;
+
+impl From<&RunOnceId> for HandedId {
+    fn from(known: &RunOnceId) -> Self {
+        HandedId { id: known.id.to_string(), left_ms: known.time_left.div_ceil(TENTHS_PER_MS) }
+    }
+}
+
+impl From<&HandedId> for RunOnceId {
+    fn from(handed: &HandedId) -> Self {
+        RunOnceId {
+            id: Rc::from(handed.id.as_str()),
+            time_left: handed.left_ms.saturating_mul(TENTHS_PER_MS),
+        }
+    }
 }
 
 /// Sent by the old process: the reply, then the descriptors that it releases, until it ends.
@@ -31,6 +65,9 @@
         /// How many bytes the successor may take, its program included. Earlier versions do not send it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         memory: Option<usize>,
+        /// The ids of RPCs that may still run at the old process. Earlier versions do not send them.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        run_once: Option<Vec<HandedId>>,
         /// Half of the fleet budgets that this process holds, if it belongs to a fleet. Earlier versions do not send it.
         #[serde(default)]
         member: Option<MemberHandover>,
@@ -48,11 +85,22 @@
         /// As in `Given`.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         memory: Option<usize>,
+        /// Ids that have changed in the old process.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        run_once: Vec<HandedId>,
     },
     /// From now on only the successor accepts connections, and it serves the next upgrade.
     Yours,
 }
 
+/// What the old process leaves at the beginning of a handover, and the ids that it may still run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LeftResources {
+    pub descriptors: usize,
+    pub memory: Option<usize>,
+    pub run_once: Option<Vec<HandedId>>,
+}
+
 /// The list of upstreams with its source.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HandoverList {
@@ -86,13 +134,15 @@
 }
 
 impl PredecessorMessage {
-    pub fn given(
-        list: HandoverList,
-        descriptors: usize,
-        memory: Option<usize>,
-        member: Option<MemberHandover>,
-    ) -> Self {
-        PredecessorMessage::Given { version: VERSION, list, descriptors, memory, member }
+    pub fn given(list: HandoverList, left: LeftResources, member: Option<MemberHandover>) -> Self {
+        PredecessorMessage::Given {
+            version: VERSION,
+            list,
+            descriptors: left.descriptors,
+            memory: left.memory,
+            run_once: left.run_once,
+            member,
+        }
     }
 }
 
@@ -157,7 +207,11 @@
         };
         let entries = [entry("a", State::Ready), entry("b", State::Draining), entry("c", State::Removed)];
         let sent = HandoverList::of(SocketAddr::from(([127, 0, 0, 1], 8500)), Some(41), entries.iter());
-        let line = encode(&PredecessorMessage::given(sent, 100, None, None));
+        let line = encode(&PredecessorMessage::given(
+            sent,
+            LeftResources { descriptors: 100, ..LeftResources::default() },
+            None,
+        ));
         let Ok(PredecessorMessage::Given { list, descriptors: 100, .. }) = decode(&line) else {
             panic!("unexpected message")
         };
--- a/crates/fernroute-server/src/routing/admit.rs
+++ b/crates/fernroute-server/src/routing/admit.rs
@@ -3,6 +3,7 @@
 use super::counters::End;
 use super::dispatcher::{Dispatcher, OpenRpc};
 use super::phase::Closing;
+use super::run_once_ids::RunOnceIdError;
 use crate::protocol::answer::FinalAnswer;
 use crate::protocol::request::{InvalidRequest, Request};
 use crate::transport::inbound::CallerConnection;
@@ -12,6 +13,8 @@
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
+const ID_IN_USE: InvalidRequest = InvalidRequest(StatusCode::BAD_REQUEST, "id in use");
+
 /// Abandons the RPC when dropped: the caller has disconnected before the final answer.
 struct AbandonOnDrop {
     dispatcher: Rc<Dispatcher>,
@@ -40,12 +43,19 @@
         let rpc = Rc::clone(&request.id);
         // Two open RPCs with one id could not be told apart.
         if self.open.borrow().contains_key(&rpc) {
-            return Err(InvalidRequest(StatusCode::BAD_REQUEST, "id in use"));
+            return Err(ID_IN_USE);
         }
         if self.closing() == Closing::OpenRpcs {
             // Open RPCs have just been ended, so a new one would be cut off.
             return Ok(self.refuse(&request));
         }
+        if request.run_once {
+            match self.run_once_ids.add(&rpc, self.clock.now(), request.time_left) {
+                Ok(()) => {}
+                Err(RunOnceIdError::MayRun) => return Err(ID_IN_USE),
+                Err(RunOnceIdError::Full) => return Ok(self.refuse(&request)),
+            }
+        }
         let mut accepted = self.counters.accept(&request.method);
         let (sender, receiver) = oneshot::channel();
         let request = Rc::new(request);
@@ -55,6 +65,8 @@
             answer: Some(sender),
             streaming: false,
             attempts_started: 0,
+            may_have_run: false,
+            completed: false,
             attempts: BTreeMap::new(),
         };
         self.open.borrow_mut().insert(Rc::clone(&rpc), open);
--- a/crates/fernroute-server/src/routing/completion.rs
+++ b/crates/fernroute-server/src/routing/completion.rs
@@ -2,8 +2,10 @@
 
 use super::dispatcher::Dispatcher;
 use crate::protocol::answer::{Answer, FinalAnswer};
+use crate::transport::inbound::CallerConnection;
+use crate::transport::outbound::AttemptProgress;
 use fernroute::{Outcome, Time};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 impl Dispatcher {
     /// Starts streaming an answer to the caller. From here on no further attempt is sent and the attempt timeout no
@@ -18,6 +20,17 @@
                 .for_each(|timer| self.timers.cancel(timer));
         }
         self.decide(Some(rpc), |b, now| b.response_started(now, rpc));
+        self.deliver_completed(rpc, answer)
+    }
+
+    /// Delivers the answer of a completed attempt.
+    fn deliver_completed(&self, rpc: &str, answer: Answer) -> bool {
+        if let Some(entry) = self.open.borrow_mut().get_mut(rpc) {
+            // Its end may lie in the socket.
+            let has_left =
+                |caller: &Weak<CallerConnection>| caller.upgrade().is_none_or(|c| c.has_disconnected());
+            entry.completed = !(entry.request.run_once && entry.caller.as_ref().is_some_and(has_left));
+        }
         self.deliver(rpc, FinalAnswer::Completed(answer))
     }
 
@@ -28,11 +41,14 @@
         result: Result<Answer, Outcome>,
         took: Time,
     ) {
+        let outcome = result.as_ref().map_or_else(|outcome| *outcome, |answer| answer.outcome);
         if let Some(entry) = self.open.borrow_mut().get_mut(rpc) {
             entry.streaming = false;
             // A stopped attempt has no timer left.
-            if let Some(attempt) = entry.attempts.remove(&number) {
-                attempt.timer.iter().for_each(|timer| self.timers.cancel(timer));
+            if let Some(out) = entry.attempts.remove(&number) {
+                out.timer.iter().for_each(|timer| self.timers.cancel(timer));
+                let is_written = out.attempt.progress() >= AttemptProgress::RequestWritten;
+                entry.may_have_run |= is_written && !outcome.never_ran();
             }
         }
         let (outcome, loads, answer) = match result {
@@ -41,7 +57,7 @@
         };
         tracing::debug!("RPC {rpc} attempt {number}: {outcome:?} after {}.{} ms", took / 10, took % 10);
         if let Some(answer) = answer.filter(|a| a.outcome == Outcome::Completed) {
-            self.deliver(rpc, FinalAnswer::Completed(answer));
+            self.deliver_completed(rpc, answer);
         }
         let ended = self.open.borrow().get(rpc).is_none_or(|entry| entry.answer.is_none());
         self.decide(Some(rpc), |b, now| b.attempt_ended(now, rpc, number, outcome, took, ended, &loads));
@@ -74,8 +90,14 @@
     /// Removes an RPC that has its answer and no running attempt.
     pub(super) fn remove_if_finished(&self, rpc: &str) {
         let mut open = self.open.borrow_mut();
-        if open.get(rpc).is_some_and(|entry| entry.answer.is_none() && entry.attempts.is_empty()) {
-            open.remove(rpc);
+        if !open.get(rpc).is_some_and(|entry| entry.answer.is_none() && entry.attempts.is_empty()) {
+            return;
+        }
+        let Some(ended) = open.remove(rpc).filter(|ended| ended.request.run_once) else { return };
+        if ended.may_have_run && !ended.completed {
+            self.run_once_ids.extend(&ended.request.id, self.clock.now(), ended.request.time_left);
+        } else {
+            self.run_once_ids.remove(&ended.request.id);
         }
     }
 }
--- a/crates/fernroute-server/src/routing/dispatcher.rs
+++ b/crates/fernroute-server/src/routing/dispatcher.rs
@@ -3,6 +3,7 @@
 use super::clock::{self, Clock};
 use super::counters::Counters;
 use super::phase::{Closing, Phase};
+use super::run_once_ids::RunOnceIds;
 use super::timers::{TimerEvent, Timers};
 use crate::memory::budget::MemoryBudget;
 use crate::memory::window::Windows;
@@ -48,6 +49,10 @@
     /// Its answer is being streamed to the caller.
     pub streaming: bool,
     pub attempts_started: usize,
+    /// The last byte of an attempt was written whose outcome does not prove that the RPC never ran.
+    pub may_have_run: bool,
+    /// A caller has the answer of a completed attempt.
+    pub completed: bool,
     /// Running attempts by number.
     pub attempts: BTreeMap<usize, OpenAttempt>,
 }
@@ -91,6 +96,8 @@
     actions: ActionQueue,
     /// An RPC is removed once it has its answer and no running attempt.
     pub open: RefCell<BTreeMap<Rc<str>, OpenRpc>>,
+    /// The ids of RPCs that must not run again.
+    pub run_once_ids: RunOnceIds,
     /// Entries are removed when the list no longer names them as serving.
     pub upstreams: RefCell<Upstreams>,
     /// The version of the list from discovery, once one has been received.
@@ -145,6 +152,7 @@
             balancer: RefCell::new(balancer),
             actions,
             open: RefCell::default(),
+            run_once_ids: RunOnceIds::default(),
             upstreams: RefCell::default(),
             list_version: Cell::new(None),
             discovery_answered: Cell::new(false),
--- a/crates/fernroute-server/src/routing/mod.rs
+++ b/crates/fernroute-server/src/routing/mod.rs
@@ -11,6 +11,7 @@
 pub mod receive;
 pub mod relay;
 pub mod route;
+pub mod run_once_ids;
 pub mod send;
 pub mod timers;
 pub mod upload;
--- a/crates/fernroute-server/src/routing/route.rs
+++ b/crates/fernroute-server/src/routing/route.rs
@@ -65,6 +65,13 @@
                 out.timer = Some(self.timers.set(out.timeout.saturating_sub(waited), event));
             }
         }
+        let time_left = self.open.borrow().get(rpc).and_then(|entry| {
+            let request = &entry.request;
+            request.run_once.then_some(request.time_left)
+        });
+        if let Some(time_left) = time_left {
+            self.run_once_ids.extend(rpc, self.clock.now(), time_left);
+        }
         self.decide(None, |b, _| b.rpc_fully_received(last_byte_at, rpc));
     }
 
--- a/crates/fernroute-server/tests/public_interface.rs
+++ b/crates/fernroute-server/tests/public_interface.rs
@@ -15,15 +15,18 @@
 use std::process::Command;
 use std::rc::Rc;
 
-const SUCCESSOR_LINES: [&str; 2] = [r#"{"take":{"version":1}}"#, r#""ready""#];
+const SUCCESSOR_LINES: [&str; 3] =
+    [r#"{"take":{"version":1}}"#, r#""ready""#, r#"{"run_once":{"ids":[{"id":"r1","left_ms":900}]}}"#];
 
-const PREDECESSOR_LINES: [&str; 7] = [
+const PREDECESSOR_LINES: [&str; 9] = [
     r#"{"given":{"version":1,"list":{"discovery":"127.0.0.1:8500","since":41,"upstreams":[{"id":"s-1","address":"127.0.0.1:9001","zone":"a","cell":"0","kind":"k","started_ms":7}]},"descriptors":100,"member":{"identity":7,"grant":{"epoch":2,"floors":{"acme":40},"shares":{"acme":100}},"shares_for":20000,"floors_for":600000,"part":500}}}"#,
     r#"{"given":{"version":1,"list":{"discovery":"127.0.0.1:8500","since":null,"upstreams":[]},"descriptors":100,"member":null}}"#,
     r#"{"refused":{"why":"another successor is here","ending":true}}"#,
     r#"{"given":{"version":1,"list":{"discovery":"127.0.0.1:8500","since":null,"upstreams":[]},"descriptors":100,"memory":9000000,"member":null}}"#,
     r#"{"left":{"descriptors":50}}"#,
     r#"{"left":{"descriptors":50,"memory":12000000}}"#,
+    r#"{"given":{"version":1,"list":{"discovery":"127.0.0.1:8500","since":null,"upstreams":[]},"descriptors":100,"memory":9000000,"run_once":[],"member":null}}"#,
+    r#"{"left":{"descriptors":50,"memory":12000000,"run_once":[{"id":"r1","left_ms":0}]}}"#,
     r#""yours""#,
 ];
 
@@ -40,7 +43,10 @@
     }
     // A later version may say more.
     let later = br#"{"left":{"descriptors":50,"later":1}}"#;
-    assert_eq!(decode(later), Ok(PredecessorMessage::Left { descriptors: 50, memory: None }));
+    assert_eq!(
+        decode(later),
+        Ok(PredecessorMessage::Left { descriptors: 50, memory: None, run_once: Vec::new() })
+    );
 }
 
 #[test]
