End an upstream whose address another process has by the list

Another process, in another zone, had come up at that address and does not know the key: the RPC ran a second time.

Cause: discovery had told of the new id and not yet of the end of the old one. Both were known at one address, so work for the old one reached the new one.

Evidence: with an end told, or with one id and a new started_ms, kept connections are closed and nothing goes astray; only the old id that is still known does.

Change: routing/endpoint_list.rs (the handling of lists, taken out of the dispatcher): a ready entry at the address of another upstream, of which the list says nothing, ends that one, unless it is known to have started later. Of two in one list the later start counts, with equal starts both stay.

--- a/crates/fernroute-server/src/routing/dispatcher.rs
+++ b/crates/fernroute-server/src/routing/dispatcher.rs
@@ -8,7 +8,7 @@
 use crate::memory::budget::MemoryBudget;
 use crate::memory::window::Windows;
 use crate::protocol::answer::{FinalAnswer, MAX_ANSWER_BYTES};
-use crate::protocol::list::{Entry, List, State};
+use crate::protocol::list::Entry;
 use crate::protocol::load::LoadFields;
 use crate::protocol::ops::{FleetStatus, MemoryStatus, Metrics};
 use crate::protocol::request::{MethodSpec, Request};
@@ -308,53 +308,4 @@
             }
         }
     }
-
-    /// Applies a list of upstreams. `fresh` is false for a list taken over from before the start, not from discovery.
-    pub fn apply_list(self: &Rc<Self>, list: &List, fresh: bool) {
-        self.discovery_answered.set(self.discovery_answered.get() || fresh);
-        {
-            let mut upstreams = self.upstreams.borrow_mut();
-            if list.full {
-                upstreams.retain(|id, _| list.entries.iter().any(|e| e.id == **id));
-            }
-            for entry in &list.entries {
-                let id = entry.id.as_str();
-                let Some(address) = entry.address.filter(|_| entry.state == State::Ready) else {
-                    upstreams.remove(id);
-                    continue;
-                };
-                // Connections are not reused for an upstream that has restarted or moved.
-                let unchanged = upstreams.remove(id).filter(|(before, client)| {
-                    before.started_ms == entry.started_ms && client.address == address
-                });
-                let client =
-                    unchanged.map_or_else(|| Rc::new(self.client.upstream(address)), |(_, client)| client);
-                upstreams.insert(Rc::from(id), (entry.clone(), client));
-            }
-        }
-        self.cancel_attempts_to_removed_upstreams();
-        self.decide(None, |b, now| {
-            b.snapshot_started(now, list.full);
-            for entry in &list.entries {
-                match entry.state {
-                    State::Ready => {
-                        b.upstream_ready(
-                            &entry.id,
-                            &entry.zone,
-                            &entry.cell,
-                            &entry.kind,
-                            entry.started_ms * 10,
-                        );
-                    }
-                    State::Draining => b.upstream_draining(&entry.id),
-                    State::Removed => b.upstream_removed(&entry.id),
-                }
-            }
-            b.snapshot_completed(fresh);
-        });
-    }
-
-    pub fn list_failed(self: &Rc<Self>) {
-        self.decide(None, |b, now| b.watch_failed(now));
-    }
 }
--- a/crates/fernroute-server/src/routing/mod.rs
+++ b/crates/fernroute-server/src/routing/mod.rs
@@ -6,6 +6,7 @@
 pub mod completion;
 pub mod counters;
 pub mod dispatcher;
+mod endpoint_list;
 pub mod phase;
 mod read_body;
 pub mod receive;
