Give the HTTP library one head at a time, and keep no map of its fields

Cause: a decoded head takes many times its bytes, 27 KB for 0.6 KB: the library's map has room for 128 fields. It decodes all heads that it has read, and the balancer copied the map of each request.

Change: what is read between requests ends with the head (transport/head_boundary.rs); the rest waits before what is read ahead. A body of known length is read up to its end. A request keeps its fields in a list and frees the library's map.

--- a/crates/fernroute-server/src/protocol/request.rs
+++ b/crates/fernroute-server/src/protocol/request.rs
@@ -55,8 +55,8 @@
     pub run_once: bool,
     verb: Method,
     uri: Uri,
-    /// End-to-end headers without the deadline, which each attempt sets itself.
-    headers: HeaderMap,
+    /// End-to-end headers without the deadline, which each attempt sets itself. A map would take several times as much memory.
+    headers: Vec<(HeaderName, HeaderValue)>,
     pub body: Bytes,
     /// A streamed body; None if `body` is complete.
     pub upload: Option<Rc<Upload>>,
@@ -254,7 +254,7 @@
             run_once: spec.verb == Method::POST && !spec.keyed,
             verb: head.method.clone(),
             uri: head.uri.clone(),
-            headers,
+            headers: headers.into_iter().collect(),
             body: Bytes::new(),
             upload: None,
             memory: None,
@@ -269,7 +269,10 @@
     /// The verb, URI and headers of an attempt at `address` with `time_left` as its deadline.
     pub fn encode(&self, address: SocketAddr, time_left: Time) -> (Method, String, HeaderMap) {
         let path = self.uri.path_and_query().map_or("/", |p| p.as_str());
-        let mut headers = self.headers.clone();
+        let mut headers = HeaderMap::with_capacity(self.headers.len() + 1);
+        for (name, value) in &self.headers {
+            headers.append(name.clone(), value.clone());
+        }
         headers.insert(HeaderName::from_static(names::DEADLINE), HeaderValue::from(time_left / 10));
         (self.verb.clone(), format!("http://{address}{path}"), headers)
     }
--- a/crates/fernroute-server/src/routing/read_body.rs
+++ b/crates/fernroute-server/src/routing/read_body.rs
@@ -64,7 +64,7 @@
         return Err(BodyError::Invalid(TOO_LARGE));
     }
     let time = CallerTime { received_at: Instant::now(), left: duration(time_left) };
-    let mut reader = BodyReader { payload, caller, received: BytesMut::new(), time };
+    let mut reader = BodyReader { payload, length, caller, received: BytesMut::new(), time };
     let is_whole = reader.read_received()?;
     if is_whole || length.is_some_and(|length| length <= SMALL_MESSAGE_BYTES as u64) {
         let has_body = !is_whole || !reader.received.is_empty();
@@ -113,6 +113,8 @@
 
 struct BodyReader<'a> {
     payload: Payload,
+    /// The declared length, if any.
+    length: Option<u64>,
     caller: &'a Rc<CallerConnection>,
     received: BytesMut,
     time: CallerTime,
@@ -140,10 +142,13 @@
     }
 
     async fn next_chunk(&mut self, step: usize) -> Option<Result<Bytes, actix_http::error::PayloadError>> {
+        let received = self.received.len() as u64;
+        let rest = self.length.map_or(usize::MAX, |length| length.saturating_sub(received) as usize);
         poll_fn(|cx| {
             let next = Pin::new(&mut self.payload).poll_next(cx);
             if next.is_pending() {
-                self.caller.input_gate().allow(step);
+                // What follows the body is another head.
+                self.caller.input_gate().allow(step.min(rest));
             }
             next
         })
--- a/crates/fernroute-server/src/routing/receive.rs
+++ b/crates/fernroute-server/src/routing/receive.rs
@@ -8,7 +8,7 @@
 use crate::protocol::{answer, names};
 use crate::transport::inbound::CallerConnection;
 use actix_http::body::BoxBody;
-use actix_http::header::CONTENT_LENGTH;
+use actix_http::header::{HeaderMap, CONTENT_LENGTH};
 use actix_http::{Method, Request, Response, StatusCode};
 use futures_util::FutureExt as _;
 use std::future::pending;
@@ -93,6 +93,8 @@
 ) -> Result<Body, BodyError> {
     let length = message.head().headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
     let payload = message.take_payload();
+    // The decoded request has what is still needed of them.
+    message.head_mut().headers = HeaderMap::new();
     let windows = &dispatcher.windows;
     let body = read_body::read_body(payload, length, caller, windows, request.time_left).await?;
     if request.takes_body() || body.upload.is_none() && body.bytes.is_empty() {
--- a/crates/fernroute-server/src/routing/upload.rs
+++ b/crates/fernroute-server/src/routing/upload.rs
@@ -133,7 +133,10 @@
         match next {
             Poll::Pending => {
                 self.upload.found_incomplete();
-                self.upload.input.allow(chunk_size);
+                let passed = self.bytes_passed;
+                let rest = self.upload.length.map_or(u64::MAX, |length| length.saturating_sub(passed));
+                // What follows the body is another head.
+                self.upload.input.allow(chunk_size.min(rest as usize));
                 self.wait(cx, true)
             }
             Poll::Ready(Some(Ok(chunk))) => {
--- a/crates/fernroute-server/src/transport/inbound.rs
+++ b/crates/fernroute-server/src/transport/inbound.rs
@@ -1,5 +1,6 @@
 //! A caller's connection: whether a request is open on it, and when it may be closed.
 
+use super::head_boundary::HeadBoundary;
 use super::input_gate::InputGate;
 use super::read_ahead::ReadAhead;
 use crate::memory::budget::MemoryBudget;
@@ -31,6 +32,8 @@
     pub(super) input_gate: Rc<InputGate>,
     /// What has been read and the library may not have yet.
     read_ahead: RefCell<ReadAhead>,
+    /// The search for the end of the head that is being received.
+    head_boundary: Cell<HeadBoundary>,
     /// Number of RPCs whose answer is not ready yet.
     open_requests: Cell<u32>,
     /// A head has been received, and its body is being received.
@@ -71,6 +74,7 @@
             stream: RefCell::default(),
             input_gate: InputGate::new(None),
             read_ahead: RefCell::default(),
+            head_boundary: Cell::default(),
             open_requests: Cell::new(0),
             receiving_body: Cell::new(false),
             partial_request: Cell::new(false),
@@ -285,6 +289,20 @@
         receive_buffer + MAX_SEND_BUFFER_BYTES + ReadAhead::MAX_BYTES
     }
 
+    /// Takes back what the library has been given behind the end of the current head; `before` bytes of `buf` are older.
+    pub(super) fn keep_one_head(&self, buf: &mut ReadBuf<'_>, before: usize) {
+        let mut boundary = self.head_boundary.get();
+        let end = boundary.find(&buf.filled()[before..]);
+        self.head_boundary.set(boundary);
+        let Some(end) = end else { return };
+        let rest = &buf.filled()[before + end..];
+        if !rest.is_empty() {
+            self.read_ahead.borrow_mut().put_back(rest);
+        }
+        buf.set_filled(before + end);
+        self.input_gate.close();
+    }
+
     /// Reads what the library may not have yet, to see whether the caller has closed the connection behind it.
     pub(super) fn poll_read_ahead(&self, cx: &mut Context<'_>) {
         let Some(budget) = self.input_gate.budget() else { return };
--- a/crates/fernroute-server/src/transport/inbound_stream.rs
+++ b/crates/fernroute-server/src/transport/inbound_stream.rs
@@ -49,8 +49,12 @@
             }
         };
         let before = buf.filled().len();
+        let is_head = connection.is_between_requests();
         let read = connection.poll_read(cx, buf, allowed);
         connection.input_gate.record_read(buf.filled().len() - before);
+        if is_head {
+            connection.keep_one_head(buf, before);
+        }
         match &read {
             Poll::Ready(_) => {
                 connection.read_in_turn.set(connection.read_in_turn.get() + buf.filled().len() - before)
--- a/crates/fernroute-server/src/transport/input_gate.rs
+++ b/crates/fernroute-server/src/transport/input_gate.rs
@@ -98,6 +98,11 @@
         self.allowed.set(self.allowed.get().saturating_sub(bytes));
     }
 
+    /// Nothing more may be read until the head that has been read is handled.
+    pub fn close(&self) {
+        self.allowed.set(0);
+    }
+
     /// A read has found nothing more.
     pub fn record_drained(&self) {
         self.drained_at.set(Instant::now());
--- a/crates/fernroute-server/src/transport/mod.rs
+++ b/crates/fernroute-server/src/transport/mod.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 mod framing;
 pub mod handover;
+pub mod head_boundary;
 pub mod inbound;
 mod inbound_stream;
 pub mod input_gate;
--- a/crates/fernroute-server/src/transport/read_ahead.rs
+++ b/crates/fernroute-server/src/transport/read_ahead.rs
@@ -15,6 +15,8 @@
 /// The bytes of one connection. Blocks are allocated as they are needed, and freed when they are empty.
 #[derive(Debug, Default)]
 pub struct ReadAhead {
+    /// What the library has been given too much, before the blocks. Its memory is that of the head it came with.
+    returned: BytesMut,
     blocks: VecDeque<BytesMut>,
     reservation: Option<Reservation>,
 }
@@ -27,7 +29,15 @@
     pub const MAX_BYTES: usize = MAX_BLOCKS * Self::BLOCK_BYTES;
 
     pub fn is_empty(&self) -> bool {
-        self.blocks.is_empty()
+        self.returned.is_empty() && self.blocks.is_empty()
+    }
+
+    /// Puts bytes that were taken last back to the front.
+    pub fn put_back(&mut self, bytes: &[u8]) {
+        let mut returned = BytesMut::with_capacity(bytes.len() + self.returned.len());
+        returned.extend_from_slice(bytes);
+        returned.extend_from_slice(&self.returned);
+        self.returned = returned;
     }
 
     /// A block with room for more bytes; none if there is no memory to spare.
@@ -54,6 +64,15 @@
 
     /// Moves up to `limit` bytes to `buf`.
     pub fn take(&mut self, limit: usize, buf: &mut ReadBuf<'_>) {
+        if !self.returned.is_empty() {
+            let length = limit.min(buf.remaining()).min(self.returned.len());
+            buf.put_slice(&self.returned[..length]);
+            self.returned.advance(length);
+            if self.returned.is_empty() {
+                self.returned = BytesMut::new();
+            }
+            return;
+        }
         let Some(first) = self.blocks.front_mut() else { return };
         let length = limit.min(buf.remaining()).min(first.len());
         buf.put_slice(&first[..length]);
--- a/crates/fernroute-server/tests/memory_limit.rs
+++ b/crates/fernroute-server/tests/memory_limit.rs
@@ -329,3 +329,39 @@
         );
     });
 }
+
+/// Guards against heads whose many short fields take far more memory than their bytes (issue 60, picture a).
+#[test]
+fn heads_of_many_short_fields_stay_within_the_limit() {
+    run(async {
+        let upstream = start_answer_upstream(16).await;
+        let measured = start_program("short-fields", upstream).await;
+        let program = &measured.program;
+        // As many as the library takes beside those that an RPC has.
+        let fields: String = (0..85).map(|n| format!("{n}:\r\n")).collect();
+        let callers = (0..CLIENTS - 1).map(|_| async {
+            for _ in 0..2 {
+                let mut stream = connect(program.address).await;
+                // Sixteen at once, of which one at a time is open.
+                let heads: String = (0..16).map(|_| rpc_head("GET", "/look", &fields)).collect();
+                let _ = stream.write_all(heads.as_bytes()).await;
+                for _ in 0..16 {
+                    let Some(answer) = read_message(&mut stream).await else { break };
+                    assert!([200, 503].contains(&answer.status()), "{}", answer.status());
+                }
+            }
+        });
+        // More than the process serves: some are rejected, all are answered in time.
+        let observe = async {
+            for _ in 0..50 {
+                let started = Instant::now();
+                let answer = send_and_read(program.address, rpc_head("GET", "/look", "")).await;
+                assert!([200, 503].contains(&answer.status()), "{}", answer.status());
+                assert!(started.elapsed() < BAD_CALLER_TIME, "{:?}", started.elapsed());
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::join!(join_all(callers), observe);
+        measured.check_peak();
+    });
+}
