Do not count RPCs that are still being received towards the open ones

Cause: under overload the decisions limit the open RPCs, and counted those on which no upstream can work yet.

Evidence: "exhausted after 0 attempts" without "no memory" in the log, the breaker closed, memory waited for by long RPCs alone.

Change: the server tells that an RPC is forwarded while it is received (Balancer::rpc_receiving); it counts from its last byte on.

--- a/crates/fernroute-server/src/routing/admit.rs
+++ b/crates/fernroute-server/src/routing/admit.rs
@@ -77,6 +77,9 @@
         let _abandon_on_drop = AbandonOnDrop { dispatcher: Rc::clone(self), rpc: Rc::clone(&rpc) };
         self.decide(Some(&rpc), |b, now| {
             b.rpc_arrived(now, &rpc, &request.method, &request.tenant, &request.key, request.time_left);
+            if !request.is_complete() {
+                b.rpc_receiving(&rpc);
+            }
         });
         let Ok(mut answer) = receiver.await else {
             // The caller has disconnected; closing the connection drops this future.
--- a/crates/fernroute-server/tests/memory_limit.rs
+++ b/crates/fernroute-server/tests/memory_limit.rs
@@ -330,6 +330,40 @@
     });
 }
 
+/// Guards against a process that is killed, and short RPCs that are refused, beside callers that stop half way through a large body
+/// (issue 60, picture a).
+#[test]
+fn callers_that_stop_within_a_large_body_leave_room_for_short_rpcs() {
+    run(async {
+        let (_start_reading, reads) = watch::channel(true);
+        let upstream = start_body_upstream(reads).await;
+        let measured = start_program("halves", upstream).await;
+        let program = &measured.program;
+        let stopped = join_all((0..CLIENTS - 1).map(|_| async {
+            let mut stream = connect(program.address).await;
+            let more = format!("Idempotency-Key: k\r\nContent-Length: {LONGEST_BODY_BYTES}\r\n");
+            // The balancer may refuse it meanwhile.
+            let _ = stream.write_all(rpc_head("POST", "/put", &more).as_bytes()).await;
+            let part = [b'x'; 64 * 1024];
+            for _ in 0..LONGEST_BODY_BYTES / part.len() / 2 {
+                if timeout(Duration::from_millis(500), stream.write_all(&part)).await.is_err() {
+                    break;
+                }
+            }
+            stream
+        }));
+        let observe = async {
+            for _ in 0..100 {
+                check_short_rpc(program.address).await;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let (stopped, ()) = tokio::join!(stopped, observe);
+        drop(stopped);
+        measured.check_peak();
+    });
+}
+
 /// Guards against heads whose many short fields take far more memory than their bytes (issue 60, picture a).
 #[test]
 fn heads_of_many_short_fields_stay_within_the_limit() {
--- a/crates/fernroute/src/balancer.rs
+++ b/crates/fernroute/src/balancer.rs
@@ -462,7 +462,9 @@
             return true;
         }
         // RPCs past the soft deadline are not counted: they may be lost, and if merely late they are no completions either.
-        let is_open = |rpc: &&Rpc| !rpc.answered && self.now < rpc.arrived_at + soft_deadline;
+        // Those that are still being received are no load on the upstreams.
+        let is_open =
+            |rpc: &&Rpc| !rpc.answered && !rpc.receiving && self.now < rpc.arrived_at + soft_deadline;
         let open_rpcs = self.rpcs.values().filter(is_open).count();
         let load = self.present_load();
         self.admission.admits(priority_weight, open_rpcs, soft_deadline, &load)
@@ -506,6 +508,7 @@
             response_deadline,
             answered: false,
             queued: false,
+            receiving: false,
             attempts_forbidden: false,
             attempts: Vec::new(),
         };
@@ -661,10 +664,18 @@
         }
     }
 
+    /// The RPC is forwarded while it is still being received.
+    pub fn rpc_receiving(&mut self, id: &str) {
+        if let Some(rpc) = self.rpcs.get_mut(id) {
+            rpc.receiving = true;
+        }
+    }
+
     /// The last byte of an RPC arrived that was forwarded while it was still being received. Its deadlines count from `sent_at`,
     /// the earliest time at which its caller may have sent that byte.
     pub fn rpc_fully_received(&mut self, sent_at: Time, id: &str) {
         if let Some(rpc) = self.rpcs.get_mut(id) {
+            rpc.receiving = false;
             rpc.restart_deadlines(sent_at);
         }
     }
--- a/crates/fernroute/src/rpcs.rs
+++ b/crates/fernroute/src/rpcs.rs
@@ -27,6 +27,8 @@
     pub(crate) answered: bool,
     /// Whether it waits until an upstream may take it.
     pub(crate) queued: bool,
+    /// Whether its caller is still sending it: no upstream can work on it yet.
+    pub(crate) receiving: bool,
     /// Whether no further attempt may be sent, whatever its method allows.
     pub(crate) attempts_forbidden: bool,
     /// In the order of sending.
