--- a/crates/fernroute-server/src/routing/completion.rs
+++ b/crates/fernroute-server/src/routing/completion.rs
@@ -25,7 +25,8 @@
 
     /// Delivers the answer of a completed attempt.
     fn deliver_completed(&self, rpc: &str, answer: Answer) -> bool {
-        if let Some(entry) = self.open.borrow_mut().get_mut(rpc) {
+        // One that comes after another final answer is not delivered.
+        if let Some(entry) = self.open.borrow_mut().get_mut(rpc).filter(|entry| entry.answer.is_some()) {
             // Its end may lie in the socket.
             let has_left =
                 |caller: &Weak<CallerConnection>| caller.upgrade().is_none_or(|c| c.has_disconnected());
--- a/crates/fernroute-server/tests/run_once_ids.rs
+++ b/crates/fernroute-server/tests/run_once_ids.rs
@@ -61,6 +61,25 @@
     });
 }
 
+/// The same where the upstream's answer comes after the caller was told that the RPC failed, and the caller stays.
+#[test]
+fn id_of_an_rpc_that_completes_after_its_final_answer_is_not_sent_again() {
+    run(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("bind a listener");
+        let at = listener.local_addr().expect("local address");
+        let b = balancer_at(&[at], &[("\"cancel\":true", "\"cancel\":false")]).await;
+        let head = pay().replace("Ms: 4000", "Ms: 200");
+        let mut caller = send(b.address, &head).await;
+        let (mut stream, _) = listener.accept().await.expect("accept a connection");
+        read_message(&mut stream).await.expect("read the RPC");
+        assert_eq!(read_message(&mut caller).await.expect("an answer").status(), 502);
+        let late = fernroute_test_support::http::response(200, "", "late");
+        let _ = stream.write_all(&late).await;
+        wait_until(|| b.dispatcher.open.borrow().is_empty()).await;
+        assert_eq!(send_and_read(b.address, &head).await.status(), 400);
+    });
+}
+
 /// Guards against entries without an end: of an RPC that never ran, of one whose answer was delivered, and of one whose time is over.
 #[test]
 fn id_is_free_again_once_its_rpc_can_not_run() {
